--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! One module a subcommand.
+
+pub(crate) mod ask;
+pub(crate) mod config;
+pub(crate) mod errors;
+pub(crate) mod key;
+pub(crate) mod patch;
+pub(crate) mod settings;
+pub(crate) mod status;
+pub(crate) mod token;
+pub(crate) mod usage;
--- /dev/null
+++ b/cli/src/commands/settings.rs
@@ -0,0 +1,41 @@
+//! `wasabistall settings`: checks settings files.
+
+use eyre::{Result, WrapErr};
+use serde_json::json;
+use wasabistall_lib::settings::InstanceSettings;
+
+use crate::{CommandEnd, flags, output::Output};
+
+pub(crate) fn run(command: &flags::Settings, output: Output) -> Result<CommandEnd> {
+    let flags::SettingsCmd::Check(check) = &command.subcommand;
+    let file = check.file.display();
+    let text =
+        std::fs::read_to_string(&check.file).wrap_err_with(|| format!("cannot read {file}"))?;
+    let faults = match InstanceSettings::parse(&text) {
+        Ok(settings) => {
+            let value = json!({ "valid": true, "instance": settings.instance });
+            output.print(&value, || {
+                format!("{file}: valid, instance {}", settings.instance)
+            })?;
+            return Ok(CommandEnd::Fine);
+        }
+        Err(faults) => faults,
+    };
+    let rows: Vec<_> = faults
+        .iter()
+        .map(|fault| {
+            json!({
+                "line": fault.line,
+                "column": fault.column,
+                "path": fault.path,
+                "message": fault.message,
+                "hint": fault.hint,
+            })
+        })
+        .collect();
+    output.print(&json!({ "valid": false, "faults": rows }), || {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    })?;
+    Ok(CommandEnd::Faults)
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,67 @@
+//! Operators' command-line tool of wasabistall.
+
+mod commands;
+mod deployment;
+mod flags;
+mod http;
+mod output;
+
+use std::process::ExitCode;
+
+use eyre::Result;
+
+use self::{
+    deployment::Deployment,
+    flags::{Wasabistall, WasabistallCmd as Command},
+    output::Output,
+};
+
+/// Exit code when a check found faults.
+const EXIT_FAULTS: u8 = 2;
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandEnd {
+    /// All is well.
+    Fine,
+    /// The command ran and found faults.
+    Faults,
+}
+
+fn main() -> ExitCode {
+    let flags = match Wasabistall::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    match start(flags) {
+        Ok(CommandEnd::Fine) => ExitCode::SUCCESS,
+        Ok(CommandEnd::Faults) => ExitCode::from(EXIT_FAULTS),
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(flags: Wasabistall) -> Result<CommandEnd> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(flags))
+}
+
+async fn run(flags: Wasabistall) -> Result<CommandEnd> {
+    let output = Output::from_flag(flags.format.as_deref())?;
+    let deployment = || Deployment::load(flags.deployment.as_deref());
+    match flags.subcommand {
+        Command::Settings(command) => commands::settings::run(&command, output),
+        Command::Errors(_) => commands::errors::run(output),
+        Command::Key(command) => commands::key::run(&command, output),
+        Command::Token(_) => commands::token::run(output),
+        Command::Patch(command) => commands::patch::run(command, &deployment()?, output).await,
+        Command::Config(command) => commands::config::run(&command, &deployment()?, output).await,
+        Command::Status(_) => commands::status::run(&deployment()?, output).await,
+        Command::Usage(command) => commands::usage::run(&command, &deployment()?, output).await,
+        Command::Ask(command) => commands::ask::run(&command, &deployment()?).await,
+    }
+}
--- /dev/null
+++ b/daemon/src/callers.rs
@@ -0,0 +1,465 @@
+//! The interface to callers: completions, plain services, addresses.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    header::{
+        ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE, HeaderName,
+        HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+    },
+};
+use poem::{Body, Response, Server, endpoint, listener::TcpAcceptor};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+use tokio::{net::TcpListener, sync::oneshot};
+use tracing::Instrument;
+use wasabistall_lib::{
+    error::{ErrorKind, RefusalBody, RunState},
+    event::{CallTarget, CallerRequest},
+    key::KeyProof,
+    settings::{CallerLimits, InstanceSettings},
+};
+
+use crate::{
+    client::{HttpClient, WholeAnswer},
+    core::CoreHandle,
+    driver::{BackendCall, BackendClients, CallerReply, RequestDriver, reply_status},
+    telemetry::{self, MetricSet},
+};
+
+/// Output tokens reserved when a caller names no bound.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+/// Largest bound on output tokens that a caller may name.
+const MAX_MAX_TOKENS: u64 = 1_000_000;
+/// Bytes of prompt counted as one token until the engine's own count is known.
+const BYTES_PER_TOKEN: u64 = 4;
+/// A body longer than its limit times this is cut off.
+const DRAIN_FACTOR: usize = 4;
+/// Time for connections to end once no request is in progress.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Header in which a caller names its deadline, in milliseconds.
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Stops the server for callers.
+pub(crate) struct CallerStop {
+    signal: oneshot::Sender<()>,
+    ended: oneshot::Receiver<()>,
+}
+
+impl CallerStop {
+    /// Takes no more connections and waits a little for open ones.
+    pub(crate) async fn stop(self) {
+        let _ = self.signal.send(());
+        let _ = self.ended.await;
+    }
+}
+
+/// Serves callers until stopped.
+pub(crate) fn serve(
+    listener: TcpListener,
+    settings: &InstanceSettings,
+    core: &CoreHandle,
+    metrics: &MetricSet,
+) -> (CallerStop, impl Future<Output = ()> + Send + use<>) {
+    let service = Arc::new(CallerService {
+        limits: settings.limits.clone(),
+        core: core.clone(),
+        metrics: metrics.clone(),
+        clients: BackendClients {
+            engines: HttpClient::pooled(),
+            services: HttpClient::unpooled(),
+            stall_timeout: settings.limits.stall_timeout,
+            instance: settings.instance.clone(),
+        },
+    });
+    let endpoint = endpoint::make(move |request| {
+        let service = service.clone();
+        async move { service.answer(request).await }
+    });
+    let (signal, stopped) = oneshot::channel();
+    let (end, ended) = oneshot::channel();
+    let server = async move {
+        let acceptor = match TcpAcceptor::from_tokio(listener) {
+            Ok(acceptor) => acceptor,
+            Err(error) => {
+                tracing::error!(%error, "cannot serve callers");
+                return;
+            }
+        };
+        let stop = async {
+            let _ = stopped.await;
+        };
+        let result = Server::new_with_acceptor(acceptor)
+            .run_with_graceful_shutdown(endpoint, stop, Some(STOP_TIMEOUT))
+            .await;
+        if let Err(error) = result {
+            tracing::error!(%error, "server for callers ended");
+        }
+        let _ = end.send(());
+    };
+    (CallerStop { signal, ended }, server)
+}
+
+struct CallerService {
+    limits: CallerLimits,
+    core: CoreHandle,
+    metrics: MetricSet,
+    clients: BackendClients,
+}
+
+/// A request parsed far enough to be admitted.
+struct ParsedCall {
+    target: CallTarget,
+    call: BackendCall,
+    prompt_tokens: u64,
+    max_tokens: u64,
+}
+
+impl CallerService {
+    async fn answer(self: Arc<Self>, request: poem::Request) -> Response {
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        if method == Method::GET && path == "/v1/addresses" {
+            return self.addresses(&request).await;
+        }
+        let started = Instant::now();
+        let span = tracing::info_span!("caller", otel.kind = "server", %method, path);
+        telemetry::set_parent(&span, request.headers());
+        let open = OpenGuard::new(&self.core);
+        let reply = self.serve(request, open).instrument(span).await;
+        let kind = match &reply {
+            CallerReply::Refusal(body) => body.kind.name(),
+            _ => SmolStr::default(),
+        };
+        let status = reply_status(&reply);
+        self.metrics
+            .count_answer(status.as_u16(), &kind, started.elapsed());
+        into_response(reply)
+    }
+
+    async fn addresses(&self, request: &poem::Request) -> Response {
+        let near = query_value(request, "data_centre");
+        let caller = request
+            .remote_addr()
+            .as_socket_addr()
+            .map(|address| address.ip().to_string())
+            .unwrap_or_default();
+        let list = self
+            .core
+            .query(move |reducer| reducer.addresses(near.as_deref(), &caller))
+            .await;
+        match list.and_then(|list| serde_json::to_vec(&list).ok()) {
+            Some(body) => Response::builder()
+                .header(CONTENT_TYPE, "application/json")
+                .header(CACHE_CONTROL, "no-store")
+                .body(body),
+            None => into_response(refusal(ErrorKind::InternalFault)),
+        }
+    }
+
+    async fn serve(&self, mut request: poem::Request, open: OpenGuard) -> CallerReply {
+        if header_bytes(request.headers()) > self.limits.header_bytes {
+            return refusal(ErrorKind::HeadersTooLarge);
+        }
+        if is_ambiguous(&request) {
+            return refusal(ErrorKind::MalformedRequest);
+        }
+        let body = match self.read_body(&mut request).await {
+            Ok(body) => body,
+            Err(kind) => return refusal(kind),
+        };
+        let parsed = match parse_call(&request, body) {
+            Ok(parsed) => parsed,
+            Err(kind) => return refusal(kind),
+        };
+        let Some(patience) = self.patience(request.headers()) else {
+            return refusal(ErrorKind::MalformedRequest);
+        };
+        let caller_request = CallerRequest {
+            number: 0,
+            target: parsed.target,
+            key: bearer_key(request.headers()),
+            prompt_tokens: parsed.prompt_tokens,
+            max_tokens: parsed.max_tokens,
+            patience,
+        };
+        let Some(opened) = self.core.open(caller_request).await else {
+            return refusal(ErrorKind::ShuttingDown);
+        };
+        let (sender, receiver) = oneshot::channel();
+        let driver = RequestDriver {
+            core: self.core.clone(),
+            clients: self.clients.clone(),
+            number: opened.number,
+            commands: opened.commands,
+            call: parsed.call,
+            reply: sender,
+        };
+        let run = async move {
+            driver.drive().await;
+            drop(open);
+        };
+        tokio::spawn(run.instrument(tracing::Span::current()));
+        receiver.await.unwrap_or_else(|_| {
+            let body = RefusalBody::new(ErrorKind::InternalFault, RunState::Unknown, None);
+            CallerReply::Refusal(body)
+        })
+    }
+
+    async fn read_body(&self, request: &mut poem::Request) -> Result<Bytes, ErrorKind> {
+        let body = request.take_body().into_bytes_stream();
+        let read = collect_body(body, self.limits.body_bytes);
+        tokio::time::timeout(self.limits.body_timeout, read)
+            .await
+            .unwrap_or(Err(ErrorKind::BodyTimeout))
+    }
+
+    /// How long the caller waits; `None` when its header is not a number.
+    fn patience(&self, headers: &HeaderMap) -> Option<Duration> {
+        let Some(value) = headers.get(&DEADLINE) else {
+            return Some(self.limits.default_deadline);
+        };
+        let millis: u64 = value.to_str().ok()?.parse().ok()?;
+        Some(Duration::from_millis(millis).min(self.limits.max_deadline))
+    }
+}
+
+/// Counts a request as open until it is dropped.
+struct OpenGuard {
+    core: CoreHandle,
+}
+
+impl OpenGuard {
+    fn new(core: &CoreHandle) -> OpenGuard {
+        core.shared.open_requests.fetch_add(1, Ordering::AcqRel);
+        OpenGuard { core: core.clone() }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.core
+            .shared
+            .open_requests
+            .fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Collects a body of at most `limit` bytes.
+///
+/// A longer body is read on for a while and dropped, because a caller that still sends when the
+/// connection closes may never see the refusal.
+async fn collect_body(
+    mut body: impl Stream<Item = std::io::Result<Bytes>> + Unpin,
+    limit: usize,
+) -> Result<Bytes, ErrorKind> {
+    let mut collected = BytesMut::new();
+    let mut length = 0;
+    while let Some(chunk) = body.next().await {
+        let chunk = chunk.map_err(|_| ErrorKind::MalformedRequest)?;
+        length += chunk.len();
+        if length > limit * DRAIN_FACTOR {
+            break;
+        }
+        if length <= limit {
+            collected.extend_from_slice(&chunk);
+        }
+    }
+    if length > limit {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    Ok(collected.freeze())
+}
+
+/// A refusal before anything was sent anywhere.
+fn refusal(kind: ErrorKind) -> CallerReply {
+    CallerReply::Refusal(RefusalBody::new(kind, RunState::NotRun, None))
+}
+
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
+/// Whether parts of a request could be read in two ways.
+fn is_ambiguous(request: &poem::Request) -> bool {
+    let headers = request.headers();
+    let both_lengths =
+        headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING);
+    let keys = headers.get_all(AUTHORIZATION).iter().count();
+    both_lengths || keys > 1 || has_odd_path(request.uri().path())
+}
+
+/// Whether a path holds empty, dot or escaped segments, or bytes that servers may read otherwise.
+fn has_odd_path(path: &str) -> bool {
+    let odd_byte = |byte: u8| matches!(byte, b'%' | b'\\' | b';') || byte.is_ascii_control();
+    let odd_segment = |segment: &str| matches!(segment, "" | "." | "..");
+    path.bytes().any(odd_byte) || path.split('/').skip(1).any(odd_segment)
+}
+
+fn query_value(request: &poem::Request, name: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.to_owned())
+    })
+}
+
+fn bearer_key(headers: &HeaderMap) -> Result<Option<KeyProof>, ()> {
+    let Some(value) = headers.get(AUTHORIZATION) else {
+        return Ok(None);
+    };
+    let clear = value
+        .to_str()
+        .ok()
+        .and_then(|value| value.strip_prefix("Bearer "));
+    clear.and_then(KeyProof::parse).map(Some).ok_or(())
+}
+
+fn parse_call(request: &poem::Request, body: Bytes) -> Result<ParsedCall, ErrorKind> {
+    let path = request.uri().path();
+    let completion = match path {
+        "/v1/completions" => Some("/v1/completions"),
+        "/v1/chat/completions" => Some("/v1/chat/completions"),
+        _ => None,
+    };
+    match completion {
+        Some(path) if request.method() == Method::POST => parse_completion(path, &body),
+        Some(_) => Err(ErrorKind::UnknownRoute),
+        None => parse_service(request, body),
+    }
+}
+
+fn parse_completion(path: &'static str, body: &[u8]) -> Result<ParsedCall, ErrorKind> {
+    let malformed = ErrorKind::MalformedRequest;
+    let mut fields: Map<String, Value> = serde_json::from_slice(body).map_err(|_| malformed)?;
+    let Some(Value::String(model)) = fields.remove("model") else {
+        return Err(malformed);
+    };
+    let prompt = match path {
+        "/v1/completions" => fields.get("prompt").and_then(Value::as_str),
+        _ => None,
+    };
+    let prompt_bytes = match (prompt, fields.get("messages").and_then(Value::as_array)) {
+        (Some(prompt), _) => prompt.len(),
+        (None, Some(messages)) if !messages.is_empty() => message_bytes(messages)?,
+        _ => return Err(malformed),
+    };
+    let stream = match fields.get("stream") {
+        None => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => return Err(malformed),
+    };
+    let max_tokens = match fields.get("max_tokens") {
+        None => DEFAULT_MAX_TOKENS,
+        Some(value) => value.as_u64().ok_or(malformed)?,
+    };
+    if !(1..=MAX_MAX_TOKENS).contains(&max_tokens) {
+        return Err(malformed);
+    }
+    fields.insert("max_tokens".into(), Value::from(max_tokens));
+    Ok(ParsedCall {
+        target: CallTarget::Model(model.into()),
+        call: BackendCall::Completion {
+            path,
+            fields,
+            stream,
+        },
+        prompt_tokens: (prompt_bytes as u64).div_ceil(BYTES_PER_TOKEN),
+        max_tokens,
+    })
+}
+
+fn message_bytes(messages: &[Value]) -> Result<usize, ErrorKind> {
+    messages.iter().try_fold(0, |bytes, message| {
+        let content = message.get("content").and_then(Value::as_str);
+        let content = content.ok_or(ErrorKind::MalformedRequest)?;
+        Ok(bytes + content.len())
+    })
+}
+
+fn parse_service(request: &poem::Request, body: Bytes) -> Result<ParsedCall, ErrorKind> {
+    let rest = request
+        .uri()
+        .path()
+        .strip_prefix("/services/")
+        .ok_or(ErrorKind::UnknownRoute)?;
+    let (service, path) = match rest.find('/') {
+        Some(position) => rest.split_at(position),
+        None => (rest, "/"),
+    };
+    let mut headers = HeaderMap::new();
+    for name in [CONTENT_TYPE, ACCEPT, IDEMPOTENCY_KEY] {
+        if let Some(value) = request.headers().get(&name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    let full_path = match request.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    Ok(ParsedCall {
+        target: CallTarget::Service {
+            service: service.into(),
+            method: SmolStr::new(request.method().as_str()),
+            path: path.into(),
+        },
+        call: BackendCall::Service {
+            method: request.method().clone(),
+            path: full_path,
+            headers,
+            body,
+        },
+        prompt_tokens: 0,
+        max_tokens: 0,
+    })
+}
+
+fn into_response(reply: CallerReply) -> Response {
+    let status = reply_status(&reply);
+    match reply {
+        CallerReply::Whole(answer) => whole_response(answer),
+        CallerReply::Stream(receiver) => {
+            let stream = futures_util::stream::unfold(receiver, |mut receiver| async move {
+                receiver.recv().await.map(|event| (event, receiver))
+            });
+            Response::builder()
+                .header(CONTENT_TYPE, "text/event-stream")
+                .header(CACHE_CONTROL, "no-store")
+                .body(Body::from_bytes_stream(stream))
+        }
+        CallerReply::Refusal(body) => {
+            let mut builder = Response::builder()
+                .status(status)
+                .header(CONTENT_TYPE, "application/json");
+            if let Some(delay) = body.retry_after {
+                let seconds = delay.as_millis().div_ceil(1_000);
+                builder = builder.header(RETRY_AFTER, seconds.to_string());
+            }
+            builder.body(serde_json::to_vec(&body).unwrap_or_default())
+        }
+    }
+}
+
+fn whole_response(answer: WholeAnswer) -> Response {
+    let mut response = Response::builder().status(answer.status).body(answer.body);
+    for name in [CONTENT_TYPE, CACHE_CONTROL] {
+        if let Some(value) = answer.headers.get(&name) {
+            let value: &HeaderValue = value;
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    if answer.status == StatusCode::NO_CONTENT {
+        response.headers_mut().remove(CONTENT_TYPE);
+    }
+    response
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,124 @@
+//! Entry daemon of wasabistall: answers callers, talks to peers, engines and the platform.
+
+mod callers;
+mod client;
+mod core;
+mod driver;
+mod engines;
+mod operators;
+mod peers;
+mod platform;
+mod sse;
+mod telemetry;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use eyre::{Result, WrapErr, eyre};
+use tokio::net::TcpListener;
+use wasabistall_lib::settings::InstanceSettings;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Entry daemon of wasabistall.
+        cmd wasabistalld {
+            /// Settings of the instance, in JSON with comments.
+            required settings: PathBuf
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = match flags::Wasabistalld::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    match start(&flags.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(path: &PathBuf) -> Result<InstanceSettings> {
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("cannot read settings {}", path.display()))?;
+    InstanceSettings::parse(&text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        eyre!("{} is not valid:\n{}", path.display(), lines.join("\n"))
+    })
+}
+
+fn start(path: &PathBuf) -> Result<()> {
+    let settings = read_settings(path)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the runtime")?;
+    runtime.block_on(run(settings))
+}
+
+async fn bind(address: std::net::SocketAddr, what: &str) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| {
+        format!(
+            "cannot listen for {what} on {address}\n    hint: is another process using the port?"
+        )
+    })
+}
+
+async fn run(settings: InstanceSettings) -> Result<()> {
+    let telemetry = telemetry::start(&settings)?;
+    let callers = bind(settings.listen.callers, "callers").await?;
+    let peers = bind(settings.listen.peers, "peers").await?;
+    let operators = bind(settings.listen.operators, "operators").await?;
+    tracing::info!(
+        instance = %settings.instance,
+        callers = %callers.local_addr()?,
+        peers = %peers.local_addr()?,
+        operators = %operators.local_addr()?,
+        "listening"
+    );
+    let core = core::start(&settings, telemetry.metrics.clone());
+    platform::start(&settings, &core);
+    let peer_server = peers::serve(peers, &settings, &core, &telemetry.metrics);
+    let operator_server = operators::serve(operators, &settings, &core, &telemetry);
+    let (drained, caller_server) = callers::serve(callers, &settings, &core, &telemetry.metrics);
+    let servers = [
+        tokio::spawn(peer_server),
+        tokio::spawn(operator_server),
+        tokio::spawn(caller_server),
+    ];
+    wait_for_signal().await?;
+    tracing::info!("shutting down; answers in progress finish");
+    core.shut_down().await;
+    tokio::select! {
+        () = core.drained() => tracing::info!("all requests have ended"),
+        () = tokio::time::sleep(settings.drain_timeout) => {
+            tracing::warn!("requests still run at the end of the drain timeout");
+        }
+        result = wait_for_signal() => {
+            result?;
+            tracing::warn!("second signal; requests in progress are cut");
+        }
+    }
+    drained.stop().await;
+    for server in servers {
+        server.abort();
+    }
+    telemetry.close();
+    Ok(())
+}
+
+async fn wait_for_signal() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/telemetry.rs
@@ -0,0 +1,203 @@
+//! Logs, traces and metrics.
+
+use std::{sync::Arc, time::Duration};
+
+use eyre::{Result, WrapErr, eyre};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    propagation::{Extractor, Injector, TextMapPropagator},
+    trace::TracerProvider,
+};
+use opentelemetry_otlp::{MetricExporter, SpanExporter, WithExportConfig};
+use opentelemetry_sdk::{
+    Resource, metrics::SdkMeterProvider, propagation::TraceContextPropagator,
+    trace::SdkTracerProvider,
+};
+use prometheus::{Encoder, Registry, TextEncoder};
+use tracing::Span;
+use tracing_opentelemetry::OpenTelemetrySpanExt;
+use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
+use wasabistall_lib::settings::{InstanceSettings, LogFormat};
+
+const SERVICE_NAME: &str = "wasabistalld";
+
+/// Logs, traces and metrics of the process.
+pub(crate) struct Telemetry {
+    pub(crate) metrics: MetricSet,
+    tracers: SdkTracerProvider,
+    meters: SdkMeterProvider,
+}
+
+impl Telemetry {
+    /// Sends what is left to the collector.
+    pub(crate) fn close(self) {
+        if let Err(error) = self.tracers.shutdown() {
+            tracing::debug!(%error, "traces were not sent");
+        }
+        if let Err(error) = self.meters.shutdown() {
+            tracing::debug!(%error, "metrics were not sent");
+        }
+    }
+}
+
+/// Starts logs, traces and metrics.
+pub(crate) fn start(settings: &InstanceSettings) -> Result<Telemetry> {
+    let resource = Resource::builder()
+        .with_service_name(SERVICE_NAME)
+        .with_attribute(KeyValue::new(
+            "service.instance.id",
+            settings.instance.to_string(),
+        ))
+        .build();
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .wrap_err("cannot start metrics")?;
+    let mut meters = SdkMeterProvider::builder()
+        .with_resource(resource.clone())
+        .with_reader(exporter);
+    let mut tracers = SdkTracerProvider::builder().with_resource(resource);
+    if let Some(collector) = settings.telemetry.otlp {
+        let spans = SpanExporter::builder()
+            .with_http()
+            .with_endpoint(format!("http://{collector}/v1/traces"))
+            .build()
+            .wrap_err("cannot export traces")?;
+        let metrics = MetricExporter::builder()
+            .with_http()
+            .with_endpoint(format!("http://{collector}/v1/metrics"))
+            .build()
+            .wrap_err("cannot export metrics")?;
+        tracers = tracers.with_batch_exporter(spans);
+        meters = meters.with_periodic_exporter(metrics);
+    }
+    let (tracers, meters) = (tracers.build(), meters.build());
+    start_logs(settings, &tracers)?;
+    Ok(Telemetry {
+        metrics: MetricSet::new(&meters, registry),
+        tracers,
+        meters,
+    })
+}
+
+fn start_logs(settings: &InstanceSettings, tracers: &SdkTracerProvider) -> Result<()> {
+    let level = &settings.telemetry.level;
+    let filter = EnvFilter::try_new(format!("warn,wasabistalld={level},wasabistall_lib={level}"))
+        .map_err(|error| eyre!("cannot set the log level: {error}"))?;
+    let spans = tracing_opentelemetry::layer().with_tracer(tracers.tracer(SERVICE_NAME));
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr);
+    let lines = match settings.telemetry.format {
+        LogFormat::Text => lines.with_ansi(false).boxed(),
+        LogFormat::Json => lines.json().boxed(),
+    };
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(lines)
+        .with(spans)
+        .try_init()
+        .wrap_err("cannot start logs")
+}
+
+struct HeaderReader<'h>(&'h HeaderMap);
+
+impl Extractor for HeaderReader<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key)?.to_str().ok()
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(HeaderName::as_str).collect()
+    }
+}
+
+struct HeaderWriter<'h>(&'h mut HeaderMap);
+
+impl Injector for HeaderWriter<'_> {
+    fn set(&mut self, key: &str, value: String) {
+        let name = HeaderName::from_bytes(key.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&value)) {
+            self.0.insert(name, value);
+        }
+    }
+}
+
+/// Makes the W3C trace context in `headers` the parent of `span`.
+pub(crate) fn set_parent(span: &Span, headers: &HeaderMap) {
+    let context = TraceContextPropagator::new().extract(&HeaderReader(headers));
+    let _ = span.set_parent(context);
+}
+
+/// Writes the trace context of the current span into `headers`.
+pub(crate) fn inject_context(headers: &mut HeaderMap) {
+    let context = Span::current().context();
+    TraceContextPropagator::new().inject_context(&context, &mut HeaderWriter(headers));
+}
+
+/// The metrics of the process.
+#[derive(Clone)]
+pub(crate) struct MetricSet {
+    registry: Arc<Registry>,
+    answers: Counter<u64>,
+    answer_seconds: Histogram<f64>,
+    envelopes_refused: Counter<u64>,
+    config_version: Gauge<u64>,
+}
+
+impl MetricSet {
+    fn new(meters: &SdkMeterProvider, registry: Registry) -> MetricSet {
+        let meter = meters.meter(SERVICE_NAME);
+        MetricSet {
+            registry: Arc::new(registry),
+            answers: meter
+                .u64_counter("wasabistall.answers")
+                .with_description("Answers to callers by status and error kind")
+                .build(),
+            answer_seconds: meter
+                .f64_histogram("wasabistall.answer.head")
+                .with_unit("s")
+                .with_description("Time until the head of an answer")
+                .build(),
+            envelopes_refused: meter
+                .u64_counter("wasabistall.envelopes.refused")
+                .with_description("Envelopes of peers that were refused, by fault")
+                .build(),
+            config_version: meter
+                .u64_gauge("wasabistall.config.version")
+                .with_description("Version of the configuration in force")
+                .build(),
+        }
+    }
+
+    /// Counts an answer to a caller; `kind` is empty unless it is a refusal.
+    pub(crate) fn count_answer(&self, status: u16, kind: &str, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("status", i64::from(status)),
+            KeyValue::new("kind", kind.to_owned()),
+        ];
+        self.answers.add(1, &labels);
+        self.answer_seconds.record(elapsed.as_secs_f64(), &labels);
+    }
+
+    /// Counts a refused envelope.
+    pub(crate) fn count_envelope_refused(&self, fault: &'static str) {
+        self.envelopes_refused
+            .add(1, &[KeyValue::new("fault", fault)]);
+    }
+
+    /// Shows the version of the configuration in force.
+    pub(crate) fn set_config(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn render(&self) -> Option<String> {
+        let mut page = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut page)
+            .ok()?;
+        String::from_utf8(page).ok()
+    }
+}
--- /dev/null
+++ b/lib/src/config/state.rs
@@ -0,0 +1,701 @@
+//! The configuration at one version, and the rule by which a patch leads to the next.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr, sync::Arc};
+
+use la_arena::Idx;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::{
+    ConfigChange, ConfigPatch, PriceClass, RecordTable, ServerRole, ServiceCall, TeamRate,
+};
+use crate::key::KeyDigest;
+
+/// Most changes in one patch.
+const MAX_CHANGES: usize = 10_000;
+/// Longest name, in bytes.
+const MAX_NAME_BYTES: usize = 100;
+/// Largest rate or burst; keeps token arithmetic within 64 bits.
+const MAX_RATE: u64 = 1_000_000_000;
+
+macro_rules! keys {
+    ($($(#[$doc:meta])* $key:ident => $record:ident;)*) => {
+        $($(#[$doc])* pub type $key = Idx<$record>;)*
+    };
+}
+
+keys! {
+    /// Key of an owner.
+    OwnerKey => OwnerRecord;
+    /// Key of a team.
+    TeamKey => TeamRecord;
+    /// Key of a granted key.
+    GrantKey => KeyRecord;
+    /// Key of a base model.
+    BaseKey => BaseRecord;
+    /// Key of an adapter.
+    AdapterKey => AdapterRecord;
+    /// Key of a plain service.
+    ServiceKey => ServiceRecord;
+    /// Key of a region.
+    RegionKey => RegionRecord;
+    /// Key of a data centre.
+    DataCentreKey => DataCentreRecord;
+    /// Key of a backend server.
+    ServerKey => ServerRecord;
+    /// Key of an instance.
+    InstanceKey => InstanceRecord;
+}
+
+/// An owner who is billed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerRecord {
+    /// The owner's name.
+    pub name: SmolStr,
+}
+
+/// A region with its weight store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionRecord {
+    /// The region's name.
+    pub name: SmolStr,
+    /// Adapter loads a second that the weight store allows.
+    pub store_loads_per_second: u64,
+    /// Adapter loads that run at full speed together.
+    pub loads_in_flight: u32,
+}
+
+/// A team of an owner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamRecord {
+    /// The team's name.
+    pub name: SmolStr,
+    /// The owner billed for it.
+    pub owner: OwnerKey,
+    /// Rates and bursts.
+    pub rate: TeamRate,
+    /// Weight in fair queueing.
+    pub weight: u32,
+    /// Price class of its requests.
+    pub price: PriceClass,
+    /// Whether the team was removed.
+    pub removed: bool,
+}
+
+/// A key granted to a team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyRecord {
+    /// The key's id.
+    pub name: SmolStr,
+    /// The team it opens.
+    pub team: TeamKey,
+    /// Digest of the whole key.
+    pub digest: KeyDigest,
+    /// Whether the key was withdrawn.
+    pub withdrawn: bool,
+}
+
+/// A base model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BaseRecord {
+    /// The base model's name.
+    pub name: SmolStr,
+    /// Whether callers may use it without an adapter.
+    pub open: bool,
+}
+
+/// An adapter of a team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdapterRecord {
+    /// The adapter's name.
+    pub name: SmolStr,
+    /// The base model it extends.
+    pub base: BaseKey,
+    /// The team it belongs to.
+    pub team: TeamKey,
+    /// The version that new requests run on.
+    pub version: u32,
+    /// Whether the adapter was removed.
+    pub removed: bool,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceRecord {
+    /// The service's name.
+    pub name: SmolStr,
+    /// The team it belongs to; `None` when every team may call it.
+    pub team: Option<TeamKey>,
+    /// Its calls; the first that fits counts.
+    pub calls: Vec<ServiceCall>,
+}
+
+/// A data centre.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DataCentreRecord {
+    /// The data centre's name.
+    pub name: SmolStr,
+    /// The region it lies in.
+    pub region: RegionKey,
+    /// Whether it takes new work.
+    pub in_service: bool,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRecord {
+    /// The server's name.
+    pub name: SmolStr,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreKey,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Requests it bears at once when warm.
+    pub concurrency: u32,
+    /// What it runs.
+    pub role: ServerRole,
+    /// Whether it takes new work.
+    pub in_service: bool,
+}
+
+/// An instance of the system.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InstanceRecord {
+    /// The instance's name.
+    pub name: SmolStr,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreKey,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Whether the instance was removed.
+    pub removed: bool,
+}
+
+/// Why a patch was rejected.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PatchFault {
+    /// Position of the faulty change, counted from 0; `None` when the patch as a whole is at fault.
+    pub change: Option<usize>,
+    /// What is wrong.
+    pub kind: FaultKind,
+    /// The name concerned.
+    pub name: SmolStr,
+}
+
+/// What is wrong with a patch or a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// The patch is not valid JSON of a patch.
+    Malformed,
+    /// The patch was made against another version.
+    OtherBase,
+    /// The patch has no change.
+    Empty,
+    /// The patch has too many changes.
+    TooManyChanges,
+    /// The name is empty, too long or holds a character outside `a-z A-Z 0-9 . _ -`.
+    BadName,
+    /// The name is taken.
+    Taken,
+    /// The name is not known.
+    Unknown,
+    /// The value is out of range.
+    OutOfRange,
+    /// The change would change nothing.
+    NoEffect,
+}
+
+impl fmt::Display for PatchFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(change) = self.change {
+            write!(formatter, "changes[{change}]: ")?;
+        }
+        let text = match self.kind {
+            FaultKind::Malformed => "not a valid patch",
+            FaultKind::OtherBase => "made against another version; make it again on the newest",
+            FaultKind::Empty => "has no change",
+            FaultKind::TooManyChanges => "has too many changes; split it",
+            FaultKind::BadName => "a name has 1 to 100 characters of a-z A-Z 0-9 . _ -",
+            FaultKind::Taken => "the name is taken",
+            FaultKind::Unknown => "no such name",
+            FaultKind::OutOfRange => "the value is out of range",
+            FaultKind::NoEffect => "the change would change nothing",
+        };
+        write!(formatter, "{text}")?;
+        if !self.name.is_empty() {
+            write!(formatter, " ({})", self.name)?;
+        }
+        Ok(())
+    }
+}
+
+impl PatchFault {
+    pub(super) fn whole(kind: FaultKind, name: SmolStr) -> PatchFault {
+        PatchFault {
+            change: None,
+            kind,
+            name,
+        }
+    }
+}
+
+/// The configuration at one version.
+///
+/// Tables are shared between versions and copied when a patch touches them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigState {
+    /// Number of patches accepted so far.
+    pub version: u64,
+    /// Owners.
+    pub owners: Arc<RecordTable<OwnerRecord>>,
+    /// Teams.
+    pub teams: Arc<RecordTable<TeamRecord>>,
+    /// Granted keys.
+    pub keys: Arc<RecordTable<KeyRecord>>,
+    /// Base models.
+    pub bases: Arc<RecordTable<BaseRecord>>,
+    /// Adapters.
+    pub adapters: Arc<RecordTable<AdapterRecord>>,
+    /// Plain services.
+    pub services: Arc<RecordTable<ServiceRecord>>,
+    /// Regions.
+    pub regions: Arc<RecordTable<RegionRecord>>,
+    /// Data centres.
+    pub data_centres: Arc<RecordTable<DataCentreRecord>>,
+    /// Backend servers.
+    pub servers: Arc<RecordTable<ServerRecord>>,
+    /// Instances.
+    pub instances: Arc<RecordTable<InstanceRecord>>,
+}
+
+/// Kind and name of a fault in one change.
+type ChangeFault = (FaultKind, SmolStr);
+
+fn fault<T>(kind: FaultKind, name: &SmolStr) -> Result<T, ChangeFault> {
+    Err((kind, name.clone()))
+}
+
+fn check_name(name: &SmolStr) -> Result<(), ChangeFault> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.bytes().all(allowed) {
+        return fault(FaultKind::BadName, name);
+    }
+    Ok(())
+}
+
+fn check_free<T>(table: &RecordTable<T>, name: &SmolStr) -> Result<(), ChangeFault> {
+    check_name(name)?;
+    match table.key(name) {
+        Some(_) => fault(FaultKind::Taken, name),
+        None => Ok(()),
+    }
+}
+
+fn find<T>(table: &RecordTable<T>, name: &SmolStr) -> Result<Idx<T>, ChangeFault> {
+    table
+        .key(name)
+        .map_or_else(|| fault(FaultKind::Unknown, name), Ok)
+}
+
+fn check_rate(team: &SmolStr, rate: &TeamRate) -> Result<(), ChangeFault> {
+    let values = [
+        rate.tokens_per_second,
+        rate.burst_tokens,
+        rate.requests_per_second,
+        rate.burst_requests,
+    ];
+    if values.iter().all(|value| (1..=MAX_RATE).contains(value)) {
+        return Ok(());
+    }
+    fault(FaultKind::OutOfRange, team)
+}
+
+impl ConfigState {
+    /// Applies a patch whole, or returns why it is rejected.
+    ///
+    /// The result depends on the state and the patch alone, so that all instances agree.
+    pub fn apply(&self, patch: &ConfigPatch) -> Result<ConfigState, PatchFault> {
+        if patch.base != self.version {
+            return Err(PatchFault::whole(
+                FaultKind::OtherBase,
+                SmolStr::new(patch.base.to_string()),
+            ));
+        }
+        if patch.changes.is_empty() {
+            return Err(PatchFault::whole(FaultKind::Empty, SmolStr::default()));
+        }
+        if patch.changes.len() > MAX_CHANGES {
+            return Err(PatchFault::whole(
+                FaultKind::TooManyChanges,
+                SmolStr::default(),
+            ));
+        }
+        let mut next = self.clone();
+        next.version += 1;
+        for (position, change) in patch.changes.iter().enumerate() {
+            next.apply_change(change)
+                .map_err(|(kind, name)| PatchFault {
+                    change: Some(position),
+                    kind,
+                    name,
+                })?;
+        }
+        Ok(next)
+    }
+
+    fn apply_change(&mut self, change: &ConfigChange) -> Result<(), ChangeFault> {
+        match change {
+            ConfigChange::AddOwner { owner } => self.add_owner(owner),
+            ConfigChange::AddTeam {
+                team,
+                owner,
+                rate,
+                weight,
+                price,
+            } => self.add_team(team, owner, rate, *weight, *price),
+            ConfigChange::SetRate { team, rate } => self.set_rate(team, rate),
+            ConfigChange::RemoveTeam { team } => self.remove_team(team),
+            ConfigChange::GrantKey { key, team, sha256 } => self.grant_key(key, team, *sha256),
+            ConfigChange::WithdrawKey { key } => self.withdraw_key(key),
+            ConfigChange::AddBase { base, open } => self.add_base(base, *open),
+            ConfigChange::AddAdapter {
+                adapter,
+                base,
+                team,
+                version,
+            } => self.add_adapter(adapter, base, team, *version),
+            ConfigChange::SetVersion { adapter, version } => self.set_version(adapter, *version),
+            ConfigChange::RemoveAdapter { adapter } => self.remove_adapter(adapter),
+            ConfigChange::AddService {
+                service,
+                team,
+                calls,
+            } => self.add_service(service, team.as_ref(), calls),
+            ConfigChange::AddRegion {
+                region,
+                store_loads_per_second,
+                loads_in_flight,
+            } => self.add_region(region, *store_loads_per_second, *loads_in_flight),
+            ConfigChange::AddDataCentre {
+                data_centre,
+                region,
+            } => self.add_data_centre(data_centre, region),
+            ConfigChange::SetDataCentre {
+                data_centre,
+                in_service,
+            } => self.set_data_centre(data_centre, *in_service),
+            ConfigChange::AddServer {
+                server,
+                data_centre,
+                address,
+                concurrency,
+                role,
+            } => self.add_server(server, data_centre, *address, *concurrency, role),
+            ConfigChange::SetServer { server, in_service } => self.set_server(server, *in_service),
+            ConfigChange::AddInstance {
+                instance,
+                data_centre,
+                caller_address,
+                peer_address,
+            } => self.add_instance(instance, data_centre, *caller_address, *peer_address),
+            ConfigChange::RemoveInstance { instance } => self.remove_instance(instance),
+        }
+    }
+
+    fn add_owner(&mut self, owner: &SmolStr) -> Result<(), ChangeFault> {
+        check_free(&self.owners, owner)?;
+        let record = OwnerRecord {
+            name: owner.clone(),
+        };
+        Arc::make_mut(&mut self.owners).insert(owner.clone(), record);
+        Ok(())
+    }
+
+    fn add_region(
+        &mut self,
+        region: &SmolStr,
+        store_loads: u64,
+        loads_in_flight: u32,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.regions, region)?;
+        if !(1..=MAX_RATE).contains(&store_loads) || loads_in_flight == 0 {
+            return fault(FaultKind::OutOfRange, region);
+        }
+        let record = RegionRecord {
+            name: region.clone(),
+            store_loads_per_second: store_loads,
+            loads_in_flight,
+        };
+        Arc::make_mut(&mut self.regions).insert(region.clone(), record);
+        Ok(())
+    }
+
+    fn live_team(&self, team: &SmolStr) -> Result<TeamKey, ChangeFault> {
+        let key = find(&self.teams, team)?;
+        if self.teams[key].removed {
+            return fault(FaultKind::Unknown, team);
+        }
+        Ok(key)
+    }
+
+    fn add_team(
+        &mut self,
+        team: &SmolStr,
+        owner: &SmolStr,
+        rate: &TeamRate,
+        weight: u32,
+        price: PriceClass,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.teams, team)?;
+        check_rate(team, rate)?;
+        if !(1..=1_000).contains(&weight) {
+            return fault(FaultKind::OutOfRange, team);
+        }
+        let record = TeamRecord {
+            name: team.clone(),
+            owner: find(&self.owners, owner)?,
+            rate: *rate,
+            weight,
+            price,
+            removed: false,
+        };
+        Arc::make_mut(&mut self.teams).insert(team.clone(), record);
+        Ok(())
+    }
+
+    fn set_rate(&mut self, team: &SmolStr, rate: &TeamRate) -> Result<(), ChangeFault> {
+        check_rate(team, rate)?;
+        let key = self.live_team(team)?;
+        if self.teams[key].rate == *rate {
+            return fault(FaultKind::NoEffect, team);
+        }
+        Arc::make_mut(&mut self.teams)[key].rate = *rate;
+        Ok(())
+    }
+
+    fn remove_team(&mut self, team: &SmolStr) -> Result<(), ChangeFault> {
+        let key = self.live_team(team)?;
+        Arc::make_mut(&mut self.teams)[key].removed = true;
+        Ok(())
+    }
+
+    fn grant_key(
+        &mut self,
+        key: &SmolStr,
+        team: &SmolStr,
+        digest: KeyDigest,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.keys, key)?;
+        if key.contains('_') {
+            return fault(FaultKind::BadName, key);
+        }
+        let record = KeyRecord {
+            name: key.clone(),
+            team: self.live_team(team)?,
+            digest,
+            withdrawn: false,
+        };
+        Arc::make_mut(&mut self.keys).insert(key.clone(), record);
+        Ok(())
+    }
+
+    fn withdraw_key(&mut self, key: &SmolStr) -> Result<(), ChangeFault> {
+        let grant = find(&self.keys, key)?;
+        if self.keys[grant].withdrawn {
+            return fault(FaultKind::NoEffect, key);
+        }
+        Arc::make_mut(&mut self.keys)[grant].withdrawn = true;
+        Ok(())
+    }
+
+    fn add_base(&mut self, base: &SmolStr, open: bool) -> Result<(), ChangeFault> {
+        check_free(&self.bases, base)?;
+        let record = BaseRecord {
+            name: base.clone(),
+            open,
+        };
+        Arc::make_mut(&mut self.bases).insert(base.clone(), record);
+        Ok(())
+    }
+
+    fn add_adapter(
+        &mut self,
+        adapter: &SmolStr,
+        base: &SmolStr,
+        team: &SmolStr,
+        version: u32,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.adapters, adapter)?;
+        let record = AdapterRecord {
+            name: adapter.clone(),
+            base: find(&self.bases, base)?,
+            team: self.live_team(team)?,
+            version,
+            removed: false,
+        };
+        Arc::make_mut(&mut self.adapters).insert(adapter.clone(), record);
+        Ok(())
+    }
+
+    fn live_adapter(&self, adapter: &SmolStr) -> Result<AdapterKey, ChangeFault> {
+        let key = find(&self.adapters, adapter)?;
+        if self.adapters[key].removed {
+            return fault(FaultKind::Unknown, adapter);
+        }
+        Ok(key)
+    }
+
+    fn set_version(&mut self, adapter: &SmolStr, version: u32) -> Result<(), ChangeFault> {
+        let key = self.live_adapter(adapter)?;
+        if self.adapters[key].version == version {
+            return fault(FaultKind::NoEffect, adapter);
+        }
+        Arc::make_mut(&mut self.adapters)[key].version = version;
+        Ok(())
+    }
+
+    fn remove_adapter(&mut self, adapter: &SmolStr) -> Result<(), ChangeFault> {
+        let key = self.live_adapter(adapter)?;
+        Arc::make_mut(&mut self.adapters)[key].removed = true;
+        Ok(())
+    }
+
+    fn add_service(
+        &mut self,
+        service: &SmolStr,
+        team: Option<&SmolStr>,
+        calls: &[ServiceCall],
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.services, service)?;
+        if calls.is_empty() {
+            return fault(FaultKind::OutOfRange, service);
+        }
+        let mut seen = BTreeSet::new();
+        for call in calls {
+            if !call.path.starts_with('/') {
+                return fault(FaultKind::BadName, &call.path);
+            }
+            if !seen.insert((&call.method, &call.path)) {
+                return fault(FaultKind::Taken, &call.path);
+            }
+        }
+        let record = ServiceRecord {
+            name: service.clone(),
+            team: team.map(|team| self.live_team(team)).transpose()?,
+            calls: calls.to_vec(),
+        };
+        Arc::make_mut(&mut self.services).insert(service.clone(), record);
+        Ok(())
+    }
+
+    fn add_data_centre(&mut self, name: &SmolStr, region: &SmolStr) -> Result<(), ChangeFault> {
+        check_free(&self.data_centres, name)?;
+        let record = DataCentreRecord {
+            name: name.clone(),
+            region: find(&self.regions, region)?,
+            in_service: true,
+        };
+        Arc::make_mut(&mut self.data_centres).insert(name.clone(), record);
+        Ok(())
+    }
+
+    fn set_data_centre(&mut self, name: &SmolStr, in_service: bool) -> Result<(), ChangeFault> {
+        let key = find(&self.data_centres, name)?;
+        if self.data_centres[key].in_service == in_service {
+            return fault(FaultKind::NoEffect, name);
+        }
+        Arc::make_mut(&mut self.data_centres)[key].in_service = in_service;
+        Ok(())
+    }
+
+    fn add_server(
+        &mut self,
+        server: &SmolStr,
+        data_centre: &SmolStr,
+        address: SocketAddr,
+        concurrency: u32,
+        role: &ServerRole,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.servers, server)?;
+        match role {
+            ServerRole::Engine { base, slots, .. } => {
+                find(&self.bases, base)?;
+                if *slots == 0 {
+                    return fault(FaultKind::OutOfRange, server);
+                }
+            }
+            ServerRole::Service { service } => {
+                find(&self.services, service)?;
+            }
+        }
+        if concurrency == 0 {
+            return fault(FaultKind::OutOfRange, server);
+        }
+        let record = ServerRecord {
+            name: server.clone(),
+            data_centre: find(&self.data_centres, data_centre)?,
+            address,
+            concurrency,
+            role: role.clone(),
+            in_service: true,
+        };
+        Arc::make_mut(&mut self.servers).insert(server.clone(), record);
+        Ok(())
+    }
+
+    fn set_server(&mut self, server: &SmolStr, in_service: bool) -> Result<(), ChangeFault> {
+        let key = find(&self.servers, server)?;
+        if self.servers[key].in_service == in_service {
+            return fault(FaultKind::NoEffect, server);
+        }
+        Arc::make_mut(&mut self.servers)[key].in_service = in_service;
+        Ok(())
+    }
+
+    fn add_instance(
+        &mut self,
+        instance: &SmolStr,
+        data_centre: &SmolStr,
+        caller_address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> Result<(), ChangeFault> {
+        check_free(&self.instances, instance)?;
+        let record = InstanceRecord {
+            name: instance.clone(),
+            data_centre: find(&self.data_centres, data_centre)?,
+            caller_address,
+            peer_address,
+            removed: false,
+        };
+        Arc::make_mut(&mut self.instances).insert(instance.clone(), record);
+        Ok(())
+    }
+
+    fn remove_instance(&mut self, instance: &SmolStr) -> Result<(), ChangeFault> {
+        let key = find(&self.instances, instance)?;
+        if self.instances[key].removed {
+            return fault(FaultKind::NoEffect, instance);
+        }
+        Arc::make_mut(&mut self.instances)[key].removed = true;
+        Ok(())
+    }
+
+    /// Whether the data centre of a server or instance takes new work.
+    pub fn data_centre_in_service(&self, key: DataCentreKey) -> bool {
+        self.data_centres[key].in_service
+    }
+
+    /// Whether a backend server takes new work.
+    pub fn server_in_service(&self, key: ServerKey) -> bool {
+        let record = &self.servers[key];
+        record.in_service && self.data_centre_in_service(record.data_centre)
+    }
+
+    /// Instances that were not removed, in the order they were added.
+    pub fn live_instances(&self) -> impl Iterator<Item = (InstanceKey, &InstanceRecord)> {
+        self.instances.iter().filter(|(_, record)| !record.removed)
+    }
+}
--- /dev/null
+++ b/lib/src/error.rs
@@ -0,0 +1,340 @@
+//! The closed list of error kinds that a caller can see, and the table from kind to answer.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as, skip_serializing_none};
+use smol_str::SmolStr;
+
+/// Why a request was refused or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The body is not a valid request of the addressed API.
+    MalformedRequest,
+    /// The body is longer than the instance's limit.
+    BodyTooLarge,
+    /// The headers are longer than the instance's limit.
+    HeadersTooLarge,
+    /// The body did not arrive in time.
+    BodyTimeout,
+    /// The route needs a key and none came with the request.
+    MissingKey,
+    /// The key is malformed, unknown or does not match.
+    InvalidKey,
+    /// The key was withdrawn, before or after the request arrived.
+    KeyWithdrawn,
+    /// The adapter or service belongs to another team.
+    NotYourAdapter,
+    /// No such base model, adapter or version is in service.
+    UnknownModel,
+    /// No such plain service.
+    UnknownService,
+    /// No such path, or the method does not fit it.
+    UnknownRoute,
+    /// The team has used up its rate and burst.
+    RateExceeded,
+    /// The request alone is larger than the team's burst.
+    RequestTooLarge,
+    /// The queue before the backend servers is full.
+    QueueFull,
+    /// No backend server can take the request now.
+    NoServer,
+    /// The instance has no configuration yet.
+    NotReady,
+    /// The instance is shutting down and takes no more work.
+    ShuttingDown,
+    /// The deadline passed before an answer came.
+    DeadlineExceeded,
+    /// The backend server was lost, and the request may have run.
+    ServerLost,
+    /// The backend server refused the request.
+    ServerRefused,
+    /// The answer broke off after its first byte.
+    AnswerBroken,
+    /// A fault of the instance itself.
+    InternalFault,
+}
+
+/// Whether a refused request ran on a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// The request provably ran nowhere.
+    NotRun,
+    /// The request may have run once.
+    Unknown,
+}
+
+/// What a caller does best after an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryAdvice {
+    /// The same request fails again until something is changed.
+    Never,
+    /// Retry after the delay given in the answer.
+    AfterDelay,
+    /// Retry at once at another address.
+    OtherAddress,
+    /// Retry only if the call is idempotent; otherwise ask for its outcome first.
+    IfIdempotent,
+}
+
+/// One row of the table from error kind to answer.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ErrorAnswer {
+    /// The kind this row answers.
+    pub kind: ErrorKind,
+    /// HTTP status code.
+    pub status: u16,
+    /// Advice on retries.
+    pub retry: RetryAdvice,
+    /// What went wrong, in one sentence.
+    pub message: &'static str,
+    /// What the caller can do about it.
+    pub hint: &'static str,
+}
+
+const fn row(
+    kind: ErrorKind,
+    status: u16,
+    retry: RetryAdvice,
+    message: &'static str,
+    hint: &'static str,
+) -> ErrorAnswer {
+    ErrorAnswer {
+        kind,
+        status,
+        retry,
+        message,
+        hint,
+    }
+}
+
+/// The whole table, one row a kind, in the order of [`ErrorKind`].
+pub const ERROR_TABLE: &[ErrorAnswer] = &[
+    row(
+        ErrorKind::MalformedRequest,
+        400,
+        RetryAdvice::Never,
+        "the body is not a valid request",
+        "check the body against the API description",
+    ),
+    row(
+        ErrorKind::BodyTooLarge,
+        413,
+        RetryAdvice::Never,
+        "the body is too long",
+        "send a shorter prompt",
+    ),
+    row(
+        ErrorKind::HeadersTooLarge,
+        431,
+        RetryAdvice::Never,
+        "the headers are too long",
+        "send fewer or shorter headers",
+    ),
+    row(
+        ErrorKind::BodyTimeout,
+        408,
+        RetryAdvice::OtherAddress,
+        "the body did not arrive in time",
+        "send the body without long breaks",
+    ),
+    row(
+        ErrorKind::MissingKey,
+        401,
+        RetryAdvice::Never,
+        "the request carries no key",
+        "send `Authorization: Bearer KEY`",
+    ),
+    row(
+        ErrorKind::InvalidKey,
+        401,
+        RetryAdvice::Never,
+        "the key is not valid",
+        "ask the operator of your team for a key",
+    ),
+    row(
+        ErrorKind::KeyWithdrawn,
+        401,
+        RetryAdvice::Never,
+        "the key was withdrawn",
+        "ask the operator of your team for a new key",
+    ),
+    row(
+        ErrorKind::NotYourAdapter,
+        403,
+        RetryAdvice::Never,
+        "the adapter or service belongs to another team",
+        "use an adapter of the team that the key belongs to",
+    ),
+    row(
+        ErrorKind::UnknownModel,
+        404,
+        RetryAdvice::Never,
+        "no such model or adapter is in service",
+        "name the model as BASE or BASE:ADAPTER",
+    ),
+    row(
+        ErrorKind::UnknownService,
+        404,
+        RetryAdvice::Never,
+        "no such service",
+        "check the name after /services/",
+    ),
+    row(
+        ErrorKind::UnknownRoute,
+        404,
+        RetryAdvice::Never,
+        "no such path, or the method does not fit it",
+        "check method and path",
+    ),
+    row(
+        ErrorKind::RateExceeded,
+        429,
+        RetryAdvice::AfterDelay,
+        "the team has used up its rate and burst",
+        "retry after the given delay",
+    ),
+    row(
+        ErrorKind::RequestTooLarge,
+        413,
+        RetryAdvice::Never,
+        "the request needs more tokens than the team's burst",
+        "lower max_tokens or shorten the prompt",
+    ),
+    row(
+        ErrorKind::QueueFull,
+        503,
+        RetryAdvice::AfterDelay,
+        "the queue before the backend servers is full",
+        "retry after the given delay",
+    ),
+    row(
+        ErrorKind::NoServer,
+        503,
+        RetryAdvice::AfterDelay,
+        "no backend server can take the request now",
+        "retry after the given delay",
+    ),
+    row(
+        ErrorKind::NotReady,
+        503,
+        RetryAdvice::OtherAddress,
+        "the instance has no configuration yet",
+        "use another address",
+    ),
+    row(
+        ErrorKind::ShuttingDown,
+        503,
+        RetryAdvice::OtherAddress,
+        "the instance is shutting down",
+        "ask for addresses again",
+    ),
+    row(
+        ErrorKind::DeadlineExceeded,
+        504,
+        RetryAdvice::IfIdempotent,
+        "the deadline passed before an answer came",
+        "allow more time, or retry if the call is idempotent",
+    ),
+    row(
+        ErrorKind::ServerLost,
+        502,
+        RetryAdvice::IfIdempotent,
+        "the backend server was lost before it answered",
+        "retry only if the call is idempotent or its outcome is known",
+    ),
+    row(
+        ErrorKind::ServerRefused,
+        502,
+        RetryAdvice::AfterDelay,
+        "the backend server refused the request",
+        "retry after the given delay",
+    ),
+    row(
+        ErrorKind::AnswerBroken,
+        502,
+        RetryAdvice::IfIdempotent,
+        "the answer broke off before its end",
+        "discard the partial answer; retry if the call is idempotent",
+    ),
+    row(
+        ErrorKind::InternalFault,
+        500,
+        RetryAdvice::IfIdempotent,
+        "the instance met a fault of its own",
+        "report the request id to the operators",
+    ),
+];
+
+impl ErrorKind {
+    /// The row of [`ERROR_TABLE`] for this kind.
+    pub fn answer(self) -> &'static ErrorAnswer {
+        &ERROR_TABLE[self as usize]
+    }
+
+    /// The kind's name as callers see it.
+    pub fn name(self) -> SmolStr {
+        match serde_json::to_value(self) {
+            Ok(serde_json::Value::String(name)) => name.into(),
+            _ => SmolStr::default(),
+        }
+    }
+}
+
+/// The typed body of every refusal.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalBody {
+    /// Why the request was refused.
+    pub kind: ErrorKind,
+    /// Whether the request ran.
+    pub run: RunState,
+    /// Advice on retries.
+    pub retry: RetryAdvice,
+    /// Delay before a retry, in milliseconds.
+    #[serde(rename = "retry_after_ms")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub retry_after: Option<Duration>,
+    /// What went wrong.
+    pub message: SmolStr,
+    /// What the caller can do about it.
+    pub hint: SmolStr,
+}
+
+impl RefusalBody {
+    /// Fills the body from the table.
+    pub fn new(kind: ErrorKind, run: RunState, retry_after: Option<Duration>) -> RefusalBody {
+        let answer = kind.answer();
+        RefusalBody {
+            kind,
+            run,
+            retry: answer.retry,
+            retry_after,
+            message: answer.message.into(),
+            hint: answer.hint.into(),
+        }
+    }
+}
+
+/// Renders [`ERROR_TABLE`] as a Markdown table for docs/errors.md.
+pub fn error_table_markdown() -> String {
+    let mut text = String::from(
+        "| kind | status | retry | what went wrong | hint |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for answer in ERROR_TABLE {
+        let retry = serde_json::to_value(answer.retry).unwrap_or_default();
+        text.push_str(&format!(
+            "| `{}` | {} | {} | {} | {} |\n",
+            answer.kind.name(),
+            answer.status,
+            retry.as_str().unwrap_or_default(),
+            answer.message,
+            answer.hint,
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/lib/src/message.rs
@@ -0,0 +1,194 @@
+//! Messages between instances.
+//!
+//! Names travel instead of keys, so that an instance with an older configuration rejects what it
+//! does not know instead of mistaking it.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use smol_str::SmolStr;
+
+use crate::config::{ConfigState, LogEntry};
+use crate::error::ErrorKind;
+use crate::pool::WorkTarget;
+
+/// Version of the peer protocol; an instance refuses envelopes of any other.
+pub const PEER_PROTOCOL: u16 = 1;
+/// Longest envelope, in bytes.
+pub const MAX_ENVELOPE_BYTES: usize = 2 * 1024 * 1024;
+
+/// What instances send each other, in one HTTP request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// [`PEER_PROTOCOL`] of the sender.
+    pub protocol: u16,
+    /// Name of the fleet; an instance refuses envelopes of any other.
+    pub fleet: SmolStr,
+    /// The sending instance.
+    pub from: SmolStr,
+    /// The sender's process life; a later life has a larger number.
+    pub life: u64,
+    /// Position of the sender in the configuration log.
+    pub config: u64,
+    /// Whether the sender is leaving.
+    pub leaving: bool,
+    /// Its messages, in order.
+    pub messages: Vec<PeerMessage>,
+}
+
+/// What a request runs on, by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NamedTarget {
+    /// A base model.
+    Base(SmolStr),
+    /// An adapter and its version.
+    Adapter(SmolStr, u32),
+    /// A plain service.
+    Service(SmolStr),
+}
+
+impl NamedTarget {
+    /// Names a target.
+    pub fn new(config: &ConfigState, target: WorkTarget) -> NamedTarget {
+        let name = target.name(config).clone();
+        match target {
+            WorkTarget::Base(_) => NamedTarget::Base(name),
+            WorkTarget::Adapter { version, .. } => NamedTarget::Adapter(name, version),
+            WorkTarget::Service(_) => NamedTarget::Service(name),
+        }
+    }
+
+    /// Finds the target; `None` when the configuration does not have it.
+    pub fn resolve(&self, config: &ConfigState) -> Option<WorkTarget> {
+        match self {
+            NamedTarget::Base(name) => config.bases.key(name).map(WorkTarget::Base),
+            NamedTarget::Adapter(name, version) => {
+                config
+                    .adapters
+                    .key(name)
+                    .map(|adapter| WorkTarget::Adapter {
+                        adapter,
+                        version: *version,
+                    })
+            }
+            NamedTarget::Service(name) => config.services.key(name).map(WorkTarget::Service),
+        }
+    }
+}
+
+/// Asks a pool's scheduler for a permit to send one request to a backend server.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Number of the request in the sender's process life.
+    pub request: u64,
+    /// The pool asked.
+    pub pool: SmolStr,
+    /// The team the request runs for; `None` on open routes.
+    pub team: Option<SmolStr>,
+    /// What it runs on.
+    pub target: NamedTarget,
+    /// Prompt and reserved output tokens.
+    pub tokens: u64,
+    /// Time left until the caller's deadline, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub time_left: Duration,
+    /// Servers that already failed this request.
+    pub avoid: Vec<SmolStr>,
+}
+
+/// A request that a sender has on a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitHolding {
+    /// Number of the request in the sender's process life.
+    pub request: u64,
+    /// The server that runs it.
+    pub server: SmolStr,
+    /// What it runs on.
+    pub target: NamedTarget,
+}
+
+/// Why a scheduler refused a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitFault {
+    /// The instance does not schedule this pool, as far as it knows.
+    NotScheduler,
+    /// The instance does not know the target, or is not ready yet.
+    Behind,
+    /// The request cannot be served here.
+    Refused(ErrorKind),
+}
+
+/// How a permit was used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitUse {
+    /// The server answered.
+    Answered,
+    /// The server failed or was lost.
+    Failed,
+    /// The request was not sent, or the caller cancelled it.
+    Unused,
+}
+
+/// One message between instances.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// To a scheduler: asks for a permit; repeated until answered.
+    PermitRequest(PermitRequest),
+    /// To a scheduler: the request no longer waits.
+    PermitCancel {
+        /// Number of the request.
+        request: u64,
+        /// The pool asked.
+        pool: SmolStr,
+    },
+    /// To a scheduler: the request left the server.
+    PermitRelease {
+        /// Number of the request.
+        request: u64,
+        /// The pool asked.
+        pool: SmolStr,
+        /// How it went.
+        used: PermitUse,
+    },
+    /// To a scheduler: the requests that the sender has on the pool's servers.
+    PermitRenew {
+        /// The pool.
+        pool: SmolStr,
+        /// All of them.
+        holdings: Vec<PermitHolding>,
+    },
+    /// To an entry: the request may go to the server.
+    PermitGrant {
+        /// Number of the request.
+        request: u64,
+        /// The pool.
+        pool: SmolStr,
+        /// The server.
+        server: SmolStr,
+    },
+    /// To an entry: the request gets no permit.
+    PermitRefusal {
+        /// Number of the request.
+        request: u64,
+        /// The pool.
+        pool: SmolStr,
+        /// Why.
+        fault: PermitFault,
+        /// Delay before a retry, in milliseconds.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        retry_after: Duration,
+    },
+    /// Asks for log entries.
+    ConfigPull {
+        /// Position of the asker.
+        after: u64,
+    },
+    /// Answers [`PeerMessage::ConfigPull`].
+    ConfigEntries {
+        /// Entries in order.
+        entries: Arc<[LogEntry]>,
+    },
+}
--- /dev/null
+++ b/lib/src/operator.rs
@@ -0,0 +1,281 @@
+//! What operators see of an instance.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use crate::{
+    config::ConfigState,
+    reducer::Reducer,
+    usage::{UsageAccount, UsageRecord, UsageTotal},
+};
+
+/// SHA-256 digest of an operator's token, for the settings.
+pub fn token_digest(token: &str) -> [u8; 32] {
+    Sha256::digest(token.as_bytes()).into()
+}
+
+/// Whether a token has one of the digests. Compares in constant time.
+pub fn token_fits(token: &str, digests: &[[u8; 32]]) -> bool {
+    let digest = token_digest(token);
+    digests
+        .iter()
+        .fold(false, |fits, known| fits | bool::from(known.ct_eq(&digest)))
+}
+
+/// A pool scheduled by an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolView {
+    /// The pool's name.
+    pub pool: SmolStr,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Requests on servers.
+    pub running: usize,
+    /// Permits granted so far.
+    pub grants: u64,
+    /// Adapter loads ordered so far.
+    pub loads: u64,
+    /// Requests refused so far.
+    pub refusals: u64,
+}
+
+/// State of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusView {
+    /// The instance's name.
+    pub instance: SmolStr,
+    /// Its process life.
+    pub life: u64,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Position in the configuration log.
+    pub config_sequence: u64,
+    /// Requests of callers in progress.
+    pub requests: usize,
+    /// Pools it schedules.
+    pub pools: Vec<PoolView>,
+}
+
+impl StatusView {
+    /// Reads the state of an instance.
+    pub fn read(reducer: &Reducer) -> StatusView {
+        let stats = reducer.stats();
+        let pools = stats
+            .pools
+            .into_iter()
+            .map(|(pool, stats)| PoolView {
+                pool,
+                queued: stats.queued,
+                running: stats.running,
+                grants: stats.counters.grants,
+                loads: stats.counters.loads,
+                refusals: stats.counters.refusals,
+            })
+            .collect();
+        StatusView {
+            instance: reducer.settings().instance.clone(),
+            life: reducer.settings().life,
+            leaving: reducer.is_leaving(),
+            config_version: stats.config_version,
+            config_sequence: stats.config_sequence,
+            requests: stats.requests,
+            pools,
+        }
+    }
+}
+
+/// Totals of one account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageRow {
+    /// Who is billed for what.
+    #[serde(flatten)]
+    pub account: UsageAccount,
+    /// The sums.
+    #[serde(flatten)]
+    pub total: UsageTotal,
+}
+
+/// Usage counted by one process life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageView {
+    /// The instance's name.
+    pub instance: SmolStr,
+    /// Its process life.
+    pub life: u64,
+    /// Number of the last record.
+    pub sequence: u64,
+    /// Totals by account, over all records of this life.
+    pub totals: Vec<UsageRow>,
+    /// Records after the number asked for.
+    pub records: Vec<UsageRecord>,
+}
+
+impl UsageView {
+    /// Reads usage: all totals, and at most `limit` records after `after`.
+    pub fn read(reducer: &Reducer, after: u64, limit: usize) -> UsageView {
+        let usage = reducer.usage();
+        UsageView {
+            instance: reducer.settings().instance.clone(),
+            life: reducer.settings().life,
+            sequence: usage.sequence(),
+            totals: usage
+                .totals()
+                .iter()
+                .map(|(account, total)| UsageRow {
+                    account: account.clone(),
+                    total: *total,
+                })
+                .collect(),
+            records: usage.records_after(after, limit),
+        }
+    }
+}
+
+/// A table of the configuration, one row a record.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigView {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Position in the log.
+    pub sequence: u64,
+    /// Rows by kind of record and name.
+    pub records: BTreeMap<SmolStr, BTreeMap<SmolStr, SmolStr>>,
+    /// Outcomes of the latest patches.
+    pub outcomes: Vec<serde_json::Value>,
+}
+
+/// Shows the configuration in force.
+pub fn config_view(reducer: &Reducer) -> ConfigView {
+    let log = reducer.config_log();
+    let mut view = show_config(&reducer.config());
+    view.sequence = log.sequence();
+    view.outcomes = log
+        .outcomes()
+        .filter_map(|outcome| serde_json::to_value(outcome).ok())
+        .collect();
+    view
+}
+
+/// Shows a configuration as rows of text.
+pub fn show_config(config: &ConfigState) -> ConfigView {
+    let mut records: BTreeMap<SmolStr, BTreeMap<SmolStr, SmolStr>> = BTreeMap::new();
+    let mut row = |kind: &'static str, name: &SmolStr, text: String| {
+        records
+            .entry(SmolStr::new_static(kind))
+            .or_default()
+            .insert(name.clone(), text.into());
+    };
+    for (_, owner) in config.owners.iter() {
+        row("owner", &owner.name, String::new());
+    }
+    for (_, team) in config.teams.iter() {
+        let rate = &team.rate;
+        let text = format!(
+            "owner {}, {} tokens/s burst {}, {} requests/s burst {}, weight {}, {}{}",
+            config.owners[team.owner].name,
+            rate.tokens_per_second,
+            rate.burst_tokens,
+            rate.requests_per_second,
+            rate.burst_requests,
+            team.weight,
+            price_name(team.price),
+            if team.removed { ", removed" } else { "" },
+        );
+        row("team", &team.name, text);
+    }
+    for (_, key) in config.keys.iter() {
+        let state = if key.withdrawn {
+            "withdrawn"
+        } else {
+            "granted"
+        };
+        row(
+            "key",
+            &key.name,
+            format!("team {}, {state}", config.teams[key.team].name),
+        );
+    }
+    for (_, base) in config.bases.iter() {
+        let access = if base.open {
+            "open to all"
+        } else {
+            "needs a key"
+        };
+        row("base", &base.name, access.to_owned());
+    }
+    for (_, adapter) in config.adapters.iter() {
+        let text = format!(
+            "base {}, team {}, version {}{}",
+            config.bases[adapter.base].name,
+            config.teams[adapter.team].name,
+            adapter.version,
+            if adapter.removed { ", removed" } else { "" },
+        );
+        row("adapter", &adapter.name, text);
+    }
+    for (_, service) in config.services.iter() {
+        let team = service
+            .team
+            .map_or("every team", |team| &config.teams[team].name);
+        row(
+            "service",
+            &service.name,
+            format!("{team}, {} calls", service.calls.len()),
+        );
+    }
+    for (_, data_centre) in config.data_centres.iter() {
+        let text = format!(
+            "region {}, {}",
+            config.regions[data_centre.region].name,
+            service_state(data_centre.in_service),
+        );
+        row("data_centre", &data_centre.name, text);
+    }
+    for (key, server) in config.servers.iter() {
+        let text = format!(
+            "{} in {}, concurrency {}, {}",
+            server.address,
+            config.data_centres[server.data_centre].name,
+            server.concurrency,
+            service_state(config.server_in_service(key)),
+        );
+        row("server", &server.name, text);
+    }
+    for (_, instance) in config.instances.iter() {
+        let text = format!(
+            "callers {}, peers {}, in {}{}",
+            instance.caller_address,
+            instance.peer_address,
+            config.data_centres[instance.data_centre].name,
+            if instance.removed { ", removed" } else { "" },
+        );
+        row("instance", &instance.name, text);
+    }
+    ConfigView {
+        version: config.version,
+        sequence: 0,
+        records,
+        outcomes: Vec::new(),
+    }
+}
+
+fn price_name(price: crate::config::PriceClass) -> &'static str {
+    match price {
+        crate::config::PriceClass::Premium => "premium",
+        crate::config::PriceClass::Standard => "standard",
+    }
+}
+
+fn service_state(in_service: bool) -> &'static str {
+    if in_service {
+        "in service"
+    } else {
+        "out of service"
+    }
+}
--- /dev/null
+++ b/lib/src/reducer/entry.rs
@@ -0,0 +1,728 @@
+//! Requests of callers: admission, permits, dispatch, retries, settlement.
+
+use std::time::Duration;
+
+use smol_str::{SmolStr, format_smolstr};
+
+use super::{Reducer, TimerKind};
+use crate::{
+    clock::ClockTime,
+    config::{ConfigState, GrantKey, InstanceKey, PriceClass, ServerKey, TeamKey},
+    error::{ErrorKind, RunState},
+    event::{CallTarget, CallerRequest, DispatchOrder, Effect, RequestNumber, RequestRefusal},
+    key::KeyProof,
+    message::{NamedTarget, PeerMessage, PermitFault, PermitHolding, PermitRequest, PermitUse},
+    pool::{PoolKey, WorkTarget},
+    usage::{UsageAccount, UsageOutcome},
+};
+
+/// A permit is void when the answer takes longer than this.
+pub(super) const PERMIT_START: Duration = Duration::from_secs(2);
+/// How often an unanswered ask is repeated.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Delay before asking again where no scheduler was found.
+const SCHEDULER_RETRY: Duration = Duration::from_millis(100);
+/// Most servers that one idempotent request is sent to.
+const MAX_ATTEMPTS: u32 = 3;
+/// How often running requests are reported to the schedulers.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Where a request is on its way.
+#[derive(Clone, Debug, PartialEq)]
+enum RequestPhase {
+    /// Waits for a permit. The first ask of this round went out at `asked`.
+    Asking {
+        scheduler: Option<InstanceKey>,
+        asked: ClockTime,
+    },
+    /// Was sent to a server.
+    Running { server: ServerKey },
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub(super) struct RequestRecord {
+    grant: Option<GrantKey>,
+    team: Option<TeamKey>,
+    target: WorkTarget,
+    price: PriceClass,
+    idempotent: bool,
+    prompt_tokens: u64,
+    reserved: u64,
+    deadline: ClockTime,
+    pool: PoolKey,
+    phase: RequestPhase,
+    attempts: u32,
+    avoid: Vec<ServerKey>,
+    refused_by: Vec<PoolKey>,
+    /// Whether a server may have run it.
+    may_have_run: bool,
+    /// Whether the caller has part of the answer.
+    started: bool,
+}
+
+/// A request that passed all checks of key, model and service.
+struct AdmittedCall {
+    grant: Option<GrantKey>,
+    team: Option<TeamKey>,
+    target: WorkTarget,
+    idempotent: bool,
+}
+
+impl Reducer {
+    pub(super) fn request_arrived(
+        &mut self,
+        now: ClockTime,
+        request: &CallerRequest,
+        effects: &mut Vec<Effect>,
+    ) {
+        let number = request.number;
+        if let Err((kind, retry_after)) = self.admit(now, request, effects) {
+            effects.push(Effect::Refuse(RequestRefusal {
+                request: number,
+                kind,
+                run: RunState::NotRun,
+                retry_after,
+            }));
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        request: &CallerRequest,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), (ErrorKind, Option<Duration>)> {
+        if !self.is_ready() {
+            return Err((ErrorKind::NotReady, None));
+        }
+        let config = self.config();
+        let call = admit_call(&config, request).map_err(|kind| (kind, None))?;
+        let pool = *self
+            .candidate_pools(call.target)
+            .first()
+            .ok_or((ErrorKind::NoServer, Some(SCHEDULER_RETRY)))?;
+        let reserved = request.prompt_tokens + request.max_tokens;
+        if let Some(team) = call.team {
+            self.take_rate(now, team, reserved)?;
+        }
+        let deadline = now.after(request.patience);
+        let record = RequestRecord {
+            grant: call.grant,
+            team: call.team,
+            target: call.target,
+            price: call
+                .team
+                .map_or(PriceClass::Standard, |team| config.teams[team].price),
+            idempotent: call.idempotent,
+            prompt_tokens: request.prompt_tokens,
+            reserved,
+            deadline,
+            pool,
+            phase: RequestPhase::Asking {
+                scheduler: None,
+                asked: now,
+            },
+            attempts: 0,
+            avoid: Vec::new(),
+            refused_by: Vec::new(),
+            may_have_run: false,
+            started: false,
+        };
+        self.requests.insert(request.number, record);
+        self.set_timer(deadline, TimerKind::Deadline(request.number));
+        self.ask(now, request.number, effects);
+        Ok(())
+    }
+
+    fn candidate_pools(&self, target: WorkTarget) -> Vec<PoolKey> {
+        let config = self.config();
+        let own = config
+            .instances
+            .key(&self.settings.instance)
+            .map(|key| config.instances[key].data_centre);
+        self.pools.candidates(&config, target, own)
+    }
+
+    /// Asks the scheduler of the request's pool for a permit, and plans to ask again.
+    fn ask(&mut self, now: ClockTime, request: RequestNumber, effects: &mut Vec<Effect>) {
+        let config = self.config();
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let pool = self.pools.record(record.pool);
+        let scheduler = self
+            .members
+            .scheduler(&config, &pool.name, pool.data_centre);
+        let message = PermitRequest {
+            request,
+            pool: pool.name.clone(),
+            team: record.team.map(|team| config.teams[team].name.clone()),
+            target: NamedTarget::new(&config, record.target),
+            tokens: record.reserved,
+            time_left: record.deadline.since(now),
+            avoid: record
+                .avoid
+                .iter()
+                .map(|server| config.servers[*server].name.clone())
+                .collect(),
+        };
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.phase = RequestPhase::Asking {
+                scheduler,
+                asked: now,
+            };
+        }
+        let delay = match scheduler {
+            Some(scheduler) => {
+                self.send(scheduler, PeerMessage::PermitRequest(message), effects);
+                ASK_INTERVAL
+            }
+            None => SCHEDULER_RETRY,
+        };
+        self.set_timer(now.after(delay), TimerKind::AskAgain(request));
+    }
+
+    pub(super) fn ask_again(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let RequestPhase::Asking { asked, .. } = record.phase else {
+            return;
+        };
+        if now.since(asked) >= SCHEDULER_RETRY {
+            self.ask(now, request, effects);
+        }
+    }
+
+    pub(super) fn permit_granted(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        pool: &str,
+        server: &str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let config = self.config();
+        let Some(server) = config.servers.key(server) else {
+            return;
+        };
+        let unused = PeerMessage::PermitRelease {
+            request,
+            pool: pool.into(),
+            used: PermitUse::Unused,
+        };
+        let Some(record) = self.requests.get_mut(&request) else {
+            self.send_to_scheduler(pool, unused, effects);
+            return;
+        };
+        let asked = match record.phase {
+            RequestPhase::Asking { asked, .. } => asked,
+            // A repeated grant of the permit in use.
+            RequestPhase::Running { .. } => return,
+        };
+        if self.pools.key(pool) != Some(record.pool) || now.since(asked) > PERMIT_START {
+            self.send_to_scheduler(pool, unused, effects);
+            return;
+        }
+        if let Some(kind) = withdrawn(&config, record) {
+            self.send_to_scheduler(pool, unused, effects);
+            self.refuse(now, request, kind, None, effects);
+            return;
+        }
+        record.phase = RequestPhase::Running { server };
+        record.attempts += 1;
+        let order = DispatchOrder {
+            request,
+            server: config.servers[server].name.clone(),
+            address: config.servers[server].address,
+            model: engine_model(&config, record.target),
+            price: record.price,
+            time_left: record.deadline.since(now),
+        };
+        effects.push(Effect::Dispatch(order));
+    }
+
+    pub(super) fn permit_refused(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        pool: &str,
+        fault: PermitFault,
+        retry_after: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let asking = matches!(record.phase, RequestPhase::Asking { .. });
+        if !asking || self.pools.key(pool) != Some(record.pool) {
+            return;
+        }
+        let kind = match fault {
+            PermitFault::NotScheduler | PermitFault::Behind => {
+                let time = now.after(SCHEDULER_RETRY);
+                self.set_timer(time, TimerKind::AskAgain(request));
+                return;
+            }
+            PermitFault::Refused(kind) => kind,
+        };
+        record.refused_by.push(record.pool);
+        if self.try_other_pool(now, request, effects) {
+            return;
+        }
+        self.refuse(now, request, kind, Some(retry_after), effects);
+    }
+
+    /// Moves the request to the next pool that has not refused it.
+    fn try_other_pool(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(record) = self.requests.get(&request) else {
+            return false;
+        };
+        let (target, refused) = (record.target, record.refused_by.clone());
+        let other = self
+            .candidate_pools(target)
+            .into_iter()
+            .find(|pool| !refused.contains(pool));
+        let Some(pool) = other else { return false };
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.pool = pool;
+        }
+        self.ask(now, request, effects);
+        true
+    }
+
+    pub(super) fn answer_started(&mut self, request: RequestNumber) {
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.started = true;
+            record.may_have_run = true;
+        }
+    }
+
+    pub(super) fn answer_finished(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        prompt_tokens: Option<u64>,
+        output_tokens: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.requests.remove(&request) else {
+            return;
+        };
+        self.release(request, &record, PermitUse::Answered, effects);
+        let prompt_tokens = prompt_tokens.unwrap_or(record.prompt_tokens);
+        self.settle(
+            now,
+            request,
+            &record,
+            UsageOutcome::Answered,
+            prompt_tokens,
+            output_tokens,
+        );
+    }
+
+    pub(super) fn answer_failed(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        run: RunState,
+        output_tokens: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(mut record) = self.requests.remove(&request) else {
+            return;
+        };
+        let RequestPhase::Running { server } = record.phase else {
+            self.requests.insert(request, record);
+            return;
+        };
+        record.may_have_run |= run == RunState::Unknown;
+        self.release(request, &record, PermitUse::Failed, effects);
+        let repeatable = !record.started && (record.idempotent || !record.may_have_run);
+        if repeatable && record.attempts < MAX_ATTEMPTS && now < record.deadline {
+            record.avoid.push(server);
+            self.requests.insert(request, record);
+            self.ask(now, request, effects);
+            return;
+        }
+        let kind = if record.started {
+            ErrorKind::AnswerBroken
+        } else if record.may_have_run {
+            ErrorKind::ServerLost
+        } else {
+            ErrorKind::ServerRefused
+        };
+        self.end(now, request, &record, kind, None, output_tokens, effects);
+    }
+
+    pub(super) fn caller_gone(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(record) = self.requests.remove(&request) else {
+            return;
+        };
+        self.stop(request, &record, effects);
+        let running = matches!(record.phase, RequestPhase::Running { .. });
+        if running || record.may_have_run {
+            let prompt_tokens = record.prompt_tokens;
+            let outcome = UsageOutcome::Partial;
+            self.settle(now, request, &record, outcome, prompt_tokens, 0);
+        } else if let Some(team) = record.team {
+            self.give_back_request(now, team, record.reserved);
+        }
+    }
+
+    pub(super) fn deadline_passed(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.refuse(now, request, ErrorKind::DeadlineExceeded, None, effects);
+    }
+
+    /// Refuses waiting requests whose key or team no longer counts.
+    pub(super) fn refuse_withdrawn(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        let config = self.config();
+        let refused: Vec<(RequestNumber, ErrorKind)> = self
+            .requests
+            .iter()
+            .filter(|(_, record)| matches!(record.phase, RequestPhase::Asking { .. }))
+            .filter_map(|(number, record)| Some((*number, withdrawn(&config, record)?)))
+            .collect();
+        for (request, kind) in refused {
+            self.refuse(now, request, kind, None, effects);
+        }
+    }
+
+    /// Ends a request from this side: stops it wherever it is and tells the caller.
+    fn refuse(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(mut record) = self.requests.remove(&request) else {
+            return;
+        };
+        record.may_have_run |= matches!(record.phase, RequestPhase::Running { .. });
+        self.stop(request, &record, effects);
+        self.end(now, request, &record, kind, retry_after, 0, effects);
+    }
+
+    /// Withdraws a request from its queue or server.
+    fn stop(&mut self, request: RequestNumber, record: &RequestRecord, effects: &mut Vec<Effect>) {
+        match record.phase {
+            RequestPhase::Running { .. } => {
+                effects.push(Effect::Abort(request));
+                self.release(request, record, PermitUse::Unused, effects);
+            }
+            RequestPhase::Asking {
+                scheduler: Some(scheduler),
+                ..
+            } => {
+                let pool = self.pools.record(record.pool).name.clone();
+                let message = PeerMessage::PermitCancel { request, pool };
+                self.send(scheduler, message, effects);
+            }
+            RequestPhase::Asking {
+                scheduler: None, ..
+            } => {}
+        }
+    }
+
+    /// Settles a failed request and tells the caller.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one value for each part of the refusal"
+    )]
+    fn end(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        record: &RequestRecord,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+        output_tokens: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let run = if record.may_have_run {
+            let outcome = if record.started {
+                UsageOutcome::Partial
+            } else {
+                UsageOutcome::Unknown
+            };
+            let prompt_tokens = record.prompt_tokens;
+            self.settle(now, request, record, outcome, prompt_tokens, output_tokens);
+            RunState::Unknown
+        } else {
+            if let Some(team) = record.team {
+                self.give_back_request(now, team, record.reserved);
+            }
+            RunState::NotRun
+        };
+        effects.push(Effect::Refuse(RequestRefusal {
+            request,
+            kind,
+            run,
+            retry_after,
+        }));
+    }
+
+    fn release(
+        &mut self,
+        request: RequestNumber,
+        record: &RequestRecord,
+        used: PermitUse,
+        effects: &mut Vec<Effect>,
+    ) {
+        let pool = self.pools.record(record.pool).name.clone();
+        let message = PeerMessage::PermitRelease {
+            request,
+            pool: pool.clone(),
+            used,
+        };
+        self.send_to_scheduler(&pool, message, effects);
+    }
+
+    /// Counts the request and returns the tokens that it did not use.
+    fn settle(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        record: &RequestRecord,
+        outcome: UsageOutcome,
+        prompt_tokens: u64,
+        output_tokens: u64,
+    ) {
+        let config = self.config();
+        if let Some(team) = record.team {
+            let used = prompt_tokens + output_tokens;
+            self.give_back_tokens(now, team, record.reserved.saturating_sub(used));
+        }
+        let (owner, team) = match record.team {
+            Some(team) => {
+                let team = &config.teams[team];
+                (config.owners[team.owner].name.clone(), team.name.clone())
+            }
+            None => (SmolStr::default(), SmolStr::default()),
+        };
+        let account = UsageAccount {
+            owner,
+            team,
+            target: record.target.name(&config).clone(),
+            price: record.price,
+        };
+        self.usage
+            .count(request, account, outcome, prompt_tokens, output_tokens);
+    }
+
+    /// Tells each scheduler which requests are on its servers.
+    pub(super) fn renew_permits(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        if now.since(self.last_renewal) < RENEW_INTERVAL {
+            return;
+        }
+        self.last_renewal = now;
+        let config = self.config();
+        let mut by_pool: std::collections::BTreeMap<PoolKey, Vec<PermitHolding>> =
+            std::collections::BTreeMap::new();
+        for (request, record) in &self.requests {
+            if let RequestPhase::Running { server } = record.phase {
+                by_pool.entry(record.pool).or_default().push(PermitHolding {
+                    request: *request,
+                    server: config.servers[server].name.clone(),
+                    target: NamedTarget::new(&config, record.target),
+                });
+            }
+        }
+        for (pool, holdings) in by_pool {
+            let pool = self.pools.record(pool).name.clone();
+            let message = PeerMessage::PermitRenew {
+                pool: pool.clone(),
+                holdings,
+            };
+            self.send_to_scheduler(&pool, message, effects);
+        }
+    }
+
+    /// Asks again for requests whose scheduler could not be reached.
+    pub(super) fn scheduler_lost(&mut self, now: ClockTime, instance: InstanceKey) {
+        let waiting: Vec<RequestNumber> = self
+            .requests
+            .iter()
+            .filter(|(_, record)| {
+                matches!(record.phase, RequestPhase::Asking { scheduler, .. }
+                    if scheduler == Some(instance))
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for request in waiting {
+            self.set_timer(now.after(SCHEDULER_RETRY), TimerKind::AskAgain(request));
+        }
+    }
+}
+
+/// Checks key, model and service of a request.
+fn admit_call(config: &ConfigState, request: &CallerRequest) -> Result<AdmittedCall, ErrorKind> {
+    match &request.target {
+        CallTarget::Model(model) => admit_model(config, request, model),
+        CallTarget::Service {
+            service,
+            method,
+            path,
+        } => admit_service(config, request, service, method, path),
+    }
+}
+
+fn admit_model(
+    config: &ConfigState,
+    request: &CallerRequest,
+    model: &str,
+) -> Result<AdmittedCall, ErrorKind> {
+    let (base, adapter) = match model.split_once(':') {
+        Some((base, adapter)) => (base, Some(adapter)),
+        None => (model, None),
+    };
+    let base = config.bases.key(base);
+    let Some(adapter) = adapter else {
+        let open = base.is_some_and(|base| config.bases[base].open);
+        let (grant, team) = if open {
+            (None, None)
+        } else {
+            let (grant, team) = check_key(config, &request.key)?;
+            (Some(grant), Some(team))
+        };
+        let base = base.ok_or(ErrorKind::UnknownModel)?;
+        return Ok(AdmittedCall {
+            grant,
+            team,
+            target: WorkTarget::Base(base),
+            idempotent: true,
+        });
+    };
+    let (grant, team) = check_key(config, &request.key)?;
+    let adapter = config
+        .adapters
+        .key(adapter)
+        .ok_or(ErrorKind::UnknownModel)?;
+    let record = &config.adapters[adapter];
+    if record.removed || Some(record.base) != base {
+        return Err(ErrorKind::UnknownModel);
+    }
+    if record.team != team {
+        return Err(ErrorKind::NotYourAdapter);
+    }
+    Ok(AdmittedCall {
+        grant: Some(grant),
+        team: Some(team),
+        target: WorkTarget::Adapter {
+            adapter,
+            version: record.version,
+        },
+        idempotent: true,
+    })
+}
+
+fn admit_service(
+    config: &ConfigState,
+    request: &CallerRequest,
+    service: &str,
+    method: &str,
+    path: &str,
+) -> Result<AdmittedCall, ErrorKind> {
+    let service = config.services.key(service);
+    let call = service.and_then(|service| {
+        config.services[service]
+            .calls
+            .iter()
+            .find(|call| call.method == method && path_fits(&call.path, path))
+    });
+    let (grant, team) = if call.is_some_and(|call| call.open) {
+        (None, None)
+    } else {
+        let (grant, team) = check_key(config, &request.key)?;
+        (Some(grant), Some(team))
+    };
+    let service = service.ok_or(ErrorKind::UnknownService)?;
+    let call = call.ok_or(ErrorKind::UnknownRoute)?;
+    let owner = config.services[service].team;
+    if team.is_some() && owner.is_some() && owner != team {
+        return Err(ErrorKind::NotYourAdapter);
+    }
+    Ok(AdmittedCall {
+        grant,
+        team,
+        target: WorkTarget::Service(service),
+        idempotent: call.idempotent,
+    })
+}
+
+/// Whether `path` is `prefix` or lies below it, segment by segment.
+fn path_fits(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
+
+fn check_key(
+    config: &ConfigState,
+    key: &Result<Option<KeyProof>, ()>,
+) -> Result<(GrantKey, TeamKey), ErrorKind> {
+    let proof = match key {
+        Ok(Some(proof)) => proof,
+        Ok(None) => return Err(ErrorKind::MissingKey),
+        Err(()) => return Err(ErrorKind::InvalidKey),
+    };
+    let grant = config.keys.key(&proof.id).ok_or(ErrorKind::InvalidKey)?;
+    let record = &config.keys[grant];
+    if !record.digest.matches(&proof.digest) {
+        return Err(ErrorKind::InvalidKey);
+    }
+    if record.withdrawn || config.teams[record.team].removed {
+        return Err(ErrorKind::KeyWithdrawn);
+    }
+    Ok((grant, record.team))
+}
+
+/// Why an admitted request may no longer be sent, if so.
+fn withdrawn(config: &ConfigState, record: &RequestRecord) -> Option<ErrorKind> {
+    if record
+        .grant
+        .is_some_and(|grant| config.keys[grant].withdrawn)
+    {
+        return Some(ErrorKind::KeyWithdrawn);
+    }
+    if record.team.is_some_and(|team| config.teams[team].removed) {
+        return Some(ErrorKind::KeyWithdrawn);
+    }
+    None
+}
+
+/// Name under which an engine runs the target.
+fn engine_model(config: &ConfigState, target: WorkTarget) -> SmolStr {
+    match target {
+        WorkTarget::Adapter { adapter, version } => {
+            let record = &config.adapters[adapter];
+            let base = &config.bases[record.base].name;
+            format_smolstr!("{base}:{}@{version}", record.name)
+        }
+        WorkTarget::Base(_) | WorkTarget::Service(_) => target.name(config).clone(),
+    }
+}
--- /dev/null
+++ b/lib/src/reducer/mod.rs
@@ -0,0 +1,314 @@
+//! The reducer: every decision of one instance, as a function of the events it is told.
+//!
+//! `reduce` takes the time and an event, changes the state and appends effects. It reads no
+//! clock, socket or random source, so that the same events give the same effects.
+
+mod entry;
+mod limits;
+mod peers;
+mod pools;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use smol_str::SmolStr;
+
+use self::{entry::RequestRecord, limits::TeamLimits};
+use crate::{
+    address::{AddressList, rank_addresses},
+    clock::ClockTime,
+    config::{ConfigLog, ConfigState, LogEntry, TeamKey},
+    event::{Effect, Event, RequestNumber},
+    member::MemberTable,
+    message::PeerMessage,
+    pool::{PoolKey, PoolTable},
+    scheduler::{PoolScheduler, SchedulerStats},
+    usage::UsageMeter,
+};
+
+/// How often each duty that no event triggers is looked after.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What an instance must know of itself to start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReducerSettings {
+    /// Name of the fleet.
+    pub fleet: SmolStr,
+    /// Name of this instance.
+    pub instance: SmolStr,
+    /// Process life: larger than that of any earlier process with this name, in Unix milliseconds.
+    pub life: u64,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum TimerKind {
+    Housekeeping,
+    Deadline(RequestNumber),
+    AskAgain(RequestNumber),
+    Pool(PoolKey),
+}
+
+/// All state of one instance.
+pub struct Reducer {
+    settings: ReducerSettings,
+    random: ChaCha8Rng,
+    log: ConfigLog,
+    members: MemberTable,
+    pools: PoolTable,
+    limits: BTreeMap<TeamKey, TeamLimits>,
+    requests: BTreeMap<RequestNumber, RequestRecord>,
+    schedulers: BTreeMap<PoolKey, PoolScheduler>,
+    usage: UsageMeter,
+    timers: BTreeSet<(ClockTime, TimerKind)>,
+    wake: Option<ClockTime>,
+    /// Messages of this instance to itself.
+    loopback: VecDeque<PeerMessage>,
+    lives: BTreeMap<SmolStr, u64>,
+    last_pull: Option<ClockTime>,
+    last_gossip: ClockTime,
+    last_renewal: ClockTime,
+    last_poll: ClockTime,
+    leaving: bool,
+}
+
+/// Figures of one instance for operators.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReducerStats {
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Position in the configuration log.
+    pub config_sequence: u64,
+    /// Requests of callers in progress.
+    pub requests: usize,
+    /// Pools scheduled here, by name.
+    pub pools: BTreeMap<SmolStr, PoolStats>,
+    /// Requests counted.
+    pub counted: u64,
+}
+
+/// Figures of a pool scheduled here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolStats {
+    /// Requests that wait.
+    pub queued: usize,
+    /// Requests on servers.
+    pub running: usize,
+    /// Counters.
+    pub counters: SchedulerStats,
+}
+
+impl Reducer {
+    /// A fresh instance without configuration.
+    pub fn new(settings: ReducerSettings) -> Reducer {
+        let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let housekeeping = (ClockTime::ZERO, TimerKind::Housekeeping);
+        Reducer {
+            settings,
+            random,
+            log: ConfigLog::default(),
+            members: MemberTable::default(),
+            pools: PoolTable::default(),
+            limits: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            schedulers: BTreeMap::new(),
+            usage: UsageMeter::default(),
+            timers: BTreeSet::from([housekeeping]),
+            wake: None,
+            loopback: VecDeque::new(),
+            lives: BTreeMap::new(),
+            last_pull: None,
+            last_gossip: ClockTime::ZERO,
+            last_renewal: ClockTime::ZERO,
+            last_poll: ClockTime::ZERO,
+            leaving: false,
+        }
+    }
+
+    /// Takes in one event and appends what should be done about it.
+    pub fn reduce(&mut self, now: ClockTime, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::RequestArrived(request) => self.request_arrived(now, &request, effects),
+            Event::CallerGone(request) => self.caller_gone(now, request, effects),
+            Event::AnswerStarted(request) => self.answer_started(request),
+            Event::AnswerFinished {
+                request,
+                prompt_tokens,
+                output_tokens,
+            } => self.answer_finished(now, request, prompt_tokens, output_tokens, effects),
+            Event::AnswerFailed {
+                request,
+                run,
+                output_tokens,
+            } => self.answer_failed(now, request, run, output_tokens, effects),
+            Event::LogRead(entries) => self.log_read(now, entries, effects),
+            Event::InstancesListed(listings) => {
+                self.members.read_list(&listings);
+                self.sync_pools(now, effects);
+            }
+            Event::PeerReceived(envelope) => self.peer_received(now, envelope, effects),
+            Event::PeerFailed(instance) => self.peer_failed(now, &instance, effects),
+            Event::OrderDone(order, outcome) => self.order_done(now, &order, outcome, effects),
+            Event::LoadReported {
+                server,
+                asked,
+                report,
+            } => self.load_reported(now, server, asked, report.as_ref(), effects),
+            Event::Tick => self.wake = None,
+            Event::ShutdownRequested => self.shutdown_requested(now, effects),
+        }
+        self.run_timers(now, effects);
+        self.run_loopback(now, effects);
+        self.plan_wake(effects);
+    }
+
+    fn run_loopback(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        while let Some(message) = self.loopback.pop_front() {
+            let from = self.settings.instance.clone();
+            let life = self.settings.life;
+            self.message_received(now, &from, life, message, effects);
+        }
+    }
+
+    fn set_timer(&mut self, time: ClockTime, kind: TimerKind) {
+        self.timers.insert((time, kind));
+    }
+
+    fn run_timers(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        while let Some((time, kind)) = self.timers.first().copied() {
+            if time > now {
+                return;
+            }
+            self.timers.pop_first();
+            match kind {
+                TimerKind::Housekeeping => self.housekeeping(now, effects),
+                TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
+                TimerKind::AskAgain(request) => self.ask_again(now, request, effects),
+                TimerKind::Pool(pool) => self.step_pool(now, pool, effects),
+            }
+            self.run_loopback(now, effects);
+        }
+    }
+
+    fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        self.renew_permits(now, effects);
+        self.poll_reports(now, effects);
+        self.gossip(now, effects);
+        self.set_timer(now.after(HOUSEKEEPING_INTERVAL), TimerKind::Housekeeping);
+    }
+
+    fn plan_wake(&mut self, effects: &mut Vec<Effect>) {
+        let Some((next, _)) = self.timers.first().copied() else {
+            return;
+        };
+        if self.wake.is_none_or(|wake| next < wake) {
+            self.wake = Some(next);
+            effects.push(Effect::WakeAt(next));
+        }
+    }
+
+    fn log_read(&mut self, now: ClockTime, entries: Vec<LogEntry>, effects: &mut Vec<Effect>) {
+        let before = self.log.sequence();
+        for entry in entries {
+            if let Some(outcome) = self.log.append(entry) {
+                effects.push(Effect::LogApplied {
+                    sequence: outcome.sequence,
+                    version: outcome.version,
+                    fault: outcome
+                        .fault
+                        .as_ref()
+                        .map(|fault| Arc::from(fault.to_string())),
+                });
+            }
+        }
+        if self.log.sequence() == before {
+            return;
+        }
+        let config = self.config();
+        self.pools.extend(&config);
+        self.resize_limits(now);
+        self.sync_pools(now, effects);
+        self.refuse_withdrawn(now, effects);
+    }
+
+    fn shutdown_requested(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        self.leaving = true;
+        let instance = self.settings.instance.clone();
+        self.members.announce_leaving(&instance, self.settings.life);
+        self.announce_leaving(effects);
+        self.sync_pools(now, effects);
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<ConfigState> {
+        self.log.state().clone()
+    }
+
+    /// The configuration log.
+    pub fn config_log(&self) -> &ConfigLog {
+        &self.log
+    }
+
+    /// Usage counted so far.
+    pub fn usage(&self) -> &UsageMeter {
+        &self.usage
+    }
+
+    /// What this instance must know of itself.
+    pub fn settings(&self) -> &ReducerSettings {
+        &self.settings
+    }
+
+    /// Whether the instance was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether the instance has a configuration that names it.
+    pub fn is_ready(&self) -> bool {
+        self.config()
+            .instances
+            .key(&self.settings.instance)
+            .is_some()
+    }
+
+    /// Ranks addresses for a caller in the data centre `near`, or in this instance's own.
+    pub fn addresses(&self, near: Option<&str>, caller: &str) -> AddressList {
+        let config = self.config();
+        let own = config
+            .instances
+            .key(&self.settings.instance)
+            .map(|key| config.instances[key].data_centre);
+        let near = near.and_then(|name| config.data_centres.key(name)).or(own);
+        rank_addresses(&config, &self.members, near, caller)
+    }
+
+    /// Figures for operators.
+    pub fn stats(&self) -> ReducerStats {
+        let pools = self
+            .schedulers
+            .iter()
+            .map(|(pool, scheduler)| {
+                let stats = PoolStats {
+                    queued: scheduler.queue_length(),
+                    running: scheduler.permit_count(),
+                    counters: scheduler.stats(),
+                };
+                (self.pools.record(*pool).name.clone(), stats)
+            })
+            .collect();
+        ReducerStats {
+            config_version: self.log.state().version,
+            config_sequence: self.log.sequence(),
+            requests: self.requests.len(),
+            pools,
+            counted: self.usage.sequence(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/reducer/peers.rs
@@ -0,0 +1,226 @@
+//! Messages between instances: sending, receiving, configuration relay.
+
+use std::{sync::Arc, time::Duration};
+
+use rand_chacha::rand_core::RngCore;
+use smol_str::SmolStr;
+
+use super::Reducer;
+use crate::{
+    clock::ClockTime,
+    config::InstanceKey,
+    event::Effect,
+    message::{MAX_ENVELOPE_BYTES, PeerEnvelope, PeerMessage},
+};
+
+/// How often an instance shows its configuration sequence to random peers.
+const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
+/// Peers addressed each time.
+const GOSSIP_FANOUT: usize = 2;
+/// Least time between two pulls of log entries.
+const PULL_INTERVAL: Duration = Duration::from_millis(250);
+/// Most bytes of log entries in one answer.
+const PULL_BYTES: usize = MAX_ENVELOPE_BYTES / 2;
+
+impl Reducer {
+    /// Sends a message to an instance, which may be this one.
+    pub(super) fn send(
+        &mut self,
+        to: InstanceKey,
+        message: PeerMessage,
+        effects: &mut Vec<Effect>,
+    ) {
+        let config = self.config();
+        let record = &config.instances[to];
+        if record.name == self.settings.instance {
+            self.loopback.push_back(message);
+            return;
+        }
+        effects.push(Effect::SendPeer {
+            to: record.name.clone(),
+            address: record.peer_address,
+            message,
+        });
+    }
+
+    /// Sends a message to the scheduler of a pool, if there is one.
+    pub(super) fn send_to_scheduler(
+        &mut self,
+        pool: &str,
+        message: PeerMessage,
+        effects: &mut Vec<Effect>,
+    ) {
+        let config = self.config();
+        let Some(key) = self.pools.key(pool) else {
+            return;
+        };
+        let data_centre = self.pools.record(key).data_centre;
+        if let Some(scheduler) = self.members.scheduler(&config, pool, data_centre) {
+            self.send(scheduler, message, effects);
+        }
+    }
+
+    pub(super) fn peer_received(
+        &mut self,
+        now: ClockTime,
+        envelope: PeerEnvelope,
+        effects: &mut Vec<Effect>,
+    ) {
+        let PeerEnvelope {
+            from,
+            life,
+            config: sequence,
+            leaving,
+            messages,
+            ..
+        } = envelope;
+        let known = self.lives.get(&from).copied().unwrap_or(0);
+        if life < known {
+            return;
+        }
+        if life > known {
+            self.lives.insert(from.clone(), life);
+            self.forget_older_lives(now, &from, life);
+        }
+        self.members.heard(&from, life);
+        if leaving && self.members.is_available(&from) {
+            self.members.announce_leaving(&from, life);
+            self.sync_pools(now, effects);
+        }
+        self.pull_if_behind(now, &from, sequence, effects);
+        for message in messages {
+            self.message_received(now, &from, life, message, effects);
+        }
+    }
+
+    fn forget_older_lives(&mut self, now: ClockTime, from: &str, life: u64) {
+        let Some(entry) = self.config().instances.key(from) else {
+            return;
+        };
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.entry_restarted(now, entry, life);
+        }
+    }
+
+    fn pull_if_behind(
+        &mut self,
+        now: ClockTime,
+        from: &str,
+        sequence: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        if sequence <= self.log.sequence() {
+            return;
+        }
+        if self
+            .last_pull
+            .is_some_and(|last| now.since(last) < PULL_INTERVAL)
+        {
+            return;
+        }
+        let Some(peer) = self.config().instances.key(from) else {
+            return;
+        };
+        self.last_pull = Some(now);
+        let after = self.log.sequence();
+        self.send(peer, PeerMessage::ConfigPull { after }, effects);
+    }
+
+    pub(super) fn message_received(
+        &mut self,
+        now: ClockTime,
+        from: &SmolStr,
+        life: u64,
+        message: PeerMessage,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(peer) = self.config().instances.key(from) else {
+            return;
+        };
+        match message {
+            PeerMessage::PermitRequest(ask) => {
+                self.permit_requested(now, peer, life, &ask, effects);
+            }
+            PeerMessage::PermitCancel { request, pool } => {
+                self.permit_cancelled(now, peer, life, request, &pool, effects);
+            }
+            PeerMessage::PermitRelease {
+                request,
+                pool,
+                used,
+            } => self.permit_released(now, peer, life, request, &pool, used, effects),
+            PeerMessage::PermitRenew { pool, holdings } => {
+                self.permits_renewed(now, peer, life, &pool, &holdings, effects);
+            }
+            PeerMessage::PermitGrant {
+                request,
+                pool,
+                server,
+            } => self.permit_granted(now, request, &pool, &server, effects),
+            PeerMessage::PermitRefusal {
+                request,
+                pool,
+                fault,
+                retry_after,
+            } => self.permit_refused(now, request, &pool, fault, retry_after, effects),
+            PeerMessage::ConfigPull { after } => self.config_pulled(peer, after, effects),
+            PeerMessage::ConfigEntries { entries } => {
+                self.log_read(now, entries.to_vec(), effects);
+            }
+        }
+    }
+
+    fn config_pulled(&mut self, peer: InstanceKey, after: u64, effects: &mut Vec<Effect>) {
+        let Some(entries) = self.log.suffix(after, PULL_BYTES) else {
+            return;
+        };
+        if !entries.is_empty() {
+            let entries = Arc::from(entries);
+            self.send(peer, PeerMessage::ConfigEntries { entries }, effects);
+        }
+    }
+
+    pub(super) fn peer_failed(
+        &mut self,
+        now: ClockTime,
+        instance: &str,
+        _effects: &mut Vec<Effect>,
+    ) {
+        if let Some(key) = self.config().instances.key(instance) {
+            self.scheduler_lost(now, key);
+        }
+    }
+
+    /// Shows the configuration sequence to a few random peers, so that all catch up.
+    pub(super) fn gossip(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        if now.since(self.last_gossip) < GOSSIP_INTERVAL {
+            return;
+        }
+        self.last_gossip = now;
+        let config = self.config();
+        let mut peers: Vec<InstanceKey> = self
+            .members
+            .available(&config)
+            .into_iter()
+            .filter(|key| config.instances[*key].name != self.settings.instance)
+            .collect();
+        for _ in 0..GOSSIP_FANOUT.min(peers.len()) {
+            let position = self.random.next_u64() as usize % peers.len();
+            let peer = peers.swap_remove(position);
+            let after = self.log.sequence();
+            self.send(peer, PeerMessage::ConfigPull { after }, effects);
+        }
+    }
+
+    /// Tells all peers that this instance is leaving.
+    pub(super) fn announce_leaving(&mut self, effects: &mut Vec<Effect>) {
+        let config = self.config();
+        let after = self.log.sequence();
+        let peers: Vec<InstanceKey> = config.live_instances().map(|(key, _)| key).collect();
+        for peer in peers {
+            if config.instances[peer].name != self.settings.instance {
+                self.send(peer, PeerMessage::ConfigPull { after }, effects);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/deployment.rs
@@ -0,0 +1,396 @@
+//! The platform of a whole small deployment in one process.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr, TcpListener},
+    path::Path,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr, eyre};
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde::Serialize;
+use smol_str::{SmolStr, format_smolstr};
+use wasabistall_lib::{
+    config::{ConfigChange, ConfigPatch, PriceClass, ServerRole, ServiceCall, TeamRate},
+    key::FreshKey,
+    member::InstanceListing,
+    operator,
+};
+
+use crate::{
+    configuration,
+    engine::{self, EngineShape},
+    http, instances,
+    service::{self, ServiceShape},
+    store::{self, StoreShape},
+};
+
+const FLEET: &str = "sauti-demo";
+const REGION: &str = "dar-region";
+const BASE: &str = "nyota-7b";
+const SERVICE: &str = "booking";
+/// Token of the demonstration's operators.
+const OPERATOR_TOKEN: &str = "operator-demo";
+const ADAPTERS_PER_TEAM: usize = 3;
+const LOADS_PER_SECOND: u64 = 20;
+
+/// Size of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeploymentShape {
+    pub(crate) host: IpAddr,
+    pub(crate) data_centres: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) instances: usize,
+}
+
+impl Default for DeploymentShape {
+    fn default() -> DeploymentShape {
+        DeploymentShape {
+            host: IpAddr::from([127, 0, 0, 1]),
+            data_centres: 2,
+            engines: 3,
+            services: 2,
+            instances: 3,
+        }
+    }
+}
+
+/// A team of the deployment.
+struct TeamPlan {
+    team: &'static str,
+    owner: &'static str,
+    tokens_per_second: u64,
+    price: PriceClass,
+}
+
+const TEAMS: [TeamPlan; 5] = [
+    TeamPlan {
+        team: "researchers",
+        owner: "sauti",
+        tokens_per_second: 40_000,
+        price: PriceClass::Premium,
+    },
+    TeamPlan {
+        team: "elders",
+        owner: "sauti",
+        tokens_per_second: 20_000,
+        price: PriceClass::Standard,
+    },
+    TeamPlan {
+        team: "historians",
+        owner: "sauti",
+        tokens_per_second: 20_000,
+        price: PriceClass::Standard,
+    },
+    TeamPlan {
+        team: "architects",
+        owner: "dial-works",
+        tokens_per_second: 20_000,
+        price: PriceClass::Standard,
+    },
+    TeamPlan {
+        team: "gardeners",
+        owner: "dial-works",
+        tokens_per_second: 20_000,
+        price: PriceClass::Standard,
+    },
+];
+
+/// Where everything is, for scripts and tests.
+#[derive(Debug, Default, Serialize)]
+struct DeploymentMap {
+    configuration: Option<SocketAddr>,
+    instances_list: Option<SocketAddr>,
+    store: Option<SocketAddr>,
+    engines: BTreeMap<SmolStr, SocketAddr>,
+    services: BTreeMap<SmolStr, SocketAddr>,
+    callers: BTreeMap<SmolStr, SocketAddr>,
+    peers: BTreeMap<SmolStr, SocketAddr>,
+    operators: BTreeMap<SmolStr, SocketAddr>,
+    /// Clear keys by team. Only stand-ins write them down.
+    keys: BTreeMap<SmolStr, String>,
+    operator_token: &'static str,
+}
+
+fn data_centre_name(number: usize) -> SmolStr {
+    format_smolstr!(
+        "dar-{}",
+        char::from(b'a' + u8::try_from(number % 26).unwrap_or(0))
+    )
+}
+
+/// Starts everything, publishes a first configuration, and writes settings files into `out`.
+pub(crate) async fn start(shape: &DeploymentShape, out: &Path) -> Result<()> {
+    std::fs::create_dir_all(out)
+        .wrap_err_with(|| format!("cannot create directory {}", out.display()))?;
+    let any_port = SocketAddr::new(shape.host, 0);
+    let mut map = DeploymentMap {
+        operator_token: OPERATOR_TOKEN,
+        ..DeploymentMap::default()
+    };
+    let store_shape = StoreShape {
+        loads_per_second: LOADS_PER_SECOND,
+        ..StoreShape::default()
+    };
+    let store = store::start(any_port, store_shape).await?;
+    map.store = Some(store);
+    map.configuration = Some(configuration::start(any_port).await?);
+    map.instances_list = Some(instances::start(any_port, Duration::ZERO).await?);
+    let mut changes = first_changes(shape);
+    start_servers(shape, any_port, store, &mut map, &mut changes).await?;
+    add_instances(shape, &mut map, &mut changes)?;
+    add_teams(&mut map, &mut changes)?;
+    write_settings(shape, &map, out)?;
+    publish(&map, changes).await?;
+    let text = serde_json::to_string_pretty(&map)?;
+    std::fs::write(out.join("deployment.json"), text)?;
+    Ok(())
+}
+
+fn first_changes(shape: &DeploymentShape) -> Vec<ConfigChange> {
+    let mut changes = vec![
+        ConfigChange::AddOwner {
+            owner: "sauti".into(),
+        },
+        ConfigChange::AddOwner {
+            owner: "dial-works".into(),
+        },
+        ConfigChange::AddRegion {
+            region: REGION.into(),
+            store_loads_per_second: LOADS_PER_SECOND,
+            loads_in_flight: 8,
+        },
+        ConfigChange::AddBase {
+            base: BASE.into(),
+            open: false,
+        },
+        ConfigChange::AddService {
+            service: SERVICE.into(),
+            team: None,
+            calls: service_calls(),
+        },
+    ];
+    for number in 0..shape.data_centres {
+        changes.push(ConfigChange::AddDataCentre {
+            data_centre: data_centre_name(number),
+            region: REGION.into(),
+        });
+    }
+    changes
+}
+
+fn service_calls() -> Vec<ServiceCall> {
+    let call = |method: &str, path: &str, idempotent, open| ServiceCall {
+        method: method.into(),
+        path: path.into(),
+        idempotent,
+        open,
+    };
+    vec![
+        call("GET", "/calendar", true, false),
+        call("GET", "/opening-hours", true, true),
+        call("POST", "/confirmations", false, false),
+    ]
+}
+
+async fn start_servers(
+    shape: &DeploymentShape,
+    any_port: SocketAddr,
+    store: SocketAddr,
+    map: &mut DeploymentMap,
+    changes: &mut Vec<ConfigChange>,
+) -> Result<()> {
+    for number in 0..shape.engines {
+        let engine_shape = EngineShape {
+            store,
+            ..EngineShape::default()
+        };
+        let address = engine::start(any_port, engine_shape).await?;
+        let server = format_smolstr!("engine-{}", number + 1);
+        changes.push(ConfigChange::AddServer {
+            server: server.clone(),
+            data_centre: data_centre_name(number % shape.data_centres),
+            address,
+            concurrency: u32::try_from(engine_shape.concurrency)?,
+            role: ServerRole::Engine {
+                base: BASE.into(),
+                slots: u32::try_from(engine_shape.slots)?,
+                enforces_fencing: engine_shape.enforces_fencing,
+            },
+        });
+        map.engines.insert(server, address);
+    }
+    for number in 0..shape.services {
+        let service_shape = ServiceShape {
+            name: SERVICE.into(),
+        };
+        let address = service::start(any_port, service_shape).await?;
+        let server = format_smolstr!("booking-{}", number + 1);
+        changes.push(ConfigChange::AddServer {
+            server: server.clone(),
+            data_centre: data_centre_name(number % shape.data_centres),
+            address,
+            concurrency: 32,
+            role: ServerRole::Service {
+                service: SERVICE.into(),
+            },
+        });
+        map.services.insert(server, address);
+    }
+    Ok(())
+}
+
+/// Finds a free port; it is free again when this returns.
+fn free_address(host: IpAddr) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(SocketAddr::new(host, 0))?;
+    Ok(listener.local_addr()?)
+}
+
+fn add_instances(
+    shape: &DeploymentShape,
+    map: &mut DeploymentMap,
+    changes: &mut Vec<ConfigChange>,
+) -> Result<()> {
+    for number in 0..shape.instances {
+        let instance = format_smolstr!("instance-{}", number + 1);
+        let callers = free_address(shape.host)?;
+        let peers = free_address(shape.host)?;
+        changes.push(ConfigChange::AddInstance {
+            instance: instance.clone(),
+            data_centre: data_centre_name(number % shape.data_centres),
+            caller_address: callers,
+            peer_address: peers,
+        });
+        map.callers.insert(instance.clone(), callers);
+        map.peers.insert(instance.clone(), peers);
+        map.operators.insert(instance, free_address(shape.host)?);
+    }
+    Ok(())
+}
+
+fn add_teams(map: &mut DeploymentMap, changes: &mut Vec<ConfigChange>) -> Result<()> {
+    for plan in &TEAMS {
+        let team = SmolStr::new_static(plan.team);
+        changes.push(ConfigChange::AddTeam {
+            team: team.clone(),
+            owner: plan.owner.into(),
+            rate: TeamRate {
+                tokens_per_second: plan.tokens_per_second,
+                burst_tokens: plan.tokens_per_second * 2,
+                requests_per_second: 400,
+                burst_requests: 800,
+            },
+            weight: 1,
+            price: plan.price,
+        });
+        let key = FreshKey::make(&format!("{team}-1"), rand::random())
+            .ok_or_else(|| eyre!("cannot make a key for team {team}"))?;
+        changes.push(ConfigChange::GrantKey {
+            key: key.proof.id.clone(),
+            team: team.clone(),
+            sha256: key.proof.digest,
+        });
+        map.keys.insert(team.clone(), key.clear);
+        for number in 1..=ADAPTERS_PER_TEAM {
+            changes.push(ConfigChange::AddAdapter {
+                adapter: engine::adapter_name(&team, number),
+                base: BASE.into(),
+                team: team.clone(),
+                version: 1,
+            });
+        }
+    }
+    Ok(())
+}
+
+fn write_settings(shape: &DeploymentShape, map: &DeploymentMap, out: &Path) -> Result<()> {
+    let secret = format!("{:032x}", rand::random::<u128>());
+    let digest: String = operator::token_digest(OPERATOR_TOKEN)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    let platform = (map.configuration, map.instances_list);
+    let (Some(configuration), Some(list)) = platform else {
+        return Err(eyre!("the platform has no addresses"));
+    };
+    for (number, (instance, callers)) in map.callers.iter().enumerate() {
+        let data_centre = data_centre_name(number % shape.data_centres);
+        let text = format!(
+            r#"// Settings of {instance}, written by the stand-in platform.
+{{
+    "fleet": "{FLEET}",
+    "instance": "{instance}",
+    "data_centre": "{data_centre}",
+    "listen": {{
+        "callers": "{callers}",
+        "peers": "{}",
+        "operators": "{}",
+    }},
+    "platform": {{
+        "configuration": "{configuration}",
+        "instances": "{list}",
+    }},
+    // The first secret signs, all are accepted.
+    "peer_secrets": ["{secret}"],
+    "operator_token_sha256": ["{digest}"],
+}}
+"#,
+            map.peers[instance], map.operators[instance],
+        );
+        std::fs::write(out.join(format!("{instance}.jsonc")), text)?;
+    }
+    Ok(())
+}
+
+async fn publish(map: &DeploymentMap, changes: Vec<ConfigChange>) -> Result<()> {
+    let patch = ConfigPatch {
+        base: 0,
+        author: "standin".into(),
+        note: "first configuration".into(),
+        changes,
+    };
+    let listings: Vec<InstanceListing> = map
+        .callers
+        .keys()
+        .map(|instance| InstanceListing {
+            instance: instance.clone(),
+            leaving: false,
+        })
+        .collect();
+    send(
+        Method::POST,
+        map.configuration,
+        "/v1/log",
+        serde_json::to_vec(&patch)?,
+    )
+    .await?;
+    send(
+        Method::PUT,
+        map.instances_list,
+        "/v1/instances",
+        serde_json::to_vec(&listings)?,
+    )
+    .await
+}
+
+async fn send(
+    method: Method,
+    address: Option<SocketAddr>,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<()> {
+    let address = address.ok_or_else(|| eyre!("the platform has no address for {path}"))?;
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::new(Bytes::from(body)))?;
+    let response = http::client().request(request).await?;
+    if response.status().is_success() {
+        return Ok(());
+    }
+    Err(eyre!("{path} answered {}", response.status()))
+}
--- /dev/null
+++ b/standin/src/http.rs
@@ -0,0 +1,94 @@
+//! Helpers for the stand-ins' HTTP servers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use poem::{Endpoint, Response, Server, listener::TcpAcceptor};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpListener;
+
+/// Serves `endpoint` in the background; returns the address it got.
+pub(crate) async fn serve(
+    listen: SocketAddr,
+    endpoint: impl Endpoint + 'static,
+) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(listen)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {listen}"))?;
+    let address = listener.local_addr()?;
+    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    tokio::spawn(async move {
+        if let Err(error) = Server::new_with_acceptor(acceptor).run(endpoint).await {
+            tracing::error!(%error, "server ended");
+        }
+    });
+    Ok(address)
+}
+
+/// An answer in JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, "application/json")
+        .body(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// An answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response {
+    Response::builder().status(status).finish()
+}
+
+/// Reads a request's body as JSON.
+pub(crate) async fn read_json<T: DeserializeOwned>(request: &mut poem::Request) -> Option<T> {
+    let body = request.take_body().into_bytes().await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Value of a numeric query parameter.
+pub(crate) fn query_number(request: &poem::Request, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+/// HTTP client between stand-ins.
+pub(crate) type StandinClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Builds a client.
+pub(crate) fn client() -> StandinClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+/// Fetches a path; returns the status.
+pub(crate) async fn get_status(
+    client: &StandinClient,
+    address: SocketAddr,
+    path: &str,
+) -> Option<StatusCode> {
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::default())
+        .ok()?;
+    let response = client.request(request).await.ok()?;
+    let status = response.status();
+    response.into_body().collect().await.ok()?;
+    Some(status)
+}
+
+/// An answer whose body breaks off at once.
+pub(crate) fn broken() -> Response {
+    let fault = Err::<Bytes, _>(std::io::Error::other("broken on purpose"));
+    let stream = futures_util::stream::iter([fault]);
+    Response::builder().body(poem::Body::from_bytes_stream(stream))
+}
--- /dev/null
+++ b/standin/src/instances.rs
@@ -0,0 +1,68 @@
+//! A list of live and leaving instances that lags behind.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use eyre::Result;
+use hyper::{Method, StatusCode};
+use poem::Response;
+use wasabistall_lib::member::InstanceListing;
+
+use crate::http;
+
+struct InstancesState {
+    lag: Duration,
+    /// Lists by the time they were written, oldest first.
+    lists: Mutex<VecDeque<(Instant, Vec<InstanceListing>)>>,
+}
+
+/// Starts a list; returns its address.
+pub(crate) async fn start(listen: SocketAddr, lag: Duration) -> Result<SocketAddr> {
+    let state = Arc::new(InstancesState {
+        lag,
+        lists: Mutex::new(VecDeque::new()),
+    });
+    let endpoint = poem::endpoint::make(move |request| {
+        let state = state.clone();
+        async move { state.answer(request).await }
+    });
+    http::serve(listen, endpoint).await
+}
+
+impl InstancesState {
+    async fn answer(&self, mut request: poem::Request) -> Response {
+        if request.uri().path() != "/v1/instances" {
+            return http::empty(StatusCode::NOT_FOUND);
+        }
+        match *request.method() {
+            Method::GET => http::json(StatusCode::OK, &self.read()),
+            Method::PUT => match http::read_json(&mut request).await {
+                Some(list) => {
+                    self.lists.lock().unwrap().push_back((Instant::now(), list));
+                    http::empty(StatusCode::NO_CONTENT)
+                }
+                None => http::empty(StatusCode::BAD_REQUEST),
+            },
+            _ => http::empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    /// The newest list that is at least the lag old, or the first one.
+    fn read(&self) -> Vec<InstanceListing> {
+        let mut lists = self.lists.lock().unwrap();
+        while lists
+            .get(1)
+            .is_some_and(|(written, _)| written.elapsed() >= self.lag)
+        {
+            lists.pop_front();
+        }
+        lists
+            .front()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/standin/tests/flags.rs
@@ -0,0 +1,15 @@
+//! The stand-ins' command line.
+
+use std::process::Command;
+
+use insta::assert_snapshot;
+
+#[test]
+fn unknown_subcommands_are_refused() {
+    let output = Command::new(env!("CARGO_BIN_EXE_wasabistall-standin"))
+        .arg("nothing")
+        .output()
+        .unwrap();
+    assert!(!output.status.success());
+    assert_snapshot!(String::from_utf8_lossy(&output.stderr), @r#"unexpected argument: "nothing""#);
+}
