limits: hold shares by rendezvous hash and lend allowance between instances

Change: eight shares a limit, held by the best instances by rendezvous hash; loans that expire after a second and count against the holder's burst until spent; shares that move become active only when all former holders and a majority follow the newer configuration; a paused or fresh process first hears a majority. Requests over the rate are held up to a second. Adapter loads of a region use the same mechanism. Test deployments get loopback addresses of their own: ports handed back to the system were taken by others (instances failed to bind).

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod error;
 pub mod event;
 pub mod key;
-pub mod limit;
+pub mod limits;
 pub mod member;
 pub mod message;
 pub mod operator;
--- /dev/null
+++ b/lib/src/limits/mod.rs
@@ -0,0 +1,125 @@
+//! Fleet-wide limits, split into shares that instances hold and lend.
+//!
+//! A limit is split into [`SHARES`] equal shares. Rendezvous hashing over the configured
+//! instances gives each share a holder, which alone refills it. Holders lend what they have to
+//! instances that need it, for [`LOAN_TIME`]; what is lent counts against the holder's burst
+//! until it is spent or has expired. No message can therefore create allowance: a lost one
+//! wastes some, and a repeated one is ignored.
+
+mod activation;
+mod book;
+mod bucket;
+mod loans;
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub use self::{
+    activation::ShareActivation,
+    book::{BorrowPlan, LimitBook},
+    bucket::ShareBucket,
+};
+use crate::config::{RegionKey, TeamKey, TeamRate};
+
+/// Shares that each limit is split into.
+pub const SHARES: usize = 8;
+/// How long a loan can be used.
+pub const LOAN_TIME: Duration = Duration::from_secs(1);
+/// Micro-units in one token or request.
+pub const MICROS: u64 = 1_000_000;
+
+/// What is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LimitKey {
+    /// Tokens and requests of a team.
+    Team(TeamKey),
+    /// Adapter loads from a region's weight store, counted as requests.
+    Loads(RegionKey),
+}
+
+/// Amounts of tokens and requests, in micro-units.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAmount {
+    /// Tokens.
+    pub tokens: u64,
+    /// Requests.
+    pub requests: u64,
+}
+
+impl LimitAmount {
+    /// Nothing.
+    pub const ZERO: LimitAmount = LimitAmount {
+        tokens: 0,
+        requests: 0,
+    };
+
+    /// Whole tokens and requests.
+    pub fn whole(tokens: u64, requests: u64) -> LimitAmount {
+        LimitAmount {
+            tokens: tokens.saturating_mul(MICROS),
+            requests: requests.saturating_mul(MICROS),
+        }
+    }
+
+    /// Whether nothing is left.
+    pub fn is_zero(self) -> bool {
+        self == LimitAmount::ZERO
+    }
+
+    fn zip(self, other: LimitAmount, join: impl Fn(u64, u64) -> u64) -> LimitAmount {
+        LimitAmount {
+            tokens: join(self.tokens, other.tokens),
+            requests: join(self.requests, other.requests),
+        }
+    }
+
+    /// Sum, saturating.
+    pub fn plus(self, other: LimitAmount) -> LimitAmount {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// Difference, not below zero.
+    pub fn minus(self, other: LimitAmount) -> LimitAmount {
+        self.zip(other, u64::saturating_sub)
+    }
+
+    /// The smaller of each.
+    pub fn at_most(self, other: LimitAmount) -> LimitAmount {
+        self.zip(other, u64::min)
+    }
+
+    /// The larger of each.
+    pub fn at_least(self, other: LimitAmount) -> LimitAmount {
+        self.zip(other, u64::max)
+    }
+
+    /// Whether each is at least that of `other`.
+    pub fn covers(self, other: LimitAmount) -> bool {
+        self.tokens >= other.tokens && self.requests >= other.requests
+    }
+}
+
+/// Rates a second and bursts of a limit, in whole units.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitRate {
+    /// Tokens a second.
+    pub tokens: u64,
+    /// Tokens at once.
+    pub burst_tokens: u64,
+    /// Requests a second.
+    pub requests: u64,
+    /// Requests at once.
+    pub burst_requests: u64,
+}
+
+impl From<TeamRate> for LimitRate {
+    fn from(rate: TeamRate) -> LimitRate {
+        LimitRate {
+            tokens: rate.tokens_per_second,
+            burst_tokens: rate.burst_tokens,
+            requests: rate.requests_per_second,
+            burst_requests: rate.burst_requests,
+        }
+    }
+}
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -10,6 +10,15 @@
     rendezvous,
 };
 
+/// One process life of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerLife {
+    /// The instance.
+    pub instance: InstanceKey,
+    /// Its life; a later process of the same name has a larger number.
+    pub life: u64,
+}
+
 /// One row of the platform's list of instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceListing {
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -9,9 +9,12 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use smol_str::SmolStr;
 
-use crate::config::{ConfigState, LogEntry};
-use crate::error::ErrorKind;
-use crate::pool::WorkTarget;
+use crate::{
+    config::{ConfigState, LogEntry},
+    error::ErrorKind,
+    limits::{LimitAmount, LimitKey},
+    pool::WorkTarget,
+};
 
 /// Version of the peer protocol; an instance refuses envelopes of any other.
 pub const PEER_PROTOCOL: u16 = 1;
@@ -77,6 +80,33 @@
     }
 }
 
+/// A limit, by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NamedLimit {
+    /// A team's rate.
+    Team(SmolStr),
+    /// A region's adapter loads.
+    Loads(SmolStr),
+}
+
+impl NamedLimit {
+    /// Names a limit.
+    pub fn new(config: &ConfigState, key: LimitKey) -> NamedLimit {
+        match key {
+            LimitKey::Team(team) => NamedLimit::Team(config.teams[team].name.clone()),
+            LimitKey::Loads(region) => NamedLimit::Loads(config.regions[region].name.clone()),
+        }
+    }
+
+    /// Finds the limit; `None` when the configuration does not have it.
+    pub fn resolve(&self, config: &ConfigState) -> Option<LimitKey> {
+        match self {
+            NamedLimit::Team(name) => config.teams.key(name).map(LimitKey::Team),
+            NamedLimit::Loads(name) => config.regions.key(name).map(LimitKey::Loads),
+        }
+    }
+}
+
 /// Asks a pool's scheduler for a permit to send one request to a backend server.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -181,6 +211,32 @@
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
+    /// To a holder of a limit: asks for a loan.
+    LimitAsk {
+        /// The limit.
+        limit: NamedLimit,
+        /// Number of the ask.
+        number: u64,
+        /// How much.
+        amount: LimitAmount,
+        /// The holder's life that the sum spent refers to.
+        spent_life: u64,
+        /// Sum spent of that life's loans.
+        spent: LimitAmount,
+    },
+    /// To a borrower: answers [`PeerMessage::LimitAsk`].
+    LimitGrant {
+        /// The limit.
+        limit: NamedLimit,
+        /// Number of the ask.
+        number: u64,
+        /// How much is lent.
+        amount: LimitAmount,
+    },
+    /// Shows the sender's configuration sequence, and asks for the receiver's.
+    Hello,
+    /// Answers [`PeerMessage::Hello`]; the envelope shows the configuration sequence.
+    HelloAnswer,
     /// Asks for log entries.
     ConfigPull {
         /// Position of the asker.
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -30,6 +30,8 @@
 /// Where a request is on its way.
 #[derive(Clone, Debug, PartialEq)]
 enum RequestPhase {
+    /// Waits for its team's rate to allow it.
+    Held,
     /// Waits for a permit. The first ask of this round went out at `asked`.
     Asking {
         scheduler: Option<InstanceKey>,
@@ -78,6 +80,7 @@
     ) {
         let number = request.number;
         if let Err((kind, retry_after)) = self.admit(now, request, effects) {
+            self.requests.remove(&number);
             effects.push(Effect::Refuse(RequestRefusal {
                 request: number,
                 kind,
@@ -93,7 +96,7 @@
         request: &CallerRequest,
         effects: &mut Vec<Effect>,
     ) -> Result<(), (ErrorKind, Option<Duration>)> {
-        if !self.is_ready() {
+        if !self.is_configured() || self.superseded {
             return Err((ErrorKind::NotReady, None));
         }
         let config = self.config();
@@ -103,9 +106,6 @@
             .first()
             .ok_or((ErrorKind::NoServer, Some(SCHEDULER_RETRY)))?;
         let reserved = request.prompt_tokens + request.max_tokens;
-        if let Some(team) = call.team {
-            self.take_rate(now, team, reserved)?;
-        }
         let deadline = now.after(request.patience);
         let record = RequestRecord {
             grant: call.grant,
@@ -119,10 +119,7 @@
             reserved,
             deadline,
             pool,
-            phase: RequestPhase::Asking {
-                scheduler: None,
-                asked: now,
-            },
+            phase: RequestPhase::Held,
             attempts: 0,
             avoid: Vec::new(),
             refused_by: Vec::new(),
@@ -131,10 +128,36 @@
         };
         self.requests.insert(request.number, record);
         self.set_timer(deadline, TimerKind::Deadline(request.number));
-        self.ask(now, request.number, effects);
+        match call.team {
+            Some(team) => self.hold(now, request.number, team, reserved, effects)?,
+            None => self.ask(now, request.number, effects),
+        }
         Ok(())
     }
 
+    /// Tokens that a request reserves.
+    pub(super) fn reserved_tokens(&self, request: RequestNumber) -> Option<u64> {
+        let record = self.requests.get(&request)?;
+        Some(record.reserved)
+    }
+
+    /// Refuses a request that the team's rate has not allowed in time.
+    pub(super) fn hold_ended(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        let held = self
+            .requests
+            .get(&request)
+            .is_some_and(|record| record.phase == RequestPhase::Held);
+        if held {
+            let retry_after = Some(SCHEDULER_RETRY);
+            self.refuse(now, request, ErrorKind::RateExceeded, retry_after, effects);
+        }
+    }
+
     fn candidate_pools(&self, target: WorkTarget) -> Vec<PoolKey> {
         let config = self.config();
         let own = config
@@ -145,7 +168,12 @@
     }
 
     /// Asks the scheduler of the request's pool for a permit, and plans to ask again.
-    fn ask(&mut self, now: ClockTime, request: RequestNumber, effects: &mut Vec<Effect>) {
+    pub(super) fn ask(
+        &mut self,
+        now: ClockTime,
+        request: RequestNumber,
+        effects: &mut Vec<Effect>,
+    ) {
         let config = self.config();
         let Some(record) = self.requests.get(&request) else {
             return;
@@ -224,7 +252,7 @@
         let asked = match record.phase {
             RequestPhase::Asking { asked, .. } => asked,
             // A repeated grant of the permit in use.
-            RequestPhase::Running { .. } => return,
+            RequestPhase::Running { .. } | RequestPhase::Held => return,
         };
         if self.pools.key(pool) != Some(record.pool) || now.since(asked) > PERMIT_START {
             self.send_to_scheduler(pool, unused, effects);
@@ -381,8 +409,17 @@
             let prompt_tokens = record.prompt_tokens;
             let outcome = UsageOutcome::Partial;
             self.settle(now, request, &record, outcome, prompt_tokens, 0);
-        } else if let Some(team) = record.team {
-            self.give_back_request(now, team, record.reserved);
+        } else {
+            self.give_back_unused(now, &record);
+        }
+    }
+
+    /// Returns everything taken for a request that did not run.
+    fn give_back_unused(&mut self, now: ClockTime, record: &RequestRecord) {
+        if let Some(team) = record.team
+            && record.phase != RequestPhase::Held
+        {
+            self.give_back(now, team, record.reserved, 1);
         }
     }
 
@@ -401,7 +438,7 @@
         let refused: Vec<(RequestNumber, ErrorKind)> = self
             .requests
             .iter()
-            .filter(|(_, record)| matches!(record.phase, RequestPhase::Asking { .. }))
+            .filter(|(_, record)| !matches!(record.phase, RequestPhase::Running { .. }))
             .filter_map(|(number, record)| Some((*number, withdrawn(&config, record)?)))
             .collect();
         for (request, kind) in refused {
@@ -429,6 +466,11 @@
     /// Withdraws a request from its queue or server.
     fn stop(&mut self, request: RequestNumber, record: &RequestRecord, effects: &mut Vec<Effect>) {
         match record.phase {
+            RequestPhase::Held => {
+                if let Some(team) = record.team {
+                    self.drop_held(team, request, record.reserved);
+                }
+            }
             RequestPhase::Running { .. } => {
                 effects.push(Effect::Abort(request));
                 self.release(request, record, PermitUse::Unused, effects);
@@ -472,9 +514,7 @@
             self.settle(now, request, record, outcome, prompt_tokens, output_tokens);
             RunState::Unknown
         } else {
-            if let Some(team) = record.team {
-                self.give_back_request(now, team, record.reserved);
-            }
+            self.give_back_unused(now, record);
             RunState::NotRun
         };
         effects.push(Effect::Refuse(RequestRefusal {
@@ -514,7 +554,7 @@
         let config = self.config();
         if let Some(team) = record.team {
             let used = prompt_tokens + output_tokens;
-            self.give_back_tokens(now, team, record.reserved.saturating_sub(used));
+            self.give_back(now, team, record.reserved.saturating_sub(used), 0);
         }
         let (owner, team) = match record.team {
             Some(team) => {
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -1,91 +1,258 @@
-//! Team rates: what each instance may admit of a team's fleet-wide rate and burst.
+//! Admission within the team's fleet-wide rate and burst.
+//!
+//! A request that the rate does not allow at once is held for a short time while allowance is
+//! borrowed or refilled. Requests of a team are admitted in the order they came.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
-use super::Reducer;
+use super::{Reducer, TimerKind};
 use crate::{
     clock::ClockTime,
-    config::{TeamKey, TeamRate},
+    config::{ConfigState, InstanceKey, TeamKey},
     error::ErrorKind,
-    limit::RateBucket,
+    event::{Effect, RequestNumber},
+    limits::{BorrowPlan, LimitAmount, LimitKey, LimitRate},
+    member::PeerLife,
+    message::{NamedLimit, PeerMessage},
 };
 
-/// The buckets of one team on one instance.
-#[derive(Clone, Debug)]
-pub(super) struct TeamLimits {
-    tokens: RateBucket,
-    requests: RateBucket,
+/// How long a request is held for allowance before it is refused.
+const HOLD_TIME: Duration = Duration::from_secs(1);
+/// Tokens of held requests may amount to this many seconds of the team's rate.
+const HOLD_SECONDS: u64 = 1;
+/// How often instances are asked which configuration they follow, while that matters.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// A gap between events longer than this means that the process was paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(900);
+
+/// Requests of one team that are held for allowance.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeldQueue {
+    requests: VecDeque<RequestNumber>,
+    tokens: u64,
 }
 
-impl TeamLimits {
-    fn new(now: ClockTime, rate: &TeamRate, parts: u64) -> TeamLimits {
-        TeamLimits {
-            tokens: RateBucket::empty(now, rate.tokens_per_second, rate.burst_tokens, parts),
-            requests: RateBucket::empty(now, rate.requests_per_second, rate.burst_requests, parts),
-        }
+fn loads_rate(config: &ConfigState, key: crate::config::RegionKey) -> LimitRate {
+    let loads = config.regions[key].store_loads_per_second;
+    LimitRate {
+        tokens: 0,
+        burst_tokens: 0,
+        requests: loads,
+        burst_requests: loads,
     }
 }
 
 impl Reducer {
-    fn limit_parts(&self) -> u64 {
-        self.config().live_instances().count().max(1) as u64
+    /// Takes in instances, teams and rates of the configuration in force.
+    pub(super) fn configure_limits(&mut self, now: ClockTime, before: &ConfigState) {
+        let config = self.config();
+        let own = config.instances.key(&self.settings.instance);
+        let members: BTreeSet<InstanceKey> = config.live_instances().map(|(key, _)| key).collect();
+        let sequence = self.log.sequence();
+        self.book.configure(own, members, sequence);
+        let unchanged = before.instances == config.instances
+            && before.teams == config.teams
+            && before.regions == config.regions;
+        if unchanged {
+            return;
+        }
+        let teams = config.teams.iter().map(|(team, record)| {
+            let rate = LimitRate::from(record.rate);
+            (LimitKey::Team(team), &record.name, rate)
+        });
+        let regions = config.regions.iter().map(|(region, record)| {
+            let rate = loads_rate(&config, region);
+            (LimitKey::Loads(region), &record.name, rate)
+        });
+        for (key, name, rate) in teams.chain(regions) {
+            self.book.set_limit(now, key, name, rate, &config, sequence);
+        }
     }
 
-    /// Adds buckets for new teams and resizes the others.
-    pub(super) fn resize_limits(&mut self, now: ClockTime) {
-        let config = self.config();
-        let parts = self.limit_parts();
-        for (team, record) in config.teams.iter() {
-            let rate = &record.rate;
-            match self.limits.get_mut(&team) {
-                Some(limits) => {
-                    let (tokens, requests) = (&mut limits.tokens, &mut limits.requests);
-                    tokens.resize(now, rate.tokens_per_second, rate.burst_tokens, parts);
-                    requests.resize(now, rate.requests_per_second, rate.burst_requests, parts);
-                }
-                None => {
-                    self.limits.insert(team, TeamLimits::new(now, rate, parts));
-                }
-            }
+    /// Notices a pause of the process: whatever was lent or held before may have been replaced.
+    pub(super) fn notice_pause(&mut self, now: ClockTime) {
+        if now.since(self.last_event) > PAUSE_LIMIT {
+            self.book.suspend(now);
         }
+        self.last_event = now;
     }
 
-    /// Takes one request and `tokens` tokens from the team's share.
-    pub(super) fn take_rate(
+    /// Holds a new request until its team's rate allows it.
+    ///
+    /// Returns why it is refused at once, if it is.
+    pub(super) fn hold(
         &mut self,
         now: ClockTime,
+        request: RequestNumber,
         team: TeamKey,
         tokens: u64,
+        effects: &mut Vec<Effect>,
     ) -> Result<(), (ErrorKind, Option<Duration>)> {
-        if tokens > self.config().teams[team].rate.burst_tokens {
+        let rate = self.config().teams[team].rate;
+        if tokens > rate.burst_tokens {
             return Err((ErrorKind::RequestTooLarge, None));
         }
-        let Some(limits) = self.limits.get_mut(&team) else {
-            return Err((ErrorKind::NotReady, None));
-        };
-        let exceeded = |wait| Err((ErrorKind::RateExceeded, Some(wait)));
-        if let Err(wait) = limits.requests.take(now, 1) {
-            return exceeded(wait);
-        }
-        if let Err(wait) = limits.tokens.take(now, tokens) {
-            limits.requests.give_back(now, 1);
-            return exceeded(wait);
+        let held = self.held.entry(team).or_default();
+        let most_tokens = rate.tokens_per_second.saturating_mul(HOLD_SECONDS);
+        let most_requests = rate.requests_per_second.saturating_mul(HOLD_SECONDS);
+        let is_full = held.tokens.saturating_add(tokens) > most_tokens.max(tokens)
+            || held.requests.len() as u64 >= most_requests;
+        if is_full {
+            return Err((ErrorKind::RateExceeded, Some(HOLD_TIME)));
         }
+        held.requests.push_back(request);
+        held.tokens += tokens;
+        self.set_timer(now.after(HOLD_TIME), TimerKind::HoldEnd(request));
+        self.admit_held(now, team, effects);
         Ok(())
     }
 
-    /// Returns tokens that were reserved and not used.
-    pub(super) fn give_back_tokens(&mut self, now: ClockTime, team: TeamKey, tokens: u64) {
-        if let Some(limits) = self.limits.get_mut(&team) {
-            limits.tokens.give_back(now, tokens);
+    /// Admits held requests of a team as far as its allowance goes, and borrows for the rest.
+    pub(super) fn admit_held(&mut self, now: ClockTime, team: TeamKey, effects: &mut Vec<Effect>) {
+        let key = LimitKey::Team(team);
+        loop {
+            let Some(held) = self.held.get_mut(&team) else {
+                return;
+            };
+            let Some(request) = held.requests.front().copied() else {
+                return;
+            };
+            let Some(tokens) = self.reserved_tokens(request) else {
+                self.pop_held(team, 0);
+                continue;
+            };
+            let amount = LimitAmount::whole(tokens, 1);
+            if let Err(missing) = self.book.take(now, key, amount) {
+                self.borrow(now, key, missing, effects);
+                self.plan_admission(now, team, amount);
+                return;
+            }
+            self.pop_held(team, tokens);
+            self.ask(now, request, effects);
+        }
+    }
+
+    fn pop_held(&mut self, team: TeamKey, tokens: u64) {
+        if let Some(held) = self.held.get_mut(&team) {
+            held.requests.pop_front();
+            held.tokens = held.tokens.saturating_sub(tokens);
+            if held.requests.is_empty() {
+                held.tokens = 0;
+            }
+        }
+    }
+
+    /// Takes a request out of its team's held queue.
+    pub(super) fn drop_held(&mut self, team: TeamKey, request: RequestNumber, tokens: u64) {
+        if let Some(held) = self.held.get_mut(&team) {
+            held.requests.retain(|held| *held != request);
+            held.tokens = held.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Plans the next look at a team's held requests.
+    fn plan_admission(&mut self, now: ClockTime, team: TeamKey, amount: LimitAmount) {
+        let key = LimitKey::Team(team);
+        let mut next = self.book.next_ask(now, key);
+        if let Some(wait) = self.book.own_wait(now, key, amount) {
+            next = next.min(now.after(wait.max(Duration::from_millis(1))));
+        }
+        self.timers
+            .retain(|(_, kind)| *kind != TimerKind::Admit(team));
+        self.set_timer(next, TimerKind::Admit(team));
+    }
+
+    /// Asks the next holder for a loan.
+    pub(super) fn borrow(
+        &mut self,
+        now: ClockTime,
+        key: LimitKey,
+        missing: LimitAmount,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(plan) = self.book.borrow(now, key, missing) else {
+            return;
+        };
+        let message = PeerMessage::LimitAsk {
+            limit: NamedLimit::new(&self.config(), key),
+            number: plan.number,
+            amount: plan.amount,
+            spent_life: plan.spent_life,
+            spent: plan.spent,
+        };
+        self.send(plan.holder, message, effects);
+    }
+
+    pub(super) fn limit_asked(
+        &mut self,
+        now: ClockTime,
+        borrower: PeerLife,
+        limit: &NamedLimit,
+        plan: &BorrowPlan,
+        effects: &mut Vec<Effect>,
+    ) {
+        let config = self.config();
+        let amount = match limit.resolve(&config) {
+            Some(key) => {
+                let reserved = self.reserved_for_held(key);
+                self.book
+                    .lend(now, self.settings.life, borrower, key, plan, reserved)
+            }
+            None => LimitAmount::ZERO,
+        };
+        let message = PeerMessage::LimitGrant {
+            limit: limit.clone(),
+            number: plan.number,
+            amount,
+        };
+        self.send(borrower.instance, message, effects);
+    }
+
+    /// What the requests held here will need.
+    fn reserved_for_held(&self, key: LimitKey) -> LimitAmount {
+        let LimitKey::Team(team) = key else {
+            return LimitAmount::ZERO;
+        };
+        self.held.get(&team).map_or(LimitAmount::ZERO, |held| {
+            LimitAmount::whole(held.tokens, held.requests.len() as u64)
+        })
+    }
+
+    pub(super) fn limit_granted(
+        &mut self,
+        now: ClockTime,
+        holder: PeerLife,
+        limit: &NamedLimit,
+        number: u64,
+        amount: LimitAmount,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(key) = limit.resolve(&self.config()) else {
+            return;
+        };
+        self.book.granted(now, key, holder, number, amount);
+        match key {
+            LimitKey::Team(team) => self.admit_held(now, team, effects),
+            LimitKey::Loads(_) => self.step_starved_pools(now, effects),
         }
     }
 
-    /// Returns everything taken for a request that did not run.
-    pub(super) fn give_back_request(&mut self, now: ClockTime, team: TeamKey, tokens: u64) {
-        self.give_back_tokens(now, team, tokens);
-        if let Some(limits) = self.limits.get_mut(&team) {
-            limits.requests.give_back(now, 1);
+    /// Returns tokens that were reserved and not used.
+    pub(super) fn give_back(&mut self, now: ClockTime, team: TeamKey, tokens: u64, requests: u64) {
+        let amount = LimitAmount::whole(tokens, requests);
+        self.book.give_back(now, LimitKey::Team(team), amount);
+    }
+
+    /// Lets shares become active, and asks other instances what that needs.
+    pub(super) fn update_limits(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        self.book.update(now);
+        if !self.book.wants_hearing(now) || now.since(self.last_hello) < HELLO_INTERVAL {
+            return;
         }
+        self.last_hello = now;
+        self.send_to_all(&PeerMessage::Hello, effects);
     }
 }
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -17,12 +17,13 @@
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use smol_str::SmolStr;
 
-use self::{entry::RequestRecord, limits::TeamLimits};
+use self::{entry::RequestRecord, limits::HeldQueue};
 use crate::{
     address::{AddressList, rank_addresses},
     clock::ClockTime,
     config::{ConfigLog, ConfigState, LogEntry, TeamKey},
     event::{Effect, Event, RequestNumber},
+    limits::LimitBook,
     member::MemberTable,
     message::PeerMessage,
     pool::{PoolKey, PoolTable},
@@ -52,6 +53,8 @@
     Housekeeping,
     Deadline(RequestNumber),
     AskAgain(RequestNumber),
+    HoldEnd(RequestNumber),
+    Admit(TeamKey),
     Pool(PoolKey),
 }
 
@@ -62,9 +65,12 @@
     log: ConfigLog,
     members: MemberTable,
     pools: PoolTable,
-    limits: BTreeMap<TeamKey, TeamLimits>,
+    book: LimitBook,
+    held: BTreeMap<TeamKey, HeldQueue>,
     requests: BTreeMap<RequestNumber, RequestRecord>,
     schedulers: BTreeMap<PoolKey, PoolScheduler>,
+    /// Pools that wait for the allowance to load an adapter.
+    starved: BTreeSet<PoolKey>,
     usage: UsageMeter,
     timers: BTreeSet<(ClockTime, TimerKind)>,
     wake: Option<ClockTime>,
@@ -75,6 +81,10 @@
     last_gossip: ClockTime,
     last_renewal: ClockTime,
     last_poll: ClockTime,
+    last_hello: ClockTime,
+    last_event: ClockTime,
+    /// Set when a later process with this instance's name was heard of.
+    superseded: bool,
     leaving: bool,
 }
 
@@ -115,9 +125,11 @@
             log: ConfigLog::default(),
             members: MemberTable::default(),
             pools: PoolTable::default(),
-            limits: BTreeMap::new(),
+            book: LimitBook::default(),
+            held: BTreeMap::new(),
             requests: BTreeMap::new(),
             schedulers: BTreeMap::new(),
+            starved: BTreeSet::new(),
             usage: UsageMeter::default(),
             timers: BTreeSet::from([housekeeping]),
             wake: None,
@@ -127,12 +139,16 @@
             last_gossip: ClockTime::ZERO,
             last_renewal: ClockTime::ZERO,
             last_poll: ClockTime::ZERO,
+            last_hello: ClockTime::ZERO,
+            last_event: ClockTime::ZERO,
+            superseded: false,
             leaving: false,
         }
     }
 
     /// Takes in one event and appends what should be done about it.
     pub fn reduce(&mut self, now: ClockTime, event: Event, effects: &mut Vec<Effect>) {
+        self.notice_pause(now);
         match event {
             Event::RequestArrived(request) => self.request_arrived(now, &request, effects),
             Event::CallerGone(request) => self.caller_gone(now, request, effects),
@@ -190,6 +206,8 @@
                 TimerKind::Housekeeping => self.housekeeping(now, effects),
                 TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
                 TimerKind::AskAgain(request) => self.ask_again(now, request, effects),
+                TimerKind::HoldEnd(request) => self.hold_ended(now, request, effects),
+                TimerKind::Admit(team) => self.admit_held(now, team, effects),
                 TimerKind::Pool(pool) => self.step_pool(now, pool, effects),
             }
             self.run_loopback(now, effects);
@@ -197,6 +215,7 @@
     }
 
     fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        self.update_limits(now, effects);
         self.renew_permits(now, effects);
         self.poll_reports(now, effects);
         self.gossip(now, effects);
@@ -214,25 +233,29 @@
     }
 
     fn log_read(&mut self, now: ClockTime, entries: Vec<LogEntry>, effects: &mut Vec<Effect>) {
-        let before = self.log.sequence();
+        let first = self.log.sequence();
         for entry in entries {
-            if let Some(outcome) = self.log.append(entry) {
-                effects.push(Effect::LogApplied {
-                    sequence: outcome.sequence,
-                    version: outcome.version,
-                    fault: outcome
-                        .fault
-                        .as_ref()
-                        .map(|fault| Arc::from(fault.to_string())),
-                });
-            }
+            let before = self.config();
+            let Some(outcome) = self.log.append(entry) else {
+                continue;
+            };
+            effects.push(Effect::LogApplied {
+                sequence: outcome.sequence,
+                version: outcome.version,
+                fault: outcome
+                    .fault
+                    .as_ref()
+                    .map(|fault| Arc::from(fault.to_string())),
+            });
+            // Shares must see every move, to know all former holders.
+            self.configure_limits(now, &before);
         }
-        if self.log.sequence() == before {
+        if self.log.sequence() == first {
             return;
         }
         let config = self.config();
         self.pools.extend(&config);
-        self.resize_limits(now);
+        self.update_limits(now, effects);
         self.sync_pools(now, effects);
         self.refuse_withdrawn(now, effects);
     }
@@ -271,11 +294,14 @@
     }
 
     /// Whether the instance has a configuration that names it.
+    pub fn is_configured(&self) -> bool {
+        let config = self.config();
+        config.instances.key(&self.settings.instance).is_some()
+    }
+
+    /// Whether the instance can admit requests: it is configured and may use its shares.
     pub fn is_ready(&self) -> bool {
-        self.config()
-            .instances
-            .key(&self.settings.instance)
-            .is_some()
+        self.is_configured() && !self.superseded && self.book.is_active(self.last_event)
     }
 
     /// Ranks addresses for a caller in the data centre `near`, or in this instance's own.
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -10,6 +10,8 @@
     clock::ClockTime,
     config::InstanceKey,
     event::Effect,
+    limits::BorrowPlan,
+    member::PeerLife,
     message::{MAX_ENVELOPE_BYTES, PeerEnvelope, PeerMessage},
 };
 
@@ -74,6 +76,10 @@
             messages,
             ..
         } = envelope;
+        if from == self.settings.instance {
+            self.superseded |= life > self.settings.life;
+            return;
+        }
         let known = self.lives.get(&from).copied().unwrap_or(0);
         if life < known {
             return;
@@ -83,6 +89,15 @@
             self.forget_older_lives(now, &from, life);
         }
         self.members.heard(&from, life);
+        if let Some(peer) = self.config().instances.key(&from) {
+            self.book.heard(
+                PeerLife {
+                    instance: peer,
+                    life,
+                },
+                sequence,
+            );
+        }
         if leaving && self.members.is_available(&from) {
             self.members.announce_leaving(&from, life);
             self.sync_pools(now, effects);
@@ -137,20 +152,24 @@
         let Some(peer) = self.config().instances.key(from) else {
             return;
         };
+        let sender = PeerLife {
+            instance: peer,
+            life,
+        };
         match message {
             PeerMessage::PermitRequest(ask) => {
-                self.permit_requested(now, peer, life, &ask, effects);
+                self.permit_requested(now, sender, &ask, effects);
             }
             PeerMessage::PermitCancel { request, pool } => {
-                self.permit_cancelled(now, peer, life, request, &pool, effects);
+                self.permit_cancelled(now, sender, request, &pool, effects);
             }
             PeerMessage::PermitRelease {
                 request,
                 pool,
                 used,
-            } => self.permit_released(now, peer, life, request, &pool, used, effects),
+            } => self.permit_released(now, sender, request, &pool, used, effects),
             PeerMessage::PermitRenew { pool, holdings } => {
-                self.permits_renewed(now, peer, life, &pool, &holdings, effects);
+                self.permits_renewed(now, sender, &pool, &holdings, effects);
             }
             PeerMessage::PermitGrant {
                 request,
@@ -163,6 +182,29 @@
                 fault,
                 retry_after,
             } => self.permit_refused(now, request, &pool, fault, retry_after, effects),
+            PeerMessage::LimitAsk {
+                limit,
+                number,
+                amount,
+                spent_life,
+                spent,
+            } => {
+                let plan = BorrowPlan {
+                    holder: peer,
+                    number,
+                    amount,
+                    spent_life,
+                    spent,
+                };
+                self.limit_asked(now, sender, &limit, &plan, effects);
+            }
+            PeerMessage::LimitGrant {
+                limit,
+                number,
+                amount,
+            } => self.limit_granted(now, sender, &limit, number, amount, effects),
+            PeerMessage::Hello => self.send(peer, PeerMessage::HelloAnswer, effects),
+            PeerMessage::HelloAnswer => {}
             PeerMessage::ConfigPull { after } => self.config_pulled(peer, after, effects),
             PeerMessage::ConfigEntries { entries } => {
                 self.log_read(now, entries.to_vec(), effects);
@@ -188,6 +230,7 @@
     ) {
         if let Some(key) = self.config().instances.key(instance) {
             self.scheduler_lost(now, key);
+            self.book.ask_failed(key);
         }
     }
 
@@ -214,12 +257,15 @@
 
     /// Tells all peers that this instance is leaving.
     pub(super) fn announce_leaving(&mut self, effects: &mut Vec<Effect>) {
+        self.send_to_all(&PeerMessage::Hello, effects);
+    }
+
+    /// Sends a message to every other configured instance.
+    pub(super) fn send_to_all(&mut self, message: &PeerMessage, effects: &mut Vec<Effect>) {
         let config = self.config();
-        let after = self.log.sequence();
-        let peers: Vec<InstanceKey> = config.live_instances().map(|(key, _)| key).collect();
-        for peer in peers {
-            if config.instances[peer].name != self.settings.instance {
-                self.send(peer, PeerMessage::ConfigPull { after }, effects);
+        for (peer, record) in config.live_instances() {
+            if record.name != self.settings.instance {
+                self.send(peer, message.clone(), effects);
             }
         }
     }
--- a/lib/src/reducer/pools.rs
+++ b/lib/src/reducer/pools.rs
@@ -5,12 +5,14 @@
 use super::{Reducer, TimerKind};
 use crate::{
     clock::ClockTime,
-    config::{InstanceKey, ServerKey},
+    config::{RegionKey, ServerKey, ServerRole},
     engine::{EngineOrder, LoadReport, OrderOutcome},
     event::Effect,
+    limits::{LimitAmount, LimitKey},
+    member::PeerLife,
     message::{PeerMessage, PermitFault, PermitHolding, PermitRequest, PermitUse},
     pool::PoolKey,
-    scheduler::{LoadBudget, PermitAsk, PermitKey, PoolScheduler, SchedulerAction},
+    scheduler::{PermitAsk, PermitKey, PoolScheduler, SchedulerAction},
 };
 
 /// How often the servers of scheduled pools are asked for their load.
@@ -34,46 +36,38 @@
                 continue;
             }
             if !self.schedulers.contains_key(&pool) {
-                let budget = self.load_budget(now, pool);
                 let fence = self.settings.life + now.as_micros() / 1_000;
-                let scheduler = PoolScheduler::take_over(now, fence, budget);
+                let scheduler = PoolScheduler::take_over(now, fence);
                 self.schedulers.insert(pool, scheduler);
             }
+            let loads_in_flight = self.loads_in_flight(pool);
             if let Some(scheduler) = self.schedulers.get_mut(&pool) {
-                scheduler.sync_servers(&config, self.pools.record(pool));
+                scheduler.sync_servers(&config, self.pools.record(pool), loads_in_flight);
             }
             self.step_pool(now, pool, effects);
         }
     }
 
-    /// The pool's share of its region's limits on adapter loads.
-    fn load_budget(&self, now: ClockTime, pool: PoolKey) -> LoadBudget {
+    fn region_of(&self, pool: PoolKey) -> RegionKey {
+        let data_centre = self.pools.record(pool).data_centre;
+        self.config().data_centres[data_centre].region
+    }
+
+    /// The pool's part of the loads that its region runs at full speed together.
+    fn loads_in_flight(&self, pool: PoolKey) -> u32 {
         let config = self.config();
-        let region_of = |pool: PoolKey| {
-            let data_centre = self.pools.record(pool).data_centre;
-            config.data_centres[data_centre].region
-        };
-        let region = region_of(pool);
-        let is_engine = |server: &ServerKey| {
-            matches!(
-                config.servers[*server].role,
-                crate::config::ServerRole::Engine { .. }
-            )
-        };
+        let region = self.region_of(pool);
+        let is_engine =
+            |server: &ServerKey| matches!(config.servers[*server].role, ServerRole::Engine { .. });
         let parts = self
             .pools
             .iter()
             .filter(|(key, record)| {
-                region_of(*key) == region && record.servers.iter().any(is_engine)
+                self.region_of(*key) == region && record.servers.iter().any(is_engine)
             })
             .count();
-        let record = &config.regions[region];
-        LoadBudget::new(
-            now,
-            record.store_loads_per_second,
-            record.loads_in_flight,
-            u32::try_from(parts).unwrap_or(u32::MAX),
-        )
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX).max(1);
+        (config.regions[region].loads_in_flight / parts).max(1)
     }
 
     /// Stops scheduling a pool; entries ask its next scheduler.
@@ -105,17 +99,38 @@
     /// Lets the scheduler of a pool act, and carries out what it wants.
     pub(super) fn step_pool(&mut self, now: ClockTime, pool: PoolKey, effects: &mut Vec<Effect>) {
         let config = self.config();
+        let limit = LimitKey::Loads(self.region_of(pool));
         let Some(scheduler) = self.schedulers.get_mut(&pool) else {
             return;
         };
         let mut actions = Vec::new();
-        scheduler.step(now, &config, &mut actions);
+        let one_load = LimitAmount::whole(0, 1);
+        let book = &mut self.book;
+        let mut allow_load = || book.take(now, limit, one_load).is_ok();
+        scheduler.step(now, &config, &mut allow_load, &mut actions);
+        let starved = scheduler.is_starved();
         if let Some(wake) = scheduler.next_wake() {
             self.timers
                 .retain(|(_, kind)| *kind != TimerKind::Pool(pool));
             self.set_timer(wake, TimerKind::Pool(pool));
         }
         self.perform(pool, actions, effects);
+        if starved {
+            self.starved.insert(pool);
+            self.borrow(now, limit, one_load, effects);
+            let next = self.book.next_ask(now, limit);
+            self.set_timer(next, TimerKind::Pool(pool));
+        } else {
+            self.starved.remove(&pool);
+        }
+    }
+
+    /// Lets pools act that wait for the allowance to load an adapter.
+    pub(super) fn step_starved_pools(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
+        let starved: Vec<PoolKey> = self.starved.iter().copied().collect();
+        for pool in starved {
+            self.step_pool(now, pool, effects);
+        }
     }
 
     fn perform(&mut self, pool: PoolKey, actions: Vec<SchedulerAction>, effects: &mut Vec<Effect>) {
@@ -156,8 +171,7 @@
     pub(super) fn permit_requested(
         &mut self,
         now: ClockTime,
-        entry: InstanceKey,
-        life: u64,
+        from: PeerLife,
         request: &PermitRequest,
         effects: &mut Vec<Effect>,
     ) {
@@ -169,11 +183,11 @@
         };
         let pool = self.pools.key(&request.pool);
         let Some(pool) = pool.filter(|pool| self.schedulers.contains_key(pool)) else {
-            self.send(entry, refusal(PermitFault::NotScheduler), effects);
+            self.send(from.instance, refusal(PermitFault::NotScheduler), effects);
             return;
         };
-        let Some(ask) = self.resolve_ask(now, entry, life, request) else {
-            self.send(entry, refusal(PermitFault::Behind), effects);
+        let Some(ask) = self.resolve_ask(now, from, request) else {
+            self.send(from.instance, refusal(PermitFault::Behind), effects);
             return;
         };
         let config = self.config();
@@ -189,8 +203,7 @@
     fn resolve_ask(
         &self,
         now: ClockTime,
-        entry: InstanceKey,
-        life: u64,
+        from: PeerLife,
         request: &PermitRequest,
     ) -> Option<PermitAsk> {
         let config = self.config();
@@ -200,8 +213,8 @@
         };
         Some(PermitAsk {
             permit: PermitKey {
-                entry,
-                life,
+                entry: from.instance,
+                life: from.life,
                 request: request.request,
             },
             team,
@@ -219,15 +232,14 @@
     pub(super) fn permit_cancelled(
         &mut self,
         now: ClockTime,
-        entry: InstanceKey,
-        life: u64,
+        from: PeerLife,
         request: u64,
         pool: &str,
         effects: &mut Vec<Effect>,
     ) {
         let permit = PermitKey {
-            entry,
-            life,
+            entry: from.instance,
+            life: from.life,
             request,
         };
         self.with_scheduler(now, pool, effects, |scheduler| {
@@ -235,23 +247,18 @@
         });
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one value for each part of the message"
-    )]
     pub(super) fn permit_released(
         &mut self,
         now: ClockTime,
-        entry: InstanceKey,
-        life: u64,
+        from: PeerLife,
         request: u64,
         pool: &str,
         used: PermitUse,
         effects: &mut Vec<Effect>,
     ) {
         let permit = PermitKey {
-            entry,
-            life,
+            entry: from.instance,
+            life: from.life,
             request,
         };
         self.with_scheduler(now, pool, effects, |scheduler| {
@@ -262,8 +269,7 @@
     pub(super) fn permits_renewed(
         &mut self,
         now: ClockTime,
-        entry: InstanceKey,
-        life: u64,
+        from: PeerLife,
         pool: &str,
         holdings: &[PermitHolding],
         effects: &mut Vec<Effect>,
@@ -277,8 +283,8 @@
                     continue;
                 };
                 let permit = PermitKey {
-                    entry,
-                    life,
+                    entry: from.instance,
+                    life: from.life,
                     request: holding.request,
                 };
                 scheduler.renew(now, permit, server, target);
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -26,3 +26,15 @@
         (Reverse(weight(key, name)), name)
     });
 }
+
+/// The candidate with the highest weight for `key`.
+pub fn best<'n, T: Copy>(
+    key: &str,
+    candidates: impl IntoIterator<Item = T>,
+    name_of: impl Fn(T) -> &'n str,
+) -> Option<T> {
+    candidates.into_iter().min_by_key(|candidate| {
+        let name = name_of(*candidate);
+        (Reverse(weight(key, name)), name)
+    })
+}
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -11,7 +11,6 @@
     config::{AdapterKey, ConfigState, InstanceKey, PriceClass, ServerKey, ServerRole, TeamKey},
     engine::{EngineOrder, LoadReport, OrderKind, OrderOutcome},
     error::ErrorKind,
-    limit::RateBucket,
     message::{PermitFault, PermitUse},
     pool::{PoolRecord, WorkTarget},
     rendezvous,
@@ -202,39 +201,6 @@
     pub refusals: u64,
 }
 
-/// Allowance for adapter loads, a share of the region's limits.
-#[derive(Clone, Debug)]
-pub struct LoadBudget {
-    bucket: RateBucket,
-    max_in_flight: u32,
-    in_flight: u32,
-}
-
-impl LoadBudget {
-    /// A budget of `rate / parts` loads a second and `in_flight / parts` loads together.
-    pub fn new(now: ClockTime, rate: u64, in_flight: u32, parts: u32) -> LoadBudget {
-        let parts = parts.max(1);
-        LoadBudget {
-            bucket: RateBucket::empty(now, rate, u64::from(parts).max(rate), u64::from(parts)),
-            max_in_flight: (in_flight / parts).max(1),
-            in_flight: 0,
-        }
-    }
-
-    fn start(&mut self, now: ClockTime) -> Result<(), Duration> {
-        if self.in_flight >= self.max_in_flight {
-            return Err(Duration::MAX);
-        }
-        self.bucket.take(now, 1)?;
-        self.in_flight += 1;
-        Ok(())
-    }
-
-    fn finish(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-    }
-}
-
 /// The scheduler of one pool.
 #[derive(Clone, Debug)]
 pub struct PoolScheduler {
@@ -244,7 +210,9 @@
     team_tags: BTreeMap<Option<TeamKey>, u64>,
     virtual_time: u64,
     failed_loads: BTreeMap<(ServerKey, AdapterKey, u32), ClockTime>,
-    budget: LoadBudget,
+    max_loads: u32,
+    loads: u32,
+    starved: bool,
     ready_at: ClockTime,
     fence_base: u64,
     wake: Option<ClockTime>,
@@ -253,7 +221,7 @@
 
 impl PoolScheduler {
     /// Takes over a pool whose former scheduler may have left permits behind.
-    pub fn take_over(now: ClockTime, fence_base: u64, budget: LoadBudget) -> PoolScheduler {
+    pub fn take_over(now: ClockTime, fence_base: u64) -> PoolScheduler {
         PoolScheduler {
             gates: BTreeMap::new(),
             queue: Vec::new(),
@@ -261,7 +229,9 @@
             team_tags: BTreeMap::new(),
             virtual_time: 0,
             failed_loads: BTreeMap::new(),
-            budget,
+            max_loads: 1,
+            loads: 0,
+            starved: false,
             ready_at: now.after(TAKEOVER_QUIET),
             fence_base,
             wake: None,
@@ -292,13 +262,19 @@
         self.permits.len()
     }
 
+    /// Whether the last step wanted a load that its limit did not allow.
+    pub fn is_starved(&self) -> bool {
+        self.starved
+    }
+
     /// When [`PoolScheduler::step`] has something to do next, if nothing else happens.
     pub fn next_wake(&self) -> Option<ClockTime> {
         self.wake
     }
 
-    /// Adds gates for servers that joined the pool.
-    pub fn sync_servers(&mut self, config: &ConfigState, pool: &PoolRecord) {
+    /// Adds gates for servers that joined the pool, and sets how many loads may run together.
+    pub fn sync_servers(&mut self, config: &ConfigState, pool: &PoolRecord, max_loads: u32) {
+        self.max_loads = max_loads;
         for server in &pool.servers {
             self.gates
                 .entry(*server)
@@ -470,7 +446,7 @@
     /// Takes in the outcome of an order.
     pub fn order_done(&mut self, now: ClockTime, order: &EngineOrder, outcome: OrderOutcome) {
         if order.kind == OrderKind::Load {
-            self.budget.finish();
+            self.loads = self.loads.saturating_sub(1);
         }
         let Some(gate) = self.gates.get_mut(&order.server) else {
             return;
@@ -506,13 +482,17 @@
     }
 
     /// Expires what is due and grants what can be granted.
+    ///
+    /// `allow_load` takes the allowance for one adapter load, or returns false.
     pub fn step(
         &mut self,
         now: ClockTime,
         config: &ConfigState,
+        allow_load: &mut dyn FnMut() -> bool,
         actions: &mut Vec<SchedulerAction>,
     ) {
         self.wake = None;
+        self.starved = false;
         self.expire(now, actions);
         if now < self.ready_at {
             self.wake_at(self.ready_at);
@@ -532,7 +512,7 @@
             match self.pick_server(now, config, position) {
                 Some(server) => self.grant(now, position, server, actions),
                 None => {
-                    self.want_adapter(now, config, position, actions);
+                    self.want_adapter(now, config, position, allow_load, actions);
                     blocked.push(target);
                     position += 1;
                 }
@@ -605,6 +585,7 @@
         now: ClockTime,
         config: &ConfigState,
         position: usize,
+        allow_load: &mut dyn FnMut() -> bool,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let ask = &self.queue[position].ask;
@@ -649,12 +630,14 @@
             }));
             return;
         }
-        if let Err(wait) = self.budget.start(now) {
-            if wait < Duration::MAX {
-                self.wake_at(now.after(wait));
-            }
+        if self.loads >= self.max_loads {
+            return;
+        }
+        if !allow_load() {
+            self.starved = true;
             return;
         }
+        self.loads += 1;
         gate.slots.push(AdapterSlot {
             adapter,
             version,
--- a/standin/src/deployment.rs
+++ b/standin/src/deployment.rs
@@ -34,6 +34,9 @@
 const SERVICE: &str = "booking";
 /// Token of the demonstration's operators.
 const OPERATOR_TOKEN: &str = "operator-demo";
+/// Ports tried for instances.
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 30_000;
 const ADAPTERS_PER_TEAM: usize = 3;
 const LOADS_PER_SECOND: u64 = 20;
 
@@ -244,10 +247,30 @@
     Ok(())
 }
 
-/// Finds a free port; it is free again when this returns.
-fn free_address(host: IpAddr) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(SocketAddr::new(host, 0))?;
-    Ok(listener.local_addr()?)
+/// Finds free ports below those that outgoing connections get, so that they stay free.
+struct PortFinder {
+    host: IpAddr,
+    next: u16,
+}
+
+impl PortFinder {
+    fn new(host: IpAddr) -> PortFinder {
+        PortFinder {
+            host,
+            next: FIRST_PORT,
+        }
+    }
+
+    fn find(&mut self) -> Result<SocketAddr> {
+        while self.next < LAST_PORT {
+            let address = SocketAddr::new(self.host, self.next);
+            self.next += 1;
+            if TcpListener::bind(address).is_ok() {
+                return Ok(address);
+            }
+        }
+        Err(eyre!("no free port on {}", self.host))
+    }
 }
 
 fn add_instances(
@@ -255,10 +278,11 @@
     map: &mut DeploymentMap,
     changes: &mut Vec<ConfigChange>,
 ) -> Result<()> {
+    let mut ports = PortFinder::new(shape.host);
     for number in 0..shape.instances {
         let instance = format_smolstr!("instance-{}", number + 1);
-        let callers = free_address(shape.host)?;
-        let peers = free_address(shape.host)?;
+        let callers = ports.find()?;
+        let peers = ports.find()?;
         changes.push(ConfigChange::AddInstance {
             instance: instance.clone(),
             data_centre: data_centre_name(number % shape.data_centres),
@@ -267,7 +291,7 @@
         });
         map.callers.insert(instance.clone(), callers);
         map.peers.insert(instance.clone(), peers);
-        map.operators.insert(instance, free_address(shape.host)?);
+        map.operators.insert(instance, ports.find()?);
     }
     Ok(())
 }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -13,7 +13,10 @@
 use hyper::{Method, StatusCode};
 use poem::Response;
 use serde::{Deserialize, Serialize};
-use wasabistall_lib::{clock::ClockTime, limit::RateBucket};
+use wasabistall_lib::{
+    clock::ClockTime,
+    limits::{MICROS, SHARES, ShareBucket},
+};
 
 use crate::http;
 
@@ -56,7 +59,7 @@
 struct StoreState {
     shape: StoreShape,
     started: Instant,
-    bucket: Mutex<RateBucket>,
+    bucket: Mutex<ShareBucket>,
     in_flight: AtomicUsize,
     stats: Mutex<StoreStats>,
     faults: Mutex<StoreFaults>,
@@ -65,8 +68,13 @@
 /// Starts a store; returns its address.
 pub(crate) async fn start(listen: SocketAddr, shape: StoreShape) -> Result<SocketAddr> {
     let burst = shape.loads_per_second;
-    let mut bucket = RateBucket::empty(ClockTime::ZERO, shape.loads_per_second, burst, 1);
-    bucket.give_back(ClockTime::ZERO, burst);
+    let mut bucket = ShareBucket::empty(
+        ClockTime::ZERO,
+        shape.loads_per_second,
+        burst,
+        SHARES as u64,
+    );
+    bucket.give_back(ClockTime::ZERO, burst * MICROS);
     let state = Arc::new(StoreState {
         shape,
         started: Instant::now(),
@@ -105,7 +113,7 @@
         let micros = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
         let now = ClockTime::from_micros(micros);
         let mut stats = self.stats.lock().unwrap();
-        if self.bucket.lock().unwrap().take(now, 1).is_err() {
+        if !self.bucket.lock().unwrap().take(now, MICROS) {
             stats.refused += 1;
             return Err(StatusCode::TOO_MANY_REQUESTS);
         }
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -65,7 +65,7 @@
     pub fn anonymous() -> TestCaller {
         TestCaller {
             client: Client::builder(TokioExecutor::new())
-                .pool_max_idle_per_host(9)
+                .pool_max_idle_per_host(0)
                 .build_http(),
             headers: HeaderMap::new(),
         }
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -3,9 +3,10 @@
 use std::{
     collections::BTreeMap,
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -17,7 +18,7 @@
 /// Pause between two looks at something that will come.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 /// Looks before a test gives up; far beyond what a busy machine needs.
-const MOST_LOOKS: usize = 6_000;
+const MOST_LOOKS: usize = 1_500;
 
 /// Number of each kind of process.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +52,15 @@
     map: Value,
 }
 
+/// A loopback address that no other deployment on this machine uses.
+fn own_host() -> Ipv4Addr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let [_, high, middle, low] = (process << 3 | count % 8).to_be_bytes();
+    Ipv4Addr::new(127, high + 1, middle, low)
+}
+
 /// Finds a binary of the workspace beside the running test.
 fn binary(name: &str) -> PathBuf {
     let test = std::env::current_exe().unwrap();
@@ -92,6 +102,7 @@
         let mut platform = Command::new(binary("wasabistall-standin"))
             .arg("all")
             .arg(directory.path())
+            .args(["--host", &own_host().to_string()])
             .args(["--data-centres", &size.data_centres.to_string()])
             .args(["--engines", &size.engines.to_string()])
             .args(["--services", &size.services.to_string()])
@@ -307,6 +318,11 @@
 
 impl Drop for TestDeployment {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            for instance in self.daemons.keys() {
+                eprintln!("{instance}:\n{}", self.log(instance));
+            }
+        }
         for process in self.daemons.values_mut().chain([&mut self.platform]) {
             let _ = process.kill();
             let _ = process.wait();
