--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -189,6 +189,7 @@
             prompt_tokens: parsed.prompt_tokens,
             max_tokens: parsed.max_tokens,
             patience,
+            trace: telemetry::current_traceparent(),
         };
         let Some(opened) = self.core.open(caller_request).await else {
             return refusal(ErrorKind::ShuttingDown);
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -17,7 +17,12 @@
     settings::InstanceSettings,
 };
 
-use crate::{client::HttpClient, engines::EngineLink, peers::PeerLink, telemetry::MetricSet};
+use crate::{
+    client::HttpClient,
+    engines::EngineLink,
+    peers::PeerLink,
+    telemetry::{self, MetricSet},
+};
 
 /// Events that may wait for the reducer.
 const EVENT_QUEUE: usize = 16_384;
@@ -262,6 +267,12 @@
                     tracing::warn!(sequence, version, %fault, "configuration patch rejected");
                 }
             },
+            Effect::TraceGrant {
+                trace,
+                pool,
+                server,
+                waited,
+            } => telemetry::trace_grant(&trace, &pool, &server, waited),
             Effect::WakeAt(time) => self.wake = Some(time),
         }
     }
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -16,12 +16,14 @@
     trace::SdkTracerProvider,
 };
 use prometheus::{Encoder, Registry, TextEncoder};
+use smol_str::SmolStr;
 use tracing::Span;
 use tracing_opentelemetry::OpenTelemetrySpanExt;
 use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
 use wasabistall_lib::settings::{InstanceSettings, LogFormat};
 
 const SERVICE_NAME: &str = "wasabistalld";
+const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 
 /// Logs, traces and metrics of the process.
 pub(crate) struct Telemetry {
@@ -136,6 +138,28 @@
     TraceContextPropagator::new().inject_context(&context, &mut HeaderWriter(headers));
 }
 
+/// The `traceparent` of the current span; empty when it is not sampled.
+pub(crate) fn current_traceparent() -> SmolStr {
+    let mut headers = HeaderMap::new();
+    inject_context(&mut headers);
+    let value = headers
+        .get(TRACEPARENT)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().into()
+}
+
+/// Records the scheduling of a request as a span of the trace that the request belongs to.
+pub(crate) fn trace_grant(trace: &str, pool: &str, server: &str, waited: Duration) {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(trace) {
+        headers.insert(TRACEPARENT, value);
+    }
+    let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+    let span = tracing::info_span!("schedule", otel.kind = "server", pool, server, waited_ms);
+    set_parent(&span, &headers);
+    span.in_scope(|| tracing::debug!("granted"));
+}
+
 /// The metrics of the process.
 #[derive(Clone)]
 pub(crate) struct MetricSet {
--- /dev/null
+++ b/daemon/tests/lifecycle.rs
@@ -0,0 +1,168 @@
+//! Starting and stopping real instances.
+
+use std::process::Command;
+
+use http_body_util::BodyExt;
+use hyper::Method;
+use insta::assert_snapshot;
+use serde_json::json;
+use wasabistall_testutils::{DeploymentSize, TestCaller, TestDeployment, until};
+
+#[test]
+fn bad_settings_are_refused_at_start() {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("bad.jsonc");
+    std::fs::write(&file, "{ \"fleet\": 3 }").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_wasabistalld"))
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr);
+    let text = text.replace(&file.display().to_string(), "bad.jsonc");
+    assert_snapshot!(text, @"
+    error: bad.jsonc is not valid:
+    1:1: instance: missing
+        hint: write the name that the configuration uses
+    1:1: data_centre: missing
+        hint: write the name that the configuration uses
+    1:1: listen: missing
+        hint: write an object { … }
+    1:1: platform: missing
+        hint: write an object { … }
+    1:1: peer_secrets: missing
+        hint: write hex strings of 16 bytes or more; the first signs, all are accepted
+    1:1: operator_token_sha256: missing
+        hint: write SHA-256 digests in hex, as `wasabistall token create` prints them
+    1:12: fleet: not a string
+        hint: write the fleet's name
+    ");
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_stream() {
+    let size = DeploymentSize {
+        instances: 2,
+        ..DeploymentSize::default()
+    };
+    let mut deployment = TestDeployment::start(size).await;
+    let leaving = deployment.address("callers", "instance-1");
+    let staying = deployment.address("callers", "instance-2");
+    let body = json!({
+        "model": "nyota-7b:elders-1", "prompt": "a long story", "max_tokens": 400, "stream": true,
+    });
+    let caller = deployment.caller("elders");
+    let path = "/v1/completions";
+    let response = caller
+        .open(Method::POST, leaving, path, body.to_string())
+        .await
+        .unwrap();
+    assert_eq!(response.status(), 200);
+
+    deployment.signal("instance-1", "TERM");
+    let anonymous = TestCaller::anonymous();
+    until(|| async {
+        let list = anonymous.get(staying, "/v1/addresses").await;
+        !list.body.contains("instance-1")
+    })
+    .await;
+    let late = json!({ "model": "nyota-7b:elders-1", "prompt": "late", "max_tokens": 1 });
+    let answer = caller.post(leaving, path, &late).await;
+    assert_eq!(
+        answer.status, 200,
+        "a caller with an old address is served: {}",
+        answer.body
+    );
+
+    let streamed = response.into_body().collect().await.unwrap().to_bytes();
+    let streamed = String::from_utf8_lossy(&streamed);
+    assert_eq!(streamed.matches("elders-1@1/").count(), 400);
+    assert!(streamed.ends_with("data: [DONE]\n\n"));
+    assert_eq!(deployment.wait_exit("instance-1").await, Some(0));
+    let answer = caller.post(staying, path, &late).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+#[tokio::test]
+async fn a_second_signal_ends_the_process() {
+    let size = DeploymentSize {
+        instances: 1,
+        ..DeploymentSize::default()
+    };
+    let mut deployment = TestDeployment::start(size).await;
+    let address = deployment.address("callers", "instance-1");
+    let body = json!({
+        "model": "nyota-7b:elders-1", "prompt": "endless", "max_tokens": 15000, "stream": true,
+    });
+    let caller = deployment.caller("elders");
+    let response = caller
+        .open(Method::POST, address, "/v1/completions", body.to_string())
+        .await
+        .unwrap();
+    assert_eq!(response.status(), 200);
+    deployment.signal("instance-1", "TERM");
+    until(|| async { deployment.log("instance-1").contains("shutting down") }).await;
+    deployment.signal("instance-1", "TERM");
+    assert_eq!(deployment.wait_exit("instance-1").await, Some(0));
+    assert!(
+        response.into_body().collect().await.is_err(),
+        "a cut answer must not look whole"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_the_engine() {
+    let size = DeploymentSize {
+        instances: 1,
+        ..DeploymentSize::default()
+    };
+    let deployment = TestDeployment::start(size).await;
+    let address = deployment.address("callers", "instance-1");
+    let body = json!({
+        "model": "nyota-7b:elders-1", "prompt": "endless", "max_tokens": 15000, "stream": true,
+    });
+    let caller = deployment.caller("elders");
+    let response = caller
+        .open(Method::POST, address, "/v1/completions", body.to_string())
+        .await
+        .unwrap();
+    drop(response);
+    until(|| async {
+        let mut cancelled = 0;
+        for engine in deployment.names("engines") {
+            let stats = deployment.server_stats("engines", &engine).await;
+            cancelled += stats["cancelled"].as_u64().unwrap_or_default();
+        }
+        cancelled == 1
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn foreign_and_broken_envelopes_are_refused_and_counted() {
+    let size = DeploymentSize {
+        instances: 1,
+        ..DeploymentSize::default()
+    };
+    let deployment = TestDeployment::start(size).await;
+    let peers = deployment.address("peers", "instance-1");
+    let path = "/peer/v1/envelopes";
+    let stranger = TestCaller::anonymous();
+    let garbage = stranger.call(Method::POST, peers, path, "garbage").await;
+    assert_eq!(garbage.status, 401);
+    let long = vec![0; 3 * 1024 * 1024];
+    let oversize = stranger.call(Method::POST, peers, path, long).await;
+    assert_eq!(oversize.status, 413);
+    let operators = deployment.address("operators", "instance-1");
+    let metrics = stranger.get(operators, "/metrics").await.body;
+    let counts: Vec<&str> = metrics
+        .lines()
+        .filter(|line| line.starts_with("wasabistall_envelopes_refused_total{"))
+        .collect();
+    assert_snapshot!(counts.join("\n"), @r#"
+    wasabistall_envelopes_refused_total{fault="bad_signature",otel_scope_name="wasabistalld"} 1
+    wasabistall_envelopes_refused_total{fault="too_long",otel_scope_name="wasabistalld"} 1
+    "#);
+    let refused = stranger.get(operators, "/operator/v1/status").await;
+    assert_eq!(refused.status, 401);
+}
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -48,6 +48,8 @@
     pub max_tokens: u64,
     /// How long the caller waits.
     pub patience: Duration,
+    /// W3C `traceparent` of the request's span; empty when there is none.
+    pub trace: SmolStr,
 }
 
 /// What the reducer is told.
@@ -175,6 +177,17 @@
         /// Why it was rejected, if it was.
         fault: Option<Arc<str>>,
     },
+    /// Trace the scheduling of a request, whose entry may be another instance.
+    TraceGrant {
+        /// W3C `traceparent` of the request's span.
+        trace: SmolStr,
+        /// The pool.
+        pool: SmolStr,
+        /// The server that the request may go to.
+        server: SmolStr,
+        /// How long it waited.
+        waited: Duration,
+    },
     /// Send [`Event::Tick`] at this time; replaces an earlier wish.
     WakeAt(ClockTime),
 }
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -126,6 +126,8 @@
     pub time_left: Duration,
     /// Servers that already failed this request.
     pub avoid: Vec<SmolStr>,
+    /// W3C `traceparent` of the request's span; empty when there is none.
+    pub trace: SmolStr,
 }
 
 /// A request that a sender has on a backend server.
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -61,6 +61,7 @@
     may_have_run: bool,
     /// Whether the caller has part of the answer.
     started: bool,
+    trace: SmolStr,
 }
 
 /// A request that passed all checks of key, model and service.
@@ -125,6 +126,7 @@
             refused_by: Vec::new(),
             may_have_run: false,
             started: false,
+            trace: request.trace.clone(),
         };
         self.requests.insert(request.number, record);
         self.set_timer(deadline, TimerKind::Deadline(request.number));
@@ -194,6 +196,7 @@
                 .iter()
                 .map(|server| config.servers[*server].name.clone())
                 .collect(),
+            trace: record.trace.clone(),
         };
         if let Some(record) = self.requests.get_mut(&request) {
             record.phase = RequestPhase::Asking {
--- a/lib/src/reducer/pools.rs
+++ b/lib/src/reducer/pools.rs
@@ -138,7 +138,20 @@
         let name = self.pools.record(pool).name.clone();
         for action in actions {
             match action {
-                SchedulerAction::Grant { permit, server } => {
+                SchedulerAction::Grant {
+                    permit,
+                    server,
+                    waited,
+                    trace,
+                } => {
+                    if !trace.is_empty() {
+                        effects.push(Effect::TraceGrant {
+                            trace,
+                            pool: name.clone(),
+                            server: config.servers[server].name.clone(),
+                            waited,
+                        });
+                    }
                     let message = PeerMessage::PermitGrant {
                         request: permit.request,
                         pool: name.clone(),
@@ -226,6 +239,8 @@
                 .iter()
                 .filter_map(|server| config.servers.key(server))
                 .collect(),
+            arrived: now,
+            trace: request.trace.clone(),
         })
     }
 
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -6,6 +6,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use smol_str::SmolStr;
+
 use crate::{
     clock::ClockTime,
     config::{AdapterKey, ConfigState, InstanceKey, PriceClass, ServerKey, ServerRole, TeamKey},
@@ -59,6 +61,10 @@
     pub deadline: ClockTime,
     /// Servers that already failed this request.
     pub avoid: Vec<ServerKey>,
+    /// When the request came to the scheduler.
+    pub arrived: ClockTime,
+    /// W3C `traceparent` of the request's span; empty when there is none.
+    pub trace: SmolStr,
 }
 
 /// What the scheduler wants done.
@@ -70,6 +76,10 @@
         permit: PermitKey,
         /// Where to.
         server: ServerKey,
+        /// How long the request waited.
+        waited: Duration,
+        /// W3C `traceparent` of the request's span; empty when there is none.
+        trace: SmolStr,
     },
     /// Refuse the request.
     Refuse {
@@ -293,6 +303,8 @@
             actions.push(SchedulerAction::Grant {
                 permit: ask.permit,
                 server: record.server,
+                waited: Duration::ZERO,
+                trace: SmolStr::default(),
             });
             return;
         }
@@ -544,6 +556,17 @@
         self.failed_loads.retain(|_, until| *until > now);
     }
 
+    /// Servers to avoid for a request; none when it would have to avoid all.
+    fn avoided<'a>(&self, config: &ConfigState, avoid: &'a [ServerKey]) -> &'a [ServerKey] {
+        let is_left =
+            |server: &ServerKey| config.server_in_service(*server) && !avoid.contains(server);
+        if self.gates.keys().any(is_left) {
+            avoid
+        } else {
+            &[]
+        }
+    }
+
     /// The least loaded server that can run the queued request at once.
     fn pick_server(
         &self,
@@ -552,12 +575,13 @@
         position: usize,
     ) -> Option<ServerKey> {
         let ask = &self.queue[position].ask;
+        let avoid = self.avoided(config, &ask.avoid);
         self.gates
             .iter()
             .filter(|(server, gate)| {
                 config.server_in_service(**server)
                     && gate.takes_requests(now)
-                    && !ask.avoid.contains(server)
+                    && !avoid.contains(server)
                     && has_target(gate, ask.target)
             })
             .min_by_key(|(_, gate)| u64::from(gate.running) * 1_000 / u64::from(gate.limit))
@@ -576,7 +600,12 @@
         let permit = queued.ask.permit;
         self.renew(now, permit, server, queued.ask.target);
         self.stats.grants += 1;
-        actions.push(SchedulerAction::Grant { permit, server });
+        actions.push(SchedulerAction::Grant {
+            permit,
+            server,
+            waited: now.since(queued.ask.arrived),
+            trace: queued.ask.trace,
+        });
     }
 
     /// Orders the adapter of a queued request loaded, unless it already is or will be.
@@ -592,7 +621,7 @@
         let WorkTarget::Adapter { adapter, version } = ask.target else {
             return;
         };
-        let avoid = ask.avoid.clone();
+        let avoid = self.avoided(config, &ask.avoid).to_vec();
         let present = self.gates.iter().any(|(server, gate)| {
             !avoid.contains(server)
                 && config.server_in_service(*server)
--- /dev/null
+++ b/lib/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! Reducers joined by hand, for sessions in virtual time.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{sync::Arc, time::Duration};
+
+use wasabistall_lib::{
+    clock::ClockTime,
+    config::{ConfigPatch, LogEntry},
+    event::{CallTarget, CallerRequest, Effect, Event},
+    key::KeyProof,
+    member::InstanceListing,
+    message::{PEER_PROTOCOL, PeerEnvelope},
+    reducer::{Reducer, ReducerSettings},
+};
+
+/// Clear key of the team `elders`.
+pub(crate) const ELDERS_KEY: &str = "ws_elders-1_0123456789abcdef";
+
+/// Changes of a small configuration: `instances` instances, one engine, one service.
+pub(crate) fn first_changes(instances: usize) -> serde_json::Value {
+    let proof = KeyProof::parse(ELDERS_KEY).unwrap();
+    let mut changes = vec![
+        serde_json::json!({ "op": "add_owner", "owner": "sauti" }),
+        serde_json::json!({
+            "op": "add_region", "region": "dar", "store_loads_per_second": 4, "loads_in_flight": 8,
+        }),
+        serde_json::json!({ "op": "add_data_centre", "data_centre": "dar-a", "region": "dar" }),
+        serde_json::json!({ "op": "add_base", "base": "nyota" }),
+        serde_json::json!({
+            "op": "add_team", "team": "elders", "owner": "sauti",
+            "rate": {
+                "tokens_per_second": 1_000, "burst_tokens": 2_000,
+                "requests_per_second": 10, "burst_requests": 20,
+            },
+        }),
+        serde_json::json!({
+            "op": "grant_key", "key": "elders-1", "team": "elders", "sha256": proof.digest,
+        }),
+        serde_json::json!({
+            "op": "add_adapter", "adapter": "clans", "base": "nyota", "team": "elders", "version": 1,
+        }),
+        serde_json::json!({
+            "op": "add_service", "service": "booking",
+            "calls": [{ "method": "POST", "path": "/confirmations", "idempotent": false }],
+        }),
+        serde_json::json!({
+            "op": "add_server", "server": "engine-1", "data_centre": "dar-a",
+            "address": "10.0.1.1:80", "concurrency": 8,
+            "role": { "engine": { "base": "nyota", "slots": 2, "enforces_fencing": true } },
+        }),
+        serde_json::json!({
+            "op": "add_server", "server": "booking-1", "data_centre": "dar-a",
+            "address": "10.0.2.1:80", "concurrency": 8,
+            "role": { "service": { "service": "booking" } },
+        }),
+    ];
+    for number in 1..=instances {
+        changes.push(serde_json::json!({
+            "op": "add_instance", "instance": format!("i{number}"), "data_centre": "dar-a",
+            "caller_address": format!("10.0.0.{number}:80"),
+            "peer_address": format!("10.0.0.{number}:81"),
+        }));
+    }
+    serde_json::Value::from(changes)
+}
+
+/// A log entry with a patch against `base`.
+pub(crate) fn entry(sequence: u64, base: u64, changes: &serde_json::Value) -> LogEntry {
+    let patch = serde_json::json!({ "base": base, "author": "test", "changes": changes });
+    serde_json::from_value::<ConfigPatch>(patch.clone()).unwrap();
+    LogEntry {
+        sequence,
+        text: Arc::from(patch.to_string()),
+    }
+}
+
+/// A completion on the adapter `clans` with the key of its team.
+pub(crate) fn completion(number: u64) -> CallerRequest {
+    CallerRequest {
+        number,
+        target: CallTarget::Model("nyota:clans".into()),
+        key: Ok(KeyProof::parse(ELDERS_KEY)),
+        prompt_tokens: 10,
+        max_tokens: 20,
+        patience: Duration::from_secs(30),
+        trace: "".into(),
+    }
+}
+
+/// Reducers named `i1`, `i2`, … whose messages arrive at once and in order.
+pub(crate) struct JoinedReducers {
+    pub(crate) now: ClockTime,
+    pub(crate) reducers: Vec<Reducer>,
+    /// Effects other than messages, timers and polls, with the instance and time of each.
+    pub(crate) session: Vec<String>,
+}
+
+impl JoinedReducers {
+    pub(crate) fn new(count: usize) -> JoinedReducers {
+        let reducers = (1..=count)
+            .map(|number| {
+                Reducer::new(ReducerSettings {
+                    fleet: "test".into(),
+                    instance: format!("i{number}").into(),
+                    life: 1_000,
+                    seed: number as u64,
+                })
+            })
+            .collect();
+        JoinedReducers {
+            now: ClockTime::ZERO,
+            reducers,
+            session: Vec::new(),
+        }
+    }
+
+    /// Starts all with the small configuration and lets their shares become active.
+    pub(crate) fn started(count: usize) -> JoinedReducers {
+        let mut joined = JoinedReducers::new(count);
+        let listings: Vec<InstanceListing> = (1..=count)
+            .map(|number| InstanceListing {
+                instance: format!("i{number}").into(),
+                leaving: false,
+            })
+            .collect();
+        for node in 0..count {
+            joined.tell(node, Event::InstancesListed(listings.clone()));
+            let log = vec![entry(1, 0, &first_changes(count))];
+            joined.tell(node, Event::LogRead(log));
+        }
+        joined.run(Duration::from_secs(5));
+        joined
+    }
+
+    /// Tells one reducer about an event and carries messages to the others.
+    pub(crate) fn tell(&mut self, node: usize, event: Event) {
+        let mut pending = vec![(node, event)];
+        while let Some((node, event)) = pending.pop() {
+            let mut effects = Vec::new();
+            self.reducers[node].reduce(self.now, event, &mut effects);
+            let mut delivered = Vec::new();
+            for effect in effects {
+                match effect {
+                    Effect::SendPeer { to, message, .. } => {
+                        let target = self.position(&to);
+                        let envelope = PeerEnvelope {
+                            protocol: PEER_PROTOCOL,
+                            fleet: "test".into(),
+                            from: self.reducers[node].settings().instance.clone(),
+                            life: self.reducers[node].settings().life,
+                            config: self.reducers[node].config_log().sequence(),
+                            leaving: self.reducers[node].is_leaving(),
+                            messages: vec![message],
+                        };
+                        delivered.push((target, Event::PeerReceived(envelope)));
+                    }
+                    Effect::WakeAt(_) | Effect::PollReport { .. } => {}
+                    other => self.note(node, &other),
+                }
+            }
+            pending.extend(delivered.into_iter().rev());
+        }
+    }
+
+    fn position(&self, name: &str) -> usize {
+        self.reducers
+            .iter()
+            .position(|reducer| reducer.settings().instance == name)
+            .unwrap()
+    }
+
+    fn note(&mut self, node: usize, effect: &Effect) {
+        let millis = self.now.as_micros() / 1_000;
+        let name = &self.reducers[node].settings().instance;
+        self.session.push(format!("{millis} ms {name}: {effect:?}"));
+    }
+
+    /// Lets time pass, with a tick at each reducer every 10 ms.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while self.now < end {
+            self.now = self.now.after(Duration::from_millis(10));
+            for node in 0..self.reducers.len() {
+                self.tell(node, Event::Tick);
+            }
+        }
+    }
+
+    /// Takes the session noted so far.
+    pub(crate) fn take_session(&mut self) -> String {
+        std::mem::take(&mut self.session).join("\n")
+    }
+}
--- /dev/null
+++ b/lib/tests/config.rs
@@ -0,0 +1,101 @@
+//! The rule by which patches are accepted or rejected.
+
+mod common;
+
+use insta::assert_snapshot;
+use serde_json::json;
+use wasabistall_lib::config::{ConfigLog, LogEntry};
+
+use self::common::{entry, first_changes};
+
+/// Applies entries and describes each outcome on a line.
+fn outcomes(entries: Vec<LogEntry>) -> String {
+    let mut log = ConfigLog::default();
+    let mut lines = Vec::new();
+    for entry in entries {
+        let sequence = entry.sequence;
+        lines.push(match log.append(entry) {
+            Some(outcome) => match &outcome.fault {
+                None => format!("{sequence}: accepted, version {}", outcome.version),
+                Some(fault) => {
+                    format!("{sequence}: rejected, version {}: {fault}", outcome.version)
+                }
+            },
+            None => format!("{sequence}: ignored"),
+        });
+    }
+    lines.join("\n")
+}
+
+#[test]
+fn patches_are_accepted_or_rejected_whole() {
+    let text = outcomes(vec![
+        entry(1, 0, &first_changes(1)),
+        entry(2, 0, &json!([{ "op": "withdraw_key", "key": "elders-1" }])),
+        entry(
+            3,
+            1,
+            &json!([
+                { "op": "withdraw_key", "key": "elders-1" },
+                { "op": "withdraw_key", "key": "nobody-1" },
+            ]),
+        ),
+        LogEntry {
+            sequence: 4,
+            text: "{".into(),
+        },
+        entry(5, 1, &json!([])),
+        entry(6, 1, &json!([{ "op": "withdraw_key", "key": "elders-1" }])),
+        entry(6, 1, &json!([{ "op": "withdraw_key", "key": "elders-1" }])),
+        entry(8, 2, &json!([{ "op": "withdraw_key", "key": "elders-1" }])),
+        entry(7, 2, &json!([{ "op": "withdraw_key", "key": "elders-1" }])),
+        entry(8, 2, &json!([{ "op": "add_owner", "owner": "../x" }])),
+        entry(
+            9,
+            2,
+            &json!([{ "op": "set_version", "adapter": "clans", "version": 2 }]),
+        ),
+        entry(
+            10,
+            3,
+            &json!([{ "op": "set_rate", "team": "elders", "rate": {
+            "tokens_per_second": 0, "burst_tokens": 1,
+            "requests_per_second": 1, "burst_requests": 1,
+        } }]),
+        ),
+    ]);
+    assert_snapshot!(text, @"
+    1: accepted, version 1
+    2: rejected, version 1: made against another version; make it again on the newest (0)
+    3: rejected, version 1: changes[1]: no such name (nobody-1)
+    4: rejected, version 1: not a valid patch
+    5: rejected, version 1: has no change
+    6: accepted, version 2
+    6: ignored
+    8: ignored
+    7: rejected, version 2: changes[0]: the change would change nothing (elders-1)
+    8: rejected, version 2: changes[0]: a name has 1 to 100 characters of a-z A-Z 0-9 . _ - (../x)
+    9: accepted, version 3
+    10: rejected, version 3: changes[0]: the value is out of range (elders)
+    ");
+}
+
+#[test]
+fn a_peer_gets_the_entries_it_lacks() {
+    let mut log = ConfigLog::default();
+    log.append(entry(1, 0, &first_changes(1)));
+    for sequence in 2..=5 {
+        let changes = json!([{ "op": "set_version", "adapter": "clans", "version": sequence }]);
+        log.append(entry(sequence, sequence - 1, &changes));
+    }
+    let sequences = |after, bytes| {
+        let suffix = log.suffix(after, bytes).unwrap();
+        suffix
+            .iter()
+            .map(|entry| entry.sequence)
+            .collect::<Vec<u64>>()
+    };
+    assert_eq!(sequences(2, 1_000_000), [3, 4, 5]);
+    assert_eq!(sequences(5, 1_000_000), [] as [u64; 0]);
+    assert_eq!(sequences(0, 1), [1]);
+}
--- /dev/null
+++ b/lib/tests/golden.rs
@@ -0,0 +1,137 @@
+//! Golden sessions: the same events give the same effects, byte for byte.
+
+mod common;
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use wasabistall_lib::{
+    engine::{EngineOrder, OrderKind},
+    engine::{LoadReport, OrderOutcome, SlotReport},
+    error::RunState,
+    event::{CallTarget, CallerRequest, Event},
+};
+
+use self::common::{JoinedReducers, completion, entry};
+
+fn report(epoch: u64, slots: &[(&str, u32)]) -> LoadReport {
+    LoadReport {
+        epoch,
+        age_ms: 0,
+        running: 0,
+        fence: 0,
+        slots: slots
+            .iter()
+            .map(|(adapter, version)| SlotReport {
+                adapter: (*adapter).into(),
+                version: *version,
+                active: 0,
+            })
+            .collect(),
+    }
+}
+
+/// Tells all instances the load of both servers.
+fn report_load(joined: &mut JoinedReducers, slots: &[(&str, u32)]) {
+    let config = joined.reducers[0].config();
+    for server in ["engine-1", "booking-1"] {
+        let server = config.servers.key(server).unwrap();
+        for node in 0..joined.reducers.len() {
+            let asked = joined.now;
+            let report = Some(report(7, slots));
+            joined.tell(
+                node,
+                Event::LoadReported {
+                    server,
+                    asked,
+                    report,
+                },
+            );
+        }
+    }
+}
+
+/// Tells the instance that ordered it that the adapter is loaded.
+fn finish_load(joined: &mut JoinedReducers) {
+    let config = joined.reducers[0].config();
+    let order = EngineOrder {
+        server: config.servers.key("engine-1").unwrap(),
+        kind: OrderKind::Load,
+        adapter: config.adapters.key("clans").unwrap(),
+        version: 1,
+        fence: 0,
+    };
+    for node in 0..joined.reducers.len() {
+        joined.tell(node, Event::OrderDone(order, OrderOutcome::Done));
+    }
+}
+
+fn served_session() -> String {
+    let mut joined = JoinedReducers::started(3);
+    report_load(&mut joined, &[]);
+    joined.tell(0, Event::RequestArrived(completion(1)));
+    joined.run(Duration::from_millis(100));
+    finish_load(&mut joined);
+    joined.run(Duration::from_millis(100));
+    joined.tell(0, Event::AnswerStarted(1));
+    joined.tell(
+        0,
+        Event::AnswerFinished {
+            request: 1,
+            prompt_tokens: Some(9),
+            output_tokens: 5,
+        },
+    );
+    let usage = joined.reducers[0].usage();
+    let records = usage.records_after(0, 10);
+    joined.session.push(format!("{records:?}"));
+    joined.take_session()
+}
+
+#[test]
+fn a_served_request() {
+    assert_snapshot!(served_session());
+}
+
+#[test]
+fn the_same_events_give_the_same_effects() {
+    assert_eq!(served_session(), served_session());
+}
+
+#[test]
+fn a_lost_server_is_retried_only_for_idempotent_calls() {
+    let mut joined = JoinedReducers::started(1);
+    report_load(&mut joined, &[("clans", 1)]);
+    joined.tell(0, Event::RequestArrived(completion(1)));
+    let confirmation = CallerRequest {
+        target: CallTarget::Service {
+            service: "booking".into(),
+            method: "POST".into(),
+            path: "/confirmations".into(),
+        },
+        ..completion(2)
+    };
+    joined.tell(0, Event::RequestArrived(confirmation));
+    for request in [1, 2] {
+        joined.tell(
+            0,
+            Event::AnswerFailed {
+                request,
+                run: RunState::Unknown,
+                output_tokens: 0,
+            },
+        );
+    }
+    joined.run(Duration::from_secs(31));
+    assert_snapshot!(joined.take_session());
+}
+
+#[test]
+fn a_withdrawn_key_stops_waiting_requests() {
+    let mut joined = JoinedReducers::started(1);
+    joined.tell(0, Event::RequestArrived(completion(1)));
+    let changes = serde_json::json!([{ "op": "withdraw_key", "key": "elders-1" }]);
+    joined.tell(0, Event::LogRead(vec![entry(2, 1, &changes)]));
+    joined.tell(0, Event::RequestArrived(completion(2)));
+    assert_snapshot!(joined.take_session());
+}
--- /dev/null
+++ b/lib/tests/settings.rs
@@ -0,0 +1,81 @@
+//! Settings are checked as a whole, with place and hint of each fault.
+
+use insta::assert_snapshot;
+use wasabistall_lib::settings::InstanceSettings;
+
+fn faults(text: &str) -> String {
+    match InstanceSettings::parse(text) {
+        Ok(_) => "valid".to_owned(),
+        Err(faults) => {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        }
+    }
+}
+
+#[test]
+fn all_faults_are_found_at_once() {
+    let text = r#"{
+    "fleet": "sauti",
+    "fleet": "sauti",
+    "instance": 7,
+    "data_center": "dar-a",
+    "listen": { "callers": "10.0.0.1:80", "peers": "10.0.0.1:80", "operators": "localhost" },
+    "platform": { "configuration": "10.0.0.9:80" },
+    "peer_secrets": ["abc", "00ff"],
+    "operator_token_sha256": ["00"],
+    "limits": { "body_bytes": "1MB", "body_timeout_ms": 1.5, "default_deadline_ms": 600001 },
+    "telemetry": { "log_format": "yaml" },
+}"#;
+    assert_snapshot!(faults(text), @r#"
+    1:1: data_centre: missing
+        hint: write the name that the configuration uses
+    3:5: fleet: given twice
+        hint: keep one of them
+    4:17: instance: not a string
+        hint: write the name that the configuration uses
+    5:5: data_center: unknown field
+        hint: known here: data_centre, drain_timeout_ms, fleet, instance, limits, listen, operator_token_sha256, peer_secrets, platform, telemetry
+    6:52: listen.peers: same address as listen.callers
+        hint: give each interface a port of its own
+    6:80: listen.operators: not an IP address with a port
+        hint: write IP:PORT, such as "10.0.0.1:7101"
+    7:17: platform.instances: missing
+        hint: write IP:PORT, such as "10.0.0.1:7101"
+    8:22: peer_secrets: not a hex string
+        hint: write hex strings of 16 bytes or more; the first signs, all are accepted
+    8:29: peer_secrets: too short
+        hint: write hex strings of 16 bytes or more; the first signs, all are accepted
+    9:31: operator_token_sha256: not a SHA-256 digest
+        hint: write SHA-256 digests in hex, as `wasabistall token create` prints them
+    10:31: limits.body_bytes: not a number
+        hint: write a whole number of bytes from 1024 to 67108864, without a unit
+    10:57: limits.body_timeout_ms: not a whole number
+        hint: write a whole number of milliseconds from 100 to 3600000, without a unit
+    10:85: limits.default_deadline_ms: longer than max_deadline_ms
+        hint: lower it
+    11:34: telemetry.log_format: not a known choice
+        hint: write one of: text, json
+    "#);
+}
+
+#[test]
+fn broken_json_names_its_place() {
+    assert_snapshot!(faults("{\n  \"fleet\" \"x\"\n}"), @"
+    2:11: Expected colon after the string or word in object property
+        hint: write JSON; // and /* */ comments are allowed
+    ");
+    assert_snapshot!(faults("[]"), @"
+    1:1: not an object
+        hint: write { … }
+    ");
+}
+
+#[test]
+fn the_shipped_examples_are_valid() {
+    for file in ["sauti.jsonc", "dial-works.jsonc"] {
+        let path = format!("{}/../docs/examples/{file}", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(path).unwrap();
+        assert_eq!(faults(&text), "valid", "{file}");
+    }
+}
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -57,7 +57,7 @@
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let process = std::process::id();
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    let [_, high, middle, low] = (process << 3 | count % 8).to_be_bytes();
+    let [_, high, middle, low] = ((process << 3) | (count % 8)).to_be_bytes();
     Ipv4Addr::new(127, high + 1, middle, low)
 }
 
