limits: test the fleet under faults, and ask holders less often

Cause: no proof that shares and loans keep within rate and burst; and each overloaded team asked all holders every 25 ms (56 messages a request in virtual time). Change: a small world of reducers and engines in virtual time; a property test of whole instances and one of books under an adversary; a growing pause after rounds in vain; answers below a quarter of the ask count as vain; connections without Nagle's delay; a load tool.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,12 +11,15 @@
 mod sse;
 mod telemetry;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use eyre::{Result, WrapErr, eyre};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use wasabistall_lib::settings::InstanceSettings;
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 mod flags {
     use std::path::PathBuf;
 
@@ -61,8 +64,19 @@
     runtime.block_on(run(settings))
 }
 
-async fn bind(address: std::net::SocketAddr, what: &str) -> Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| {
+fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it; events are small and must not wait for each other.
+        socket.set_nodelay(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    listen().wrap_err_with(|| {
         format!(
             "cannot listen for {what} on {address}\n    hint: is another process using the port?"
         )
@@ -71,9 +85,9 @@
 
 async fn run(settings: InstanceSettings) -> Result<()> {
     let telemetry = telemetry::start(&settings)?;
-    let callers = bind(settings.listen.callers, "callers").await?;
-    let peers = bind(settings.listen.peers, "peers").await?;
-    let operators = bind(settings.listen.operators, "operators").await?;
+    let callers = bind(settings.listen.callers, "callers")?;
+    let peers = bind(settings.listen.peers, "peers")?;
+    let operators = bind(settings.listen.operators, "operators")?;
     tracing::info!(
         instance = %settings.instance,
         callers = %callers.local_addr()?,
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -40,7 +40,7 @@
     QueueFull,
     /// No backend server can take the request now.
     NoServer,
-    /// The instance has no configuration yet.
+    /// The instance has no configuration yet, or no allowance.
     NotReady,
     /// The instance is shutting down and takes no more work.
     ShuttingDown,
@@ -222,7 +222,7 @@
         ErrorKind::NotReady,
         503,
         RetryAdvice::OtherAddress,
-        "the instance has no configuration yet",
+        "the instance has just started and cannot admit requests yet",
         "use another address",
     ),
     row(
--- a/lib/src/limits/book.rs
+++ b/lib/src/limits/book.rs
@@ -20,8 +20,11 @@
 
 /// An ask without an answer for this long is given up.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause after all holders were asked in vain.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after all holders were asked in vain; it doubles with each such round.
+const MIN_ROUND_PAUSE: Duration = Duration::from_millis(25);
+const MAX_ROUND_PAUSE: Duration = Duration::from_millis(400);
+/// An answer below this part of what was asked for counts as given in vain.
+const USEFUL_PARTS: u64 = 4;
 /// A borrower asks for the demand of this part of a second at once.
 const DEMAND_PARTS: u64 = 10;
 /// Window over which demand is counted.
@@ -45,6 +48,7 @@
     holder: InstanceKey,
     number: u64,
     sent: ClockTime,
+    amount: LimitAmount,
 }
 
 /// Whom to ask for how much.
@@ -78,9 +82,20 @@
     next_holder: usize,
     empty_answers: usize,
     next_round: ClockTime,
+    round_pause: Duration,
     window_start: ClockTime,
     window_taken: LimitAmount,
     last_taken: LimitAmount,
+    totals: LimitTotals,
+}
+
+/// What one process has admitted of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitTotals {
+    /// Taken for requests.
+    pub taken: LimitAmount,
+    /// Given back after requests that used less.
+    pub returned: LimitAmount,
 }
 
 impl LimitEntry {
@@ -98,9 +113,11 @@
             next_holder: 0,
             empty_answers: 0,
             next_round: ClockTime::ZERO,
+            round_pause: MIN_ROUND_PAUSE,
             window_start: now,
             window_taken: LimitAmount::ZERO,
             last_taken: LimitAmount::ZERO,
+            totals: LimitTotals::default(),
         }
     }
 
@@ -314,6 +331,7 @@
             return Err(amount.minus(all));
         }
         entry.count_demand(now, amount);
+        entry.totals.taken = entry.totals.taken.plus(amount);
         let from_loans = borrowed.at_most(amount);
         entry.purse.spend(from_loans);
         let rest = amount.minus(from_loans);
@@ -325,15 +343,24 @@
     /// Puts back an amount that was taken and not used, as far as own shares have room.
     pub fn give_back(&mut self, now: ClockTime, key: LimitKey, amount: LimitAmount) {
         let active = self.is_active(now);
-        if let Some(entry) = self.entries.get_mut(&key)
-            && active
-        {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        entry.totals.returned = entry.totals.returned.plus(amount);
+        if active {
             entry.own_available(now);
             entry.tokens.give_back(now, amount.tokens);
             entry.requests.give_back(now, amount.requests);
         }
     }
 
+    /// What this process has admitted of a limit so far.
+    pub fn totals(&self, key: LimitKey) -> LimitTotals {
+        self.entries
+            .get(&key)
+            .map_or_else(LimitTotals::default, |entry| entry.totals)
+    }
+
     /// How long until own shares alone can give an amount; `None` if never.
     pub fn own_wait(
         &mut self,
@@ -370,21 +397,24 @@
         }
         if entry.empty_answers >= lenders.len() {
             entry.empty_answers = 0;
-            entry.next_round = now.after(ROUND_PAUSE);
+            entry.next_round = now.after(entry.round_pause);
+            entry.round_pause = (entry.round_pause * 2).min(MAX_ROUND_PAUSE);
             return None;
         }
         let holder = lenders[entry.next_holder % lenders.len()];
+        let amount = missing.at_least(entry.demand());
         self.last_number += 1;
         entry.asked = Some(SentAsk {
             holder,
             number: self.last_number,
             sent: now,
+            amount: missing,
         });
         let (spent_life, spent) = entry.purse.spent(holder);
         Some(BorrowPlan {
             holder,
             number: self.last_number,
-            amount: missing.at_least(entry.demand()),
+            amount,
             spent_life,
             spent,
         })
@@ -445,12 +475,20 @@
             .filter(|asked| asked.holder == holder.instance && asked.number == number);
         let Some(asked) = asked else { return };
         entry.asked = None;
-        if amount.is_zero() {
+        let useful = LimitAmount {
+            tokens: asked.amount.tokens / USEFUL_PARTS,
+            requests: asked.amount.requests / USEFUL_PARTS,
+        };
+        if amount.is_zero() || !amount.covers(useful) {
             entry.empty_answers += 1;
             entry.next_holder = entry.next_holder.wrapping_add(1);
+        } else {
+            entry.empty_answers = 0;
+            entry.round_pause = MIN_ROUND_PAUSE;
+        }
+        if amount.is_zero() {
             return;
         }
-        entry.empty_answers = 0;
         let expires = asked.sent.after(LOAN_TIME);
         if expires > now {
             entry.purse.put(holder, expires, amount);
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     activation::ShareActivation,
-    book::{BorrowPlan, LimitBook},
+    book::{BorrowPlan, LimitBook, LimitTotals},
     bucket::ShareBucket,
 };
 use crate::config::{RegionKey, TeamKey, TeamRate};
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -155,8 +155,13 @@
             .get(&request)
             .is_some_and(|record| record.phase == RequestPhase::Held);
         if held {
-            let retry_after = Some(SCHEDULER_RETRY);
-            self.refuse(now, request, ErrorKind::RateExceeded, retry_after, effects);
+            // Without its own shares the instance cannot tell whether the rate is used up.
+            let kind = if self.book.is_active(now) {
+                ErrorKind::RateExceeded
+            } else {
+                ErrorKind::NotReady
+            };
+            self.refuse(now, request, kind, Some(SCHEDULER_RETRY), effects);
         }
     }
 
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -23,7 +23,7 @@
     clock::ClockTime,
     config::{ConfigLog, ConfigState, LogEntry, TeamKey},
     event::{Effect, Event, RequestNumber},
-    limits::LimitBook,
+    limits::{LimitBook, LimitKey, LimitTotals},
     member::MemberTable,
     message::PeerMessage,
     pool::{PoolKey, PoolTable},
@@ -283,6 +283,11 @@
         &self.usage
     }
 
+    /// What this process has admitted of a limit so far.
+    pub fn admitted(&self, key: LimitKey) -> LimitTotals {
+        self.book.totals(key)
+    }
+
     /// What this instance must know of itself.
     pub fn settings(&self) -> &ReducerSettings {
         &self.settings
--- /dev/null
+++ b/lib/tests/fleet_limits.rs
@@ -0,0 +1,207 @@
+//! No team gets more than its rate and burst over all instances, whatever fails.
+
+use std::time::Duration;
+
+use proptest::{prelude::*, test_runner::Config};
+use wasabistall_lib::clock::ClockTime;
+use wasabistall_lib::limits::{LimitAmount, LimitRate, LimitTotals};
+use wasabistall_testutils::world::{DeploymentPlan, LimitObserver, LoadPlan, NetworkPlan, World};
+
+/// One thing that goes wrong.
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    Restart(usize),
+    Pause(usize, u64),
+    Cut(usize, usize),
+    Mend(usize, usize),
+    Loss(u32),
+    Isolate(usize),
+    PlatformLost(usize),
+    PlatformBack(usize),
+    List(u8),
+    RemoveInstance(usize),
+    AddInstance(usize),
+}
+
+const INSTANCES: usize = 5;
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    let node = 0..INSTANCES;
+    prop_oneof![
+        node.clone().prop_map(Fault::Kill),
+        node.clone().prop_map(Fault::Restart),
+        (node.clone(), 100..6_000_u64).prop_map(|(node, millis)| Fault::Pause(node, millis)),
+        (node.clone(), node.clone()).prop_map(|(one, other)| Fault::Cut(one, other)),
+        (node.clone(), node.clone()).prop_map(|(one, other)| Fault::Mend(one, other)),
+        (0..300_u32).prop_map(Fault::Loss),
+        node.clone().prop_map(Fault::Isolate),
+        node.clone().prop_map(Fault::PlatformLost),
+        node.clone().prop_map(Fault::PlatformBack),
+        any::<u8>().prop_map(Fault::List),
+        node.clone().prop_map(Fault::RemoveInstance),
+        node.prop_map(Fault::AddInstance),
+    ]
+}
+
+fn plan() -> DeploymentPlan {
+    let mut plan = DeploymentPlan::sauti();
+    plan.instances = INSTANCES;
+    plan.data_centres = 2;
+    plan.engines = 2;
+    plan.services = 1;
+    plan.burst_seconds = 1;
+    plan.teams.truncate(2);
+    for team in &mut plan.teams {
+        team.adapters = 3;
+        team.tokens_per_second = 1_000;
+        team.requests_per_second = 40.0;
+    }
+    plan
+}
+
+/// Where the configuration stands, for patches.
+struct ConfigTrack {
+    version: u64,
+    removed: Vec<usize>,
+}
+
+fn apply(world: &mut World, track: &mut ConfigTrack, fault: &Fault) {
+    match *fault {
+        Fault::Kill(node) => world.kill(node),
+        Fault::Restart(node) => {
+            if !track.removed.contains(&node) {
+                world.start(node);
+            }
+        }
+        Fault::Pause(node, millis) => world.pause(node, Duration::from_millis(millis)),
+        Fault::Cut(one, other) => world.set_cut(one, other, true),
+        Fault::Mend(one, other) => world.set_cut(one, other, false),
+        Fault::Loss(lost_per_mille) => world.set_network(NetworkPlan {
+            max_delay: Duration::from_millis(80),
+            lost_per_mille,
+            ..NetworkPlan::default()
+        }),
+        Fault::Isolate(node) => {
+            for other in (0..INSTANCES).filter(|other| *other != node) {
+                world.set_cut(node, other, true);
+            }
+            world.set_platform(node, false);
+        }
+        Fault::PlatformLost(node) => world.set_platform(node, false),
+        Fault::PlatformBack(node) => world.set_platform(node, true),
+        Fault::List(bits) => {
+            let live: Vec<usize> = (0..INSTANCES)
+                .filter(|node| bits >> node & 1 == 1)
+                .collect();
+            world.set_list(&live, &[]);
+        }
+        Fault::RemoveInstance(node) => {
+            // An instance is removed for good only after its process has ended.
+            if track.removed.contains(&node) || track.removed.len() + 1 == INSTANCES {
+                return;
+            }
+            world.kill(node);
+            let name = format!("i{node}");
+            let change = serde_json::json!([{ "op": "remove_instance", "instance": name }]);
+            world.publish(track.version, &change);
+            track.version += 1;
+            track.removed.push(node);
+        }
+        Fault::AddInstance(node) => {
+            // A new name that no process has yet: shares move to it and wait there.
+            let name = format!("new-{}-{node}", track.version);
+            let change = serde_json::json!([{
+                "op": "add_instance", "instance": name, "data_centre": "d0",
+                "caller_address": "10.9.0.1:80", "peer_address": "10.9.0.1:81",
+            }]);
+            world.publish(track.version, &change);
+            track.version += 1;
+        }
+    }
+}
+
+/// A fault after a stretch of time, in which callers may be quiet so that allowance piles up.
+#[derive(Clone, Debug)]
+struct Step {
+    millis: u64,
+    quiet: bool,
+    fault: Fault,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    (50..2_000_u64, any::<bool>(), any_fault()).prop_map(|(millis, quiet, fault)| Step {
+        millis,
+        quiet,
+        fault,
+    })
+}
+
+fn run_schedule(seed: u64, sticky: bool, schedule: &[Step]) -> World {
+    let plan = plan();
+    let mut world = plan.start(seed);
+    let mut load = LoadPlan::new(&plan);
+    load.sticky = sticky;
+    let mut track = ConfigTrack {
+        version: 1,
+        removed: Vec::new(),
+    };
+    for step in schedule {
+        let time = Duration::from_millis(step.millis);
+        if step.quiet {
+            world.run(time);
+        } else {
+            load.send(&mut world, time, |_| {});
+        }
+        apply(&mut world, &mut track, &step.fault);
+    }
+    load.send(&mut world, Duration::from_secs(2), |_| {});
+    world
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x5a57_1001),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn no_schedule_overdraws_a_team(
+        seed: u64,
+        sticky: bool,
+        schedule in proptest::collection::vec(any_step(), 0..14),
+    ) {
+        let world = run_schedule(seed, sticky, &schedule);
+        prop_assert_eq!(world.overdrawn(), vec![(0, 0); 2]);
+        for (name, engine) in world.engines() {
+            prop_assert_eq!(engine.counts.unloads_in_use, 0, "{}", name);
+        }
+        for (id, history) in world.histories() {
+            if let Some((_, kind, wasabistall_lib::error::RunState::NotRun)) = history.refused {
+                prop_assert_eq!(history.runs, 0, "{:?} ran and was refused as {:?}", id, kind);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_observer_sees_a_team_that_gets_too_much() {
+    let rate = LimitRate {
+        tokens: 10,
+        burst_tokens: 20,
+        requests: 10,
+        burst_requests: 20,
+    };
+    let mut observer = LimitObserver::new(rate);
+    let sums = |tokens| LimitTotals {
+        taken: LimitAmount::whole(tokens, 1),
+        returned: LimitAmount::ZERO,
+    };
+    observer.observe(ClockTime::from_millis(0), sums(20));
+    observer.observe(ClockTime::from_millis(1_000), sums(30));
+    assert!(observer.overdrawn.is_zero());
+    observer.observe(ClockTime::from_millis(1_500), sums(36));
+    assert_eq!(observer.overdrawn, LimitAmount::whole(1, 0));
+}
--- /dev/null
+++ b/lib/tests/limit_books.rs
@@ -0,0 +1,345 @@
+//! Shares and loans of one limit under an adversary that takes all it can get.
+
+mod common;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use wasabistall_lib::{
+    clock::ClockTime,
+    config::{ConfigLog, ConfigState, InstanceKey},
+    limits::{BorrowPlan, LimitAmount, LimitBook, LimitKey, LimitRate, LimitTotals},
+    member::PeerLife,
+};
+use wasabistall_testutils::world::LimitObserver;
+
+use self::common::{entry, first_changes};
+
+const BOOKS: usize = 4;
+/// Books of the first configuration; the others are added while all run.
+const FIRST_BOOKS: usize = 2;
+const RATE: LimitRate = LimitRate {
+    tokens: 1_000,
+    burst_tokens: 1_000,
+    requests: 1_000_000,
+    burst_requests: 1_000_000,
+};
+
+/// What the adversary does.
+#[derive(Clone, Debug)]
+enum Action {
+    Wait(u64),
+    /// A book asks its next holder; the answer takes a while or is lost.
+    Borrow {
+        book: usize,
+        tokens: u64,
+        delay: u64,
+        lost: bool,
+    },
+    /// A book takes all it has.
+    Drain(usize),
+    /// All books take all they have.
+    DrainAll,
+    Restart(usize),
+    /// A book's process was paused and notices it.
+    Wake(usize),
+    /// A book applies the newest configuration.
+    Configure(usize),
+    /// An operator adds an instance, so that shares move.
+    AddInstance,
+    Cut(usize, usize),
+    Mend,
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    let book = 0..BOOKS;
+    let borrow = (
+        book.clone(),
+        1..2_000_u64,
+        0..1_200_u64,
+        prop::bool::weighted(0.1),
+    )
+        .prop_map(|(book, tokens, delay, lost)| Action::Borrow {
+            book,
+            tokens,
+            delay,
+            lost,
+        });
+    prop_oneof![
+        4 => (1..1_200_u64).prop_map(Action::Wait),
+        6 => borrow,
+        2 => book.clone().prop_map(Action::Drain),
+        2 => Just(Action::DrainAll),
+        1 => book.clone().prop_map(Action::Restart),
+        1 => book.clone().prop_map(Action::Wake),
+        2 => book.clone().prop_map(Action::Configure),
+        1 => Just(Action::AddInstance),
+        1 => (book.clone(), book).prop_map(|(one, other)| Action::Cut(one, other)),
+        1 => Just(Action::Mend),
+    ]
+}
+
+struct BookNode {
+    book: LimitBook,
+    life: u64,
+    log: ConfigLog,
+    last_update: ClockTime,
+}
+
+/// A grant on its way.
+struct GrantOnWay {
+    arrives: ClockTime,
+    borrower: usize,
+    borrower_life: u64,
+    holder: PeerLife,
+    number: u64,
+    amount: LimitAmount,
+}
+
+struct BookWorld {
+    newest: ConfigLog,
+    now: ClockTime,
+    nodes: Vec<BookNode>,
+    entries: Vec<wasabistall_lib::config::LogEntry>,
+    grants: Vec<GrantOnWay>,
+    cut: BTreeSet<(usize, usize)>,
+    observer: LimitObserver,
+    dead: LimitTotals,
+    key: LimitKey,
+}
+
+impl BookWorld {
+    fn new() -> BookWorld {
+        let entries = vec![entry(1, 0, &first_changes(FIRST_BOOKS))];
+        let mut log = ConfigLog::default();
+        log.append(entries[0].clone());
+        let key = LimitKey::Team(log.state().teams.key("elders").unwrap());
+        let mut world = BookWorld {
+            newest: log,
+            now: ClockTime::from_millis(1),
+            nodes: Vec::new(),
+            entries,
+            grants: Vec::new(),
+            cut: BTreeSet::new(),
+            observer: LimitObserver::new(RATE),
+            dead: LimitTotals::default(),
+            key,
+        };
+        for node in 0..BOOKS {
+            world.nodes.push(BookNode {
+                book: LimitBook::default(),
+                life: 1,
+                log: ConfigLog::default(),
+                last_update: world.now,
+            });
+            world.configure(node);
+        }
+        world.wait(5_000);
+        world
+    }
+
+    fn instance(&self, node: usize) -> Option<InstanceKey> {
+        let config = self.newest.state();
+        config.instances.key(&format!("i{}", node + 1))
+    }
+
+    fn configure(&mut self, node: usize) {
+        let (now, key) = (self.now, self.key);
+        let target = &mut self.nodes[node];
+        let skip = usize::try_from(target.log.sequence()).unwrap();
+        for entry in self.entries.iter().skip(skip) {
+            target.log.append(entry.clone());
+            let config: Arc<ConfigState> = target.log.state().clone();
+            let sequence = target.log.sequence();
+            let own = config.instances.key(&format!("i{}", node + 1));
+            let members = config.live_instances().map(|(member, _)| member).collect();
+            target.book.configure(own, members, sequence);
+            target
+                .book
+                .set_limit(now, key, "elders", RATE, &config, sequence);
+        }
+    }
+
+    fn wait(&mut self, millis: u64) {
+        let end = self.now.after(Duration::from_millis(millis));
+        while self.now < end {
+            self.now = self.now.after(Duration::from_millis(50)).min(end);
+            self.hear();
+            self.deliver();
+            for node in &mut self.nodes {
+                node.book.update(self.now);
+                node.last_update = self.now;
+            }
+        }
+    }
+
+    fn hear(&mut self) {
+        for from in 0..BOOKS {
+            let (life, sequence) = (self.nodes[from].life, self.nodes[from].log.sequence());
+            let Some(instance) = self.instance(from) else {
+                continue;
+            };
+            for to in (0..BOOKS).filter(|to| *to != from) {
+                if !self.cut.contains(&(from, to)) {
+                    let peer = PeerLife { instance, life };
+                    self.nodes[to].book.heard(peer, sequence);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.grants)
+            .into_iter()
+            .partition(|grant| grant.arrives <= now);
+        self.grants = later;
+        let due: Vec<GrantOnWay> = due;
+        for grant in due {
+            let node = &mut self.nodes[grant.borrower];
+            if node.life == grant.borrower_life {
+                node.book
+                    .granted(now, self.key, grant.holder, grant.number, grant.amount);
+            }
+        }
+    }
+
+    fn borrow(&mut self, node: usize, tokens: u64, delay: u64, lost: bool) {
+        let (now, key) = (self.now, self.key);
+        let missing = LimitAmount::whole(tokens, 0);
+        let Some(plan) = self.nodes[node].book.borrow(now, key, missing) else {
+            return;
+        };
+        let Some(holder) = (0..BOOKS).find(|other| self.instance(*other) == Some(plan.holder))
+        else {
+            return;
+        };
+        if self.cut.contains(&(node, holder)) {
+            return;
+        }
+        let Some(instance) = self.instance(node) else {
+            return;
+        };
+        let borrower = PeerLife {
+            instance,
+            life: self.nodes[node].life,
+        };
+        let plan: BorrowPlan = plan;
+        let lender = &mut self.nodes[holder];
+        let life = lender.life;
+        let amount = lender
+            .book
+            .lend(now, life, borrower, key, &plan, LimitAmount::ZERO);
+        if !lost {
+            self.grants.push(GrantOnWay {
+                arrives: now.after(Duration::from_millis(delay)),
+                borrower: node,
+                borrower_life: borrower.life,
+                holder: PeerLife {
+                    instance: plan.holder,
+                    life,
+                },
+                number: plan.number,
+                amount,
+            });
+        }
+    }
+
+    fn drain(&mut self, node: usize) {
+        let mut tokens = 1 << 12;
+        while tokens > 0 {
+            let amount = LimitAmount::whole(tokens, 0);
+            if self.nodes[node]
+                .book
+                .take(self.now, self.key, amount)
+                .is_err()
+            {
+                tokens /= 2;
+            }
+        }
+        self.observe();
+    }
+
+    fn observe(&mut self) {
+        let mut sums = self.dead;
+        for node in &self.nodes {
+            let totals = node.book.totals(self.key);
+            sums.taken = sums.taken.plus(totals.taken);
+        }
+        self.observer.observe(self.now, sums);
+    }
+
+    fn restart(&mut self, node: usize) {
+        let old = self.nodes[node].book.totals(self.key);
+        self.dead.taken = self.dead.taken.plus(old.taken);
+        let target = &mut self.nodes[node];
+        target.book = LimitBook::default();
+        target.log = ConfigLog::default();
+        target.life += 1;
+        self.configure(node);
+    }
+
+    fn act(&mut self, action: &Action) {
+        match *action {
+            Action::Wait(millis) => self.wait(millis),
+            Action::Borrow {
+                book,
+                tokens,
+                delay,
+                lost,
+            } => self.borrow(book, tokens, delay, lost),
+            Action::Drain(node) => self.drain(node),
+            Action::DrainAll => (0..BOOKS).for_each(|node| self.drain(node)),
+            Action::Restart(node) => self.restart(node),
+            Action::Wake(node) => self.nodes[node].book.suspend(self.now),
+            Action::Configure(node) => self.configure(node),
+            Action::AddInstance => {
+                let base = self.entries.len();
+                let number = FIRST_BOOKS + base;
+                if number > BOOKS {
+                    return;
+                }
+                let change = serde_json::json!([{
+                    "op": "add_instance", "instance": format!("i{number}"),
+                    "data_centre": "dar-a",
+                    "caller_address": "10.9.0.1:80", "peer_address": "10.9.0.1:81",
+                }]);
+                let added = entry(base as u64 + 1, base as u64, &change);
+                self.newest.append(added.clone());
+                self.entries.push(added);
+            }
+            Action::Cut(one, other) => {
+                self.cut.extend([(one, other), (other, one)]);
+            }
+            Action::Mend => self.cut.clear(),
+        }
+    }
+}
+
+fn overdraft(actions: &[Action]) -> u64 {
+    let mut world = BookWorld::new();
+    for action in actions {
+        world.act(action);
+    }
+    world.act(&Action::DrainAll);
+    world.observer.overdrawn.tokens
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 3_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5a57_1002),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn greedy_books_stay_within_rate_and_burst(
+        actions in proptest::collection::vec(any_action(), 0..40),
+    ) {
+        prop_assert_eq!(overdraft(&actions), 0);
+    }
+}
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -12,16 +12,25 @@
 };
 use poem::{Endpoint, Response, Server, listener::TcpAcceptor};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
 
 /// Serves `endpoint` in the background; returns the address it got.
 pub(crate) async fn serve(
     listen: SocketAddr,
     endpoint: impl Endpoint + 'static,
 ) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(listen)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {listen}"))?;
+    let bind = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it; tokens are small and must not wait for each other.
+        socket.set_nodelay(true)?;
+        socket.bind(listen)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    let listener = bind().wrap_err_with(|| format!("cannot listen on {listen}"))?;
     let address = listener.local_addr()?;
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     tokio::spawn(async move {
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod http;
 mod instances;
+mod load;
 mod service;
 mod store;
 
@@ -13,7 +14,8 @@
 use eyre::Result;
 
 use self::{
-    deployment::DeploymentShape, engine::EngineShape, service::ServiceShape, store::StoreShape,
+    deployment::DeploymentShape, engine::EngineShape, load::LoadShape, service::ServiceShape,
+    store::StoreShape,
 };
 
 mod flags {
@@ -64,6 +66,21 @@
                 /// How far answers lag behind, in milliseconds.
                 optional --lag lag: u64
             }
+            /// Sends load to a running deployment and prints latencies.
+            cmd load {
+                /// The deployment.json that `all` wrote.
+                required deployment: PathBuf
+                /// Requests a second. Default: 100.
+                optional --rate rate: f64
+                /// Duration in seconds. Default: 10.
+                optional --seconds seconds: f64
+                /// Seed of the planned requests. Default: 1.
+                optional --seed seed: u64
+                /// Calls the engines themselves, as a baseline.
+                optional --direct
+                /// Writes the result here as JSON.
+                optional --json json: PathBuf
+            }
             /// Runs the platform of a whole small deployment and writes settings for its instances.
             cmd all {
                 /// Directory for the settings files.
@@ -142,6 +159,7 @@
             announce(instances::start(command.listen, lag).await?);
         }
         Command::All(command) => run_all(command).await?,
+        Command::Load(command) => return run_load(command).await,
     }
     tokio::signal::ctrl_c().await?;
     Ok(())
@@ -162,6 +180,17 @@
     Ok(())
 }
 
+async fn run_load(command: flags::Load) -> Result<()> {
+    let shape = LoadShape {
+        requests_per_second: command.rate.unwrap_or(100.0),
+        seconds: command.seconds.unwrap_or(10.0),
+        seed: command.seed.unwrap_or(1),
+        direct: command.direct,
+        json: command.json,
+    };
+    load::run(&command.deployment, &shape).await
+}
+
 fn announce(address: SocketAddr) {
     println!("ready: {address}");
 }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod deployment;
+pub mod world;
 
 pub use self::{
     caller::{TestAnswer, TestCaller},
--- /dev/null
+++ b/testutils/src/world/plan.rs
@@ -0,0 +1,321 @@
+//! Configurations of the two deployments, and their load.
+
+use std::time::Duration;
+
+use rand::{
+    Rng,
+    distr::{Distribution, weighted::WeightedIndex},
+};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use wasabistall_lib::{
+    event::{CallTarget, CallerRequest},
+    key::KeyProof,
+};
+
+use super::{RequestId, World};
+
+/// Weight of rank `n` in popularity is `1 / n^SKEW`.
+const SKEW: f64 = 1.1;
+/// One request in this many has a long prompt.
+const LONG_EVERY: u32 = 10;
+const SHORT_PROMPT_TOKENS: u64 = 60;
+const LONG_PROMPT_TOKENS: u64 = 1_500;
+
+/// A team of a plan.
+#[derive(Clone, Debug)]
+pub struct TeamPlan {
+    /// The team's name.
+    pub name: &'static str,
+    /// Tokens a second.
+    pub tokens_per_second: u64,
+    /// Requests that it sends a second.
+    pub requests_per_second: f64,
+    /// Its part of all adapters.
+    pub adapters: usize,
+}
+
+/// Size and load of a deployment.
+#[derive(Clone, Debug)]
+pub struct DeploymentPlan {
+    /// Name of the region.
+    pub region: &'static str,
+    /// Data centres.
+    pub data_centres: usize,
+    /// Model servers.
+    pub engines: usize,
+    /// Servers of the plain service.
+    pub services: usize,
+    /// Instances.
+    pub instances: usize,
+    /// Loads a second that the store allows.
+    pub store_loads: u64,
+    /// Adapter slots of an engine.
+    pub slots: usize,
+    /// Requests that an engine bears.
+    pub concurrency: usize,
+    /// Seconds of a team's rate that its burst amounts to.
+    pub burst_seconds: u64,
+    /// Teams.
+    pub teams: Vec<TeamPlan>,
+}
+
+/// Five teams; the first sends several times its rate, the others about half of theirs.
+fn five_teams(names: [&'static str; 5], scale: f64, adapters: usize) -> Vec<TeamPlan> {
+    // A request reserves about 250 tokens on average.
+    let plans = [
+        (3_000, 36.0, 40),
+        (6_000, 12.0, 25),
+        (3_000, 6.0, 15),
+        (2_000, 4.0, 10),
+        (1_000, 2.0, 10),
+    ];
+    names
+        .into_iter()
+        .zip(plans)
+        .map(|(name, (tokens, requests, percent))| TeamPlan {
+            name,
+            tokens_per_second: (tokens as f64 * scale) as u64,
+            requests_per_second: requests * scale,
+            adapters: adapters * percent / 100,
+        })
+        .collect()
+}
+
+impl DeploymentPlan {
+    /// Sauti's size.
+    pub fn sauti() -> DeploymentPlan {
+        DeploymentPlan {
+            region: "dar-region",
+            data_centres: 4,
+            engines: 9,
+            services: 4,
+            instances: 6,
+            store_loads: 2,
+            slots: 32,
+            concurrency: 16,
+            burst_seconds: 3,
+            teams: five_teams(
+                ["clans", "elders", "researchers", "village", "archive"],
+                1.0,
+                3_000,
+            ),
+        }
+    }
+
+    /// Dial Works' size.
+    pub fn dial_works() -> DeploymentPlan {
+        DeploymentPlan {
+            region: "rift-central",
+            data_centres: 3,
+            engines: 12,
+            services: 3,
+            instances: 7,
+            store_loads: 3,
+            slots: 32,
+            concurrency: 16,
+            burst_seconds: 3,
+            teams: five_teams(
+                ["estates", "architects", "schools", "carvers", "gardens"],
+                1.3,
+                3_000,
+            ),
+        }
+    }
+
+    /// Names of the instances.
+    pub fn instance_names(&self) -> Vec<String> {
+        (0..self.instances)
+            .map(|number| format!("i{number}"))
+            .collect()
+    }
+
+    /// Clear key of a team.
+    pub fn key(&self, team: usize) -> String {
+        format!("ws_{}_0123456789", self.teams[team].name)
+    }
+
+    /// Name of an adapter of a team.
+    pub fn adapter(&self, team: usize, rank: usize) -> SmolStr {
+        format!("{}-{rank}", self.teams[team].name).into()
+    }
+
+    /// The first configuration.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a key of the plan does not parse.
+    pub fn changes(&self) -> Value {
+        let mut changes = vec![
+            json!({ "op": "add_owner", "owner": "owner" }),
+            json!({
+                "op": "add_region", "region": self.region,
+                "store_loads_per_second": self.store_loads, "loads_in_flight": 8,
+            }),
+            json!({ "op": "add_base", "base": "nyota" }),
+            json!({
+                "op": "add_service", "service": "desk", "calls": [
+                    { "method": "GET", "path": "/lookups", "idempotent": true },
+                    { "method": "POST", "path": "/deposits", "idempotent": false },
+                ],
+            }),
+        ];
+        for number in 0..self.data_centres {
+            changes.push(json!({
+                "op": "add_data_centre", "data_centre": format!("d{number}"),
+                "region": self.region,
+            }));
+        }
+        for (team, plan) in self.teams.iter().enumerate() {
+            let proof = KeyProof::parse(&self.key(team)).unwrap();
+            let requests = (plan.tokens_per_second / 50).max(1);
+            changes.push(json!({
+                "op": "add_team", "team": plan.name, "owner": "owner",
+                "rate": {
+                    "tokens_per_second": plan.tokens_per_second,
+                    "burst_tokens": plan.tokens_per_second * self.burst_seconds,
+                    "requests_per_second": requests, "burst_requests": requests * self.burst_seconds,
+                },
+            }));
+            changes.push(json!({
+                "op": "grant_key", "key": plan.name, "team": plan.name, "sha256": proof.digest,
+            }));
+            for rank in 0..plan.adapters {
+                changes.push(json!({
+                    "op": "add_adapter", "adapter": self.adapter(team, rank), "base": "nyota",
+                    "team": plan.name, "version": 1,
+                }));
+            }
+        }
+        self.add_servers(&mut changes);
+        Value::from(changes)
+    }
+
+    fn add_servers(&self, changes: &mut Vec<Value>) {
+        for number in 0..self.engines {
+            changes.push(json!({
+                "op": "add_server", "server": format!("e{number}"),
+                "data_centre": format!("d{}", number % self.data_centres),
+                "address": format!("10.1.0.{}:80", number + 1), "concurrency": self.concurrency,
+                "role": { "engine": {
+                    "base": "nyota", "slots": self.slots, "enforces_fencing": true,
+                } },
+            }));
+        }
+        for number in 0..self.services {
+            changes.push(json!({
+                "op": "add_server", "server": format!("s{number}"),
+                "data_centre": format!("d{}", number % self.data_centres),
+                "address": format!("10.2.0.{}:80", number + 1), "concurrency": 32,
+                "role": { "service": { "service": "desk" } },
+            }));
+        }
+        for number in 0..self.instances {
+            changes.push(json!({
+                "op": "add_instance", "instance": format!("i{number}"),
+                "data_centre": format!("d{}", number % self.data_centres),
+                "caller_address": format!("10.0.0.{}:80", number + 1),
+                "peer_address": format!("10.0.0.{}:81", number + 1),
+            }));
+        }
+    }
+
+    /// Starts a world of this size and lets it settle.
+    pub fn start(&self, seed: u64) -> World {
+        let names = self.instance_names();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut world = World::new(seed, &names, &self.changes());
+        world.run(Duration::from_secs(8));
+        world
+    }
+}
+
+/// Sends the load of a plan, with arrival times and choices from the world's seed.
+pub struct LoadPlan {
+    plan: DeploymentPlan,
+    ranks: Vec<WeightedIndex<f64>>,
+    /// Chance that a team's requests all enter at one instance.
+    pub sticky: bool,
+    /// Instances that take requests.
+    pub entries: Vec<usize>,
+}
+
+impl LoadPlan {
+    /// Load that enters at all instances.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a team has no adapters.
+    pub fn new(plan: &DeploymentPlan) -> LoadPlan {
+        let ranks = plan
+            .teams
+            .iter()
+            .map(|team| {
+                let weights = (1..=team.adapters).map(|rank| (rank as f64).powf(-SKEW));
+                WeightedIndex::new(weights).unwrap()
+            })
+            .collect();
+        LoadPlan {
+            plan: plan.clone(),
+            ranks,
+            sticky: false,
+            entries: (0..plan.instances).collect(),
+        }
+    }
+
+    /// Sends load for a while; calls `each_step` after every request.
+    pub fn send(
+        &self,
+        world: &mut World,
+        time: Duration,
+        mut each_step: impl FnMut(&mut World),
+    ) -> Vec<RequestId> {
+        let end = world.now().after(time);
+        let rates: Vec<f64> = self
+            .plan
+            .teams
+            .iter()
+            .map(|team| team.requests_per_second)
+            .collect();
+        let total: f64 = rates.iter().sum();
+        let teams = WeightedIndex::new(&rates).unwrap();
+        let mut sent = Vec::new();
+        loop {
+            let uniform: f64 = world.random().random_range(f64::MIN_POSITIVE..1.0);
+            let gap = Duration::from_secs_f64(-uniform.ln() / total);
+            if world.now().after(gap) > end {
+                world.run(end.since(world.now()));
+                return sent;
+            }
+            world.run(gap);
+            let team = teams.sample(world.random());
+            sent.extend(self.send_one(world, team));
+            each_step(world);
+        }
+    }
+
+    fn send_one(&self, world: &mut World, team: usize) -> Option<RequestId> {
+        let rank = self.ranks[team].sample(world.random());
+        let long = world.random().random_ratio(1, LONG_EVERY);
+        let output_tokens = world.random().random_range(5..60);
+        let entry = if self.sticky {
+            team % self.entries.len()
+        } else {
+            world.random().random_range(0..self.entries.len())
+        };
+        let request = CallerRequest {
+            number: 0,
+            target: CallTarget::Model(format!("nyota:{}", self.plan.adapter(team, rank)).into()),
+            key: Ok(KeyProof::parse(&self.plan.key(team))),
+            prompt_tokens: if long {
+                LONG_PROMPT_TOKENS
+            } else {
+                SHORT_PROMPT_TOKENS
+            },
+            max_tokens: 60,
+            patience: Duration::from_secs(20),
+            trace: SmolStr::default(),
+        };
+        world.request(self.entries[entry], request, team, output_tokens)
+    }
+}
