limits: lend whole requests, settle at once, and hold large requests longer

Traces showed four faults: borrowers collected fractions of a load that expired while each waited for the rest; an ask for the whole load although part was there; what was lent counted against the holder until it expired, although spent; pauses longer than the time until the holder had enough. Long prompts of small teams timed out after a second. Change: fewer holders for small limits (at least two), whole requests lent, spent loans reported at once, holders say how long to wait, hold time by size of the request.

--- a/lib/src/limits/book.rs
+++ b/lib/src/limits/book.rs
@@ -20,8 +20,8 @@
 
 /// An ask without an answer for this long is given up.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause after all holders were asked in vain; it doubles with each such round.
-const MIN_ROUND_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after all holders were asked in vain: until the first expects to have enough, in bounds.
+const MIN_ROUND_PAUSE: Duration = Duration::from_millis(10);
 const MAX_ROUND_PAUSE: Duration = Duration::from_millis(400);
 /// An answer below this part of what was asked for counts as given in vain.
 const USEFUL_PARTS: u64 = 4;
@@ -60,12 +60,44 @@
     pub number: u64,
     /// How much.
     pub amount: LimitAmount,
+    /// What the next request needs; less is of little use.
+    pub least: LimitAmount,
     /// The holder's life that the sum spent refers to.
     pub spent_life: u64,
     /// Sum spent of that life's loans.
     pub spent: LimitAmount,
 }
 
+/// A holder's answer to an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoanAnswer {
+    /// How much is lent.
+    pub amount: LimitAmount,
+    /// When nothing is lent, how long until the holder expects to have enough.
+    pub wait: Duration,
+}
+
+impl LoanAnswer {
+    /// Nothing is lent, and the holder cannot tell when it could.
+    pub const NOTHING: LoanAnswer = LoanAnswer {
+        amount: LimitAmount::ZERO,
+        wait: MAX_ROUND_PAUSE,
+    };
+}
+
+/// What a borrower has spent of one holder's loans.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoanSettlement {
+    /// The limit.
+    pub key: LimitKey,
+    /// The holder.
+    pub holder: InstanceKey,
+    /// The holder's life that the sum refers to.
+    pub spent_life: u64,
+    /// Sum spent of that life's loans.
+    pub spent: LimitAmount,
+}
+
 /// One limit.
 #[derive(Clone, Debug)]
 struct LimitEntry {
@@ -113,7 +145,7 @@
             next_holder: 0,
             empty_answers: 0,
             next_round: ClockTime::ZERO,
-            round_pause: MIN_ROUND_PAUSE,
+            round_pause: MAX_ROUND_PAUSE,
             window_start: now,
             window_taken: LimitAmount::ZERO,
             last_taken: LimitAmount::ZERO,
@@ -179,6 +211,24 @@
             .count() as u64
     }
 
+    /// What the shares held here must have before a part of a request's need is lent.
+    ///
+    /// Smaller parts would expire at borrowers that each wait for the rest.
+    fn worth_lending(&self) -> LimitAmount {
+        let part = |bucket: &ShareBucket| bucket.burst_micros() / 8 * 7;
+        LimitAmount {
+            tokens: part(&self.tokens),
+            requests: part(&self.requests),
+        }
+    }
+
+    /// How long until own shares can give an amount; `None` if never.
+    fn wait_for(&mut self, now: ClockTime, amount: LimitAmount) -> Option<Duration> {
+        let tokens = self.tokens.wait_for(now, amount.tokens)?;
+        let requests = self.requests.wait_for(now, amount.requests)?;
+        Some(tokens.max(requests))
+    }
+
     fn resize(&mut self, now: ClockTime, shares: u64) {
         let rate = self.rate;
         self.tokens
@@ -227,7 +277,7 @@
             .or_insert_with(|| LimitEntry::new(now, rate));
         entry.rate = rate;
         for share in 0..SHARES {
-            let share_name = format_smolstr!("{name}/{share}");
+            let share_name = format_smolstr!("{name}/{}", share % rate.holders());
             let members = config.live_instances().map(|(member, _)| member);
             let name_of = |member: InstanceKey| config.instances[member].name.as_str();
             let holder = rendezvous::best(&share_name, members, name_of);
@@ -368,10 +418,7 @@
         key: LimitKey,
         amount: LimitAmount,
     ) -> Option<Duration> {
-        let entry = self.entries.get_mut(&key)?;
-        let tokens = entry.tokens.wait_for(now, amount.tokens)?;
-        let requests = entry.requests.wait_for(now, amount.requests)?;
-        Some(tokens.max(requests))
+        self.entries.get_mut(&key)?.wait_for(now, amount)
     }
 
     /// Plans whom to ask for a missing amount; `None` while an ask is on its way or all holders
@@ -398,7 +445,7 @@
         if entry.empty_answers >= lenders.len() {
             entry.empty_answers = 0;
             entry.next_round = now.after(entry.round_pause);
-            entry.round_pause = (entry.round_pause * 2).min(MAX_ROUND_PAUSE);
+            entry.round_pause = MAX_ROUND_PAUSE;
             return None;
         }
         let holder = lenders[entry.next_holder % lenders.len()];
@@ -410,16 +457,51 @@
             sent: now,
             amount: missing,
         });
-        let (spent_life, spent) = entry.purse.spent(holder);
+        let (spent_life, spent) = entry.purse.report(holder);
         Some(BorrowPlan {
             holder,
             number: self.last_number,
             amount,
+            least: missing,
             spent_life,
             spent,
         })
     }
 
+    /// What was spent of loans and not reported to their holders, which cannot lend on until then.
+    pub fn settlements(&mut self) -> Vec<LoanSettlement> {
+        let mut settlements = Vec::new();
+        for (key, entry) in &mut self.entries {
+            for holder in entry.purse.unreported() {
+                let (spent_life, spent) = entry.purse.report(holder);
+                settlements.push(LoanSettlement {
+                    key: *key,
+                    holder,
+                    spent_life,
+                    spent,
+                });
+            }
+        }
+        settlements
+    }
+
+    /// Takes in what a borrower has spent.
+    pub fn settle(
+        &mut self,
+        now: ClockTime,
+        own_life: u64,
+        borrower: PeerLife,
+        settlement: &LoanSettlement,
+    ) {
+        if settlement.spent_life != own_life {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(&settlement.key) {
+            let ended = entry.ledger.settle(now, borrower, settlement.spent);
+            entry.end_loans(now, ended);
+        }
+    }
+
     /// Answers a borrower's ask; returns how much is lent.
     ///
     /// `reserved` is kept back for requests that wait here.
@@ -431,10 +513,10 @@
         key: LimitKey,
         plan: &BorrowPlan,
         reserved: LimitAmount,
-    ) -> LimitAmount {
+    ) -> LoanAnswer {
         let active = self.is_active(now);
         let Some(entry) = self.entries.get_mut(&key) else {
-            return LimitAmount::ZERO;
+            return LoanAnswer::NOTHING;
         };
         let spent = if plan.spent_life == own_life {
             plan.spent
@@ -444,10 +526,22 @@
         let ended = entry.ledger.settle(now, borrower, spent);
         entry.end_loans(now, ended);
         if !active || !entry.ledger.admits(borrower) {
-            return LimitAmount::ZERO;
+            return LoanAnswer::NOTHING;
+        }
+        // Requests are lent whole: parts would expire at borrowers that wait for the rest.
+        let spare = entry.own_available(now).minus(reserved).whole_requests();
+        let needs = plan
+            .least
+            .at_most(entry.worth_lending())
+            .whole_requests_up();
+        if !spare.covers(needs) {
+            let wait = entry.wait_for(now, needs.plus(reserved));
+            return LoanAnswer {
+                amount: LimitAmount::ZERO,
+                wait: wait.unwrap_or(MAX_ROUND_PAUSE),
+            };
         }
-        let spare = entry.own_available(now).minus(reserved);
-        let wanted = plan.amount.at_most(spare);
+        let wanted = plan.amount.whole_requests_up().at_most(spare);
         let lent = LimitAmount {
             tokens: entry.tokens.lend(now, wanted.tokens),
             requests: entry.requests.lend(now, wanted.requests),
@@ -455,7 +549,10 @@
         if !lent.is_zero() {
             entry.ledger.lend(now, borrower, lent);
         }
-        lent
+        LoanAnswer {
+            amount: lent,
+            wait: Duration::ZERO,
+        }
     }
 
     /// Takes in the answer to an ask. Answers that are late or repeated are ignored.
@@ -465,8 +562,9 @@
         key: LimitKey,
         holder: PeerLife,
         number: u64,
-        amount: LimitAmount,
+        loan: LoanAnswer,
     ) {
+        let amount = loan.amount;
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
@@ -482,9 +580,11 @@
         if amount.is_zero() || !amount.covers(useful) {
             entry.empty_answers += 1;
             entry.next_holder = entry.next_holder.wrapping_add(1);
+            let wait = loan.wait.clamp(MIN_ROUND_PAUSE, MAX_ROUND_PAUSE);
+            entry.round_pause = entry.round_pause.min(wait);
         } else {
             entry.empty_answers = 0;
-            entry.round_pause = MIN_ROUND_PAUSE;
+            entry.round_pause = MAX_ROUND_PAUSE;
         }
         if amount.is_zero() {
             return;
--- a/lib/src/limits/bucket.rs
+++ b/lib/src/limits/bucket.rs
@@ -65,6 +65,14 @@
         self.level = self.level.saturating_add(added).min(self.capacity());
     }
 
+    /// Burst of the shares, in micro-units.
+    pub fn burst_micros(&self) -> u64 {
+        self.burst
+            .saturating_mul(MICROS)
+            .saturating_mul(self.shares)
+            / PARTS
+    }
+
     /// Micro-units available now.
     pub fn available(&mut self, now: ClockTime) -> u64 {
         self.refill(now);
--- a/lib/src/limits/loans.rs
+++ b/lib/src/limits/loans.rs
@@ -108,6 +108,8 @@
 struct SpentAccount {
     life: u64,
     spent: LimitAmount,
+    /// Part of it that the holder was told about.
+    reported: LimitAmount,
 }
 
 /// What a borrower has, oldest first.
@@ -124,7 +126,7 @@
         if account.life != holder.life {
             *account = SpentAccount {
                 life: holder.life,
-                spent: LimitAmount::ZERO,
+                ..SpentAccount::default()
             };
         }
         self.credits.push_back(LoanCredit {
@@ -157,13 +159,22 @@
         self.credits.retain(|credit| !credit.left.is_zero());
     }
 
-    /// Sum spent of the loans of a holder's life, for its ledger.
-    pub(super) fn spent(&self, holder: InstanceKey) -> (u64, LimitAmount) {
+    /// Sum spent of the loans of a holder's life, for its ledger; counts as reported.
+    pub(super) fn report(&mut self, holder: InstanceKey) -> (u64, LimitAmount) {
+        let Some(account) = self.spent.get_mut(&holder) else {
+            return (0, LimitAmount::ZERO);
+        };
+        account.reported = account.spent;
+        (account.life, account.spent)
+    }
+
+    /// Holders that do not know yet what was spent.
+    pub(super) fn unreported(&self) -> Vec<InstanceKey> {
         self.spent
-            .get(&holder)
-            .map_or((0, LimitAmount::ZERO), |account| {
-                (account.life, account.spent)
-            })
+            .iter()
+            .filter(|(_, account)| account.spent != account.reported)
+            .map(|(holder, _)| *holder)
+            .collect()
     }
 
     /// Drops everything.
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     activation::ShareActivation,
-    book::{BorrowPlan, LimitBook, LimitTotals},
+    book::{BorrowPlan, LimitBook, LimitTotals, LoanAnswer, LoanSettlement},
     bucket::ShareBucket,
 };
 use crate::config::{RegionKey, TeamKey, TeamRate};
@@ -94,6 +94,22 @@
         self.zip(other, u64::max)
     }
 
+    /// Requests rounded down to whole ones.
+    pub fn whole_requests(self) -> LimitAmount {
+        LimitAmount {
+            requests: self.requests / MICROS * MICROS,
+            ..self
+        }
+    }
+
+    /// Requests rounded up to whole ones.
+    pub fn whole_requests_up(self) -> LimitAmount {
+        LimitAmount {
+            requests: self.requests.div_ceil(MICROS) * MICROS,
+            ..self
+        }
+    }
+
     /// Whether each is at least that of `other`.
     pub fn covers(self, other: LimitAmount) -> bool {
         self.tokens >= other.tokens && self.requests >= other.requests
@@ -113,6 +129,31 @@
     pub burst_requests: u64,
 }
 
+/// A holder's part of the burst should be this many requests or more.
+const LEAST_HOLDER_REQUESTS: u64 = 8;
+/// A holder's part of the burst should be this many tokens or more.
+const LEAST_HOLDER_TOKENS: u64 = 2_048;
+/// No limit of more than one request depends on a single holder.
+const LEAST_HOLDERS: usize = 2;
+
+impl LimitRate {
+    /// Holders that the shares are spread over.
+    ///
+    /// Small limits have few, so that the part of each can carry a whole request.
+    pub fn holders(&self) -> usize {
+        let by_requests = self.burst_requests / LEAST_HOLDER_REQUESTS;
+        let by_tokens = match self.burst_tokens {
+            0 => by_requests,
+            burst => burst / LEAST_HOLDER_TOKENS,
+        };
+        let holders = usize::try_from(by_requests.min(by_tokens)).unwrap_or(SHARES);
+        if self.burst_requests < LEAST_HOLDERS as u64 {
+            return 1;
+        }
+        holders.clamp(LEAST_HOLDERS, SHARES)
+    }
+}
+
 impl From<TeamRate> for LimitRate {
     fn from(rate: TeamRate) -> LimitRate {
         LimitRate {
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -221,11 +221,22 @@
         number: u64,
         /// How much.
         amount: LimitAmount,
+        /// What the next request needs.
+        least: LimitAmount,
         /// The holder's life that the sum spent refers to.
         spent_life: u64,
         /// Sum spent of that life's loans.
         spent: LimitAmount,
     },
+    /// To a holder of a limit: what was spent of its loans.
+    LimitSpent {
+        /// The limit.
+        limit: NamedLimit,
+        /// The holder's life that the sum refers to.
+        spent_life: u64,
+        /// Sum spent of that life's loans.
+        spent: LimitAmount,
+    },
     /// To a borrower: answers [`PeerMessage::LimitAsk`].
     LimitGrant {
         /// The limit.
@@ -234,6 +245,9 @@
         number: u64,
         /// How much is lent.
         amount: LimitAmount,
+        /// When nothing is lent, time until the holder expects to have enough, in milliseconds.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        wait: Duration,
     },
     /// Shows the sender's configuration sequence, and asks for the receiver's.
     Hello,
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -14,15 +14,18 @@
     config::{ConfigState, InstanceKey, TeamKey},
     error::ErrorKind,
     event::{Effect, RequestNumber},
-    limits::{BorrowPlan, LimitAmount, LimitKey, LimitRate},
+    limits::{BorrowPlan, LimitAmount, LimitKey, LimitRate, LoanAnswer},
     member::PeerLife,
     message::{NamedLimit, PeerMessage},
 };
 
-/// How long a request is held for allowance before it is refused.
-const HOLD_TIME: Duration = Duration::from_secs(1);
-/// Tokens of held requests may amount to this many seconds of the team's rate.
-const HOLD_SECONDS: u64 = 1;
+/// How long a request is held for allowance before it is refused, at least.
+const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
+/// A large request is held for up to this many times what its tokens take at the team's rate.
+const HOLD_FACTOR: u64 = 2;
+const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
+/// Tokens held before a request may amount to this many seconds of the team's rate.
+const HOLD_SECONDS: u64 = 2;
 /// How often instances are asked which configuration they follow, while that matters.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// A gap between events longer than this means that the process was paused.
@@ -98,14 +101,14 @@
         let held = self.held.entry(team).or_default();
         let most_tokens = rate.tokens_per_second.saturating_mul(HOLD_SECONDS);
         let most_requests = rate.requests_per_second.saturating_mul(HOLD_SECONDS);
-        let is_full = held.tokens.saturating_add(tokens) > most_tokens.max(tokens)
-            || held.requests.len() as u64 >= most_requests;
-        if is_full {
-            return Err((ErrorKind::RateExceeded, Some(HOLD_TIME)));
+        if held.tokens > most_tokens || held.requests.len() as u64 >= most_requests {
+            return Err((ErrorKind::RateExceeded, Some(MIN_HOLD_TIME)));
         }
         held.requests.push_back(request);
         held.tokens += tokens;
-        self.set_timer(now.after(HOLD_TIME), TimerKind::HoldEnd(request));
+        let hold_millis = tokens.saturating_mul(1_000 * HOLD_FACTOR) / rate.tokens_per_second;
+        let hold_time = Duration::from_millis(hold_millis).clamp(MIN_HOLD_TIME, MAX_HOLD_TIME);
+        self.set_timer(now.after(hold_time), TimerKind::HoldEnd(request));
         self.admit_held(now, team, effects);
         Ok(())
     }
@@ -180,6 +183,7 @@
             limit: NamedLimit::new(&self.config(), key),
             number: plan.number,
             amount: plan.amount,
+            least: plan.least,
             spent_life: plan.spent_life,
             spent: plan.spent,
         };
@@ -195,18 +199,19 @@
         effects: &mut Vec<Effect>,
     ) {
         let config = self.config();
-        let amount = match limit.resolve(&config) {
+        let answer = match limit.resolve(&config) {
             Some(key) => {
                 let reserved = self.reserved_for_held(key);
                 self.book
                     .lend(now, self.settings.life, borrower, key, plan, reserved)
             }
-            None => LimitAmount::ZERO,
+            None => LoanAnswer::NOTHING,
         };
         let message = PeerMessage::LimitGrant {
             limit: limit.clone(),
             number: plan.number,
-            amount,
+            amount: answer.amount,
+            wait: answer.wait,
         };
         self.send(borrower.instance, message, effects);
     }
@@ -227,13 +232,13 @@
         holder: PeerLife,
         limit: &NamedLimit,
         number: u64,
-        amount: LimitAmount,
+        answer: LoanAnswer,
         effects: &mut Vec<Effect>,
     ) {
         let Some(key) = limit.resolve(&self.config()) else {
             return;
         };
-        self.book.granted(now, key, holder, number, amount);
+        self.book.granted(now, key, holder, number, answer);
         match key {
             LimitKey::Team(team) => self.admit_held(now, team, effects),
             LimitKey::Loads(_) => self.step_starved_pools(now, effects),
@@ -246,6 +251,19 @@
         self.book.give_back(now, LimitKey::Team(team), amount);
     }
 
+    /// Reports what was spent of loans to their holders.
+    pub(super) fn settle_loans(&mut self, effects: &mut Vec<Effect>) {
+        let config = self.config();
+        for settlement in self.book.settlements() {
+            let message = PeerMessage::LimitSpent {
+                limit: NamedLimit::new(&config, settlement.key),
+                spent_life: settlement.spent_life,
+                spent: settlement.spent,
+            };
+            self.send(settlement.holder, message, effects);
+        }
+    }
+
     /// Lets shares become active, and asks other instances what that needs.
     pub(super) fn update_limits(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
         self.book.update(now);
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -10,7 +10,7 @@
     clock::ClockTime,
     config::InstanceKey,
     event::Effect,
-    limits::BorrowPlan,
+    limits::{BorrowPlan, LoanAnswer, LoanSettlement},
     member::PeerLife,
     message::{MAX_ENVELOPE_BYTES, PeerEnvelope, PeerMessage},
 };
@@ -186,6 +186,7 @@
                 limit,
                 number,
                 amount,
+                least,
                 spent_life,
                 spent,
             } => {
@@ -193,16 +194,37 @@
                     holder: peer,
                     number,
                     amount,
+                    least,
                     spent_life,
                     spent,
                 };
                 self.limit_asked(now, sender, &limit, &plan, effects);
             }
+            PeerMessage::LimitSpent {
+                limit,
+                spent_life,
+                spent,
+            } => {
+                if let Some(key) = limit.resolve(&self.config()) {
+                    let settlement = LoanSettlement {
+                        key,
+                        holder: peer,
+                        spent_life,
+                        spent,
+                    };
+                    self.book
+                        .settle(now, self.settings.life, sender, &settlement);
+                }
+            }
             PeerMessage::LimitGrant {
                 limit,
                 number,
                 amount,
-            } => self.limit_granted(now, sender, &limit, number, amount, effects),
+                wait,
+            } => {
+                let answer = LoanAnswer { amount, wait };
+                self.limit_granted(now, sender, &limit, number, answer, effects);
+            }
             PeerMessage::Hello => self.send(peer, PeerMessage::HelloAnswer, effects),
             PeerMessage::HelloAnswer => {}
             PeerMessage::ConfigPull { after } => self.config_pulled(peer, after, effects),
--- a/lib/src/reducer/pools.rs
+++ b/lib/src/reducer/pools.rs
@@ -106,18 +106,22 @@
         let mut actions = Vec::new();
         let one_load = LimitAmount::whole(0, 1);
         let book = &mut self.book;
-        let mut allow_load = || book.take(now, limit, one_load).is_ok();
+        let mut missing = None;
+        let mut allow_load = || {
+            missing = book.take(now, limit, one_load).err();
+            missing.is_none()
+        };
         scheduler.step(now, &config, &mut allow_load, &mut actions);
-        let starved = scheduler.is_starved();
         if let Some(wake) = scheduler.next_wake() {
             self.timers
                 .retain(|(_, kind)| *kind != TimerKind::Pool(pool));
             self.set_timer(wake, TimerKind::Pool(pool));
         }
         self.perform(pool, actions, effects);
-        if starved {
+        self.settle_loans(effects);
+        if let Some(missing) = missing {
             self.starved.insert(pool);
-            self.borrow(now, limit, one_load, effects);
+            self.borrow(now, limit, missing, effects);
             let next = self.book.next_ask(now, limit);
             self.set_timer(next, TimerKind::Pool(pool));
         } else {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -222,7 +222,6 @@
     failed_loads: BTreeMap<(ServerKey, AdapterKey, u32), ClockTime>,
     max_loads: u32,
     loads: u32,
-    starved: bool,
     ready_at: ClockTime,
     fence_base: u64,
     wake: Option<ClockTime>,
@@ -241,7 +240,6 @@
             failed_loads: BTreeMap::new(),
             max_loads: 1,
             loads: 0,
-            starved: false,
             ready_at: now.after(TAKEOVER_QUIET),
             fence_base,
             wake: None,
@@ -272,11 +270,6 @@
         self.permits.len()
     }
 
-    /// Whether the last step wanted a load that its limit did not allow.
-    pub fn is_starved(&self) -> bool {
-        self.starved
-    }
-
     /// When [`PoolScheduler::step`] has something to do next, if nothing else happens.
     pub fn next_wake(&self) -> Option<ClockTime> {
         self.wake
@@ -504,7 +497,6 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         self.wake = None;
-        self.starved = false;
         self.expire(now, actions);
         if now < self.ready_at {
             self.wake_at(self.ready_at);
@@ -663,7 +655,6 @@
             return;
         }
         if !allow_load() {
-            self.starved = true;
             return;
         }
         self.loads += 1;
--- a/testutils/src/world/mod.rs
+++ b/testutils/src/world/mod.rs
@@ -3,6 +3,7 @@
 //! Everything random comes from one seed, so that a failing schedule can be run again.
 
 mod engine;
+pub mod figures;
 mod observer;
 mod plan;
 
