limits: return loans before they expire, hold by what is held before

Change: hold time counts the tokens held before a request; unused loans go back 300 ms before they expire; at least three holders where whole requests allow it.

--- a/lib/src/limits/book.rs
+++ b/lib/src/limits/book.rs
@@ -9,7 +9,7 @@
 
 use super::{
     LOAN_TIME, LimitAmount, LimitKey, LimitRate, SHARES, ShareActivation, ShareBucket,
-    loans::{LoanLedger, LoanPurse},
+    loans::{LoanLedger, LoanPurse, LoanReport},
 };
 use crate::{
     clock::ClockTime,
@@ -62,10 +62,8 @@
     pub amount: LimitAmount,
     /// What the next request needs; less is of little use.
     pub least: LimitAmount,
-    /// The holder's life that the sum spent refers to.
-    pub spent_life: u64,
-    /// Sum spent of that life's loans.
-    pub spent: LimitAmount,
+    /// What was done with the holder's loans.
+    pub report: LoanReport,
 }
 
 /// A holder's answer to an ask.
@@ -85,17 +83,15 @@
     };
 }
 
-/// What a borrower has spent of one holder's loans.
+/// What a borrower has done with one holder's loans.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoanSettlement {
     /// The limit.
     pub key: LimitKey,
     /// The holder.
     pub holder: InstanceKey,
-    /// The holder's life that the sum refers to.
-    pub spent_life: u64,
-    /// Sum spent of that life's loans.
-    pub spent: LimitAmount,
+    /// What was done.
+    pub report: LoanReport,
 }
 
 /// One limit.
@@ -162,6 +158,17 @@
         }
     }
 
+    /// Takes in a borrower's report, unless it is about another life of this holder.
+    fn settle(&mut self, now: ClockTime, own_life: u64, borrower: PeerLife, report: &LoanReport) {
+        if report.life != own_life {
+            return;
+        }
+        let settled = self.ledger.settle(now, borrower, report);
+        self.end_loans(now, settled.ended);
+        self.tokens.give_back(now, settled.returned.tokens);
+        self.requests.give_back(now, settled.returned.requests);
+    }
+
     fn end_loans(&mut self, now: ClockTime, ended: LimitAmount) {
         self.tokens.end_loan(now, ended.tokens);
         self.requests.end_loan(now, ended.requests);
@@ -457,28 +464,26 @@
             sent: now,
             amount: missing,
         });
-        let (spent_life, spent) = entry.purse.report(holder);
+        let report = entry.purse.report(holder);
         Some(BorrowPlan {
             holder,
             number: self.last_number,
             amount,
             least: missing,
-            spent_life,
-            spent,
+            report,
         })
     }
 
-    /// What was spent of loans and not reported to their holders, which cannot lend on until then.
-    pub fn settlements(&mut self) -> Vec<LoanSettlement> {
+    /// What was done with loans and not reported to their holders, which cannot lend on until then.
+    pub fn settlements(&mut self, now: ClockTime) -> Vec<LoanSettlement> {
         let mut settlements = Vec::new();
         for (key, entry) in &mut self.entries {
+            entry.purse.return_expiring(now);
             for holder in entry.purse.unreported() {
-                let (spent_life, spent) = entry.purse.report(holder);
                 settlements.push(LoanSettlement {
                     key: *key,
                     holder,
-                    spent_life,
-                    spent,
+                    report: entry.purse.report(holder),
                 });
             }
         }
@@ -493,12 +498,8 @@
         borrower: PeerLife,
         settlement: &LoanSettlement,
     ) {
-        if settlement.spent_life != own_life {
-            return;
-        }
         if let Some(entry) = self.entries.get_mut(&settlement.key) {
-            let ended = entry.ledger.settle(now, borrower, settlement.spent);
-            entry.end_loans(now, ended);
+            entry.settle(now, own_life, borrower, &settlement.report);
         }
     }
 
@@ -518,13 +519,7 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return LoanAnswer::NOTHING;
         };
-        let spent = if plan.spent_life == own_life {
-            plan.spent
-        } else {
-            LimitAmount::ZERO
-        };
-        let ended = entry.ledger.settle(now, borrower, spent);
-        entry.end_loans(now, ended);
+        entry.settle(now, own_life, borrower, &plan.report);
         if !active || !entry.ledger.admits(borrower) {
             return LoanAnswer::NOTHING;
         }
--- a/lib/src/limits/loans.rs
+++ b/lib/src/limits/loans.rs
@@ -1,17 +1,46 @@
 //! Both sides of a loan: the holder's ledger and the borrower's purse.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
 
 use super::{LOAN_TIME, LimitAmount};
 use crate::{clock::ClockTime, config::InstanceKey, member::PeerLife};
 
+/// Loans are returned this long before they expire.
+const RETURN_MARGIN: Duration = Duration::from_millis(300);
+
+/// What a borrower has done with the loans of one life of a holder, as sums since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReport {
+    /// The holder's life.
+    pub life: u64,
+    /// Spent on requests.
+    pub spent: LimitAmount,
+    /// Returned before it expired.
+    pub returned: LimitAmount,
+}
+
+/// What has become of loans since the last look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct EndedLoans {
+    /// Spent, returned or expired.
+    pub(super) ended: LimitAmount,
+    /// Of that, returned.
+    pub(super) returned: LimitAmount,
+}
+
 /// What one holder has lent to one life of one borrower.
 #[derive(Clone, Debug, Default)]
 struct LoanAccount {
     life: u64,
     granted: LimitAmount,
-    /// Granted amounts that are spent or have expired.
+    /// Granted amounts that are spent, returned or have expired.
     ended: LimitAmount,
+    returned: LimitAmount,
     /// Expiry times with the sum granted until then.
     expiries: VecDeque<(ClockTime, LimitAmount)>,
 }
@@ -40,20 +69,29 @@
 }
 
 impl LoanLedger {
-    /// Notes time and a borrower's report of what it spent; returns what has ended since.
+    /// Notes time and a borrower's report; returns what has ended since.
     ///
     /// A borrower's newer life has forgotten its older loans; these still run until they expire.
     pub(super) fn settle(
         &mut self,
         now: ClockTime,
         borrower: PeerLife,
-        spent: LimitAmount,
-    ) -> LimitAmount {
+        report: &LoanReport,
+    ) -> EndedLoans {
         let account = self.accounts.entry(borrower.instance).or_default();
+        let mut returned = LimitAmount::ZERO;
         if account.life == borrower.life {
-            account.ended = account.ended.at_least(spent.at_most(account.granted));
+            let most = account.granted.minus(report.spent);
+            let sum = report.returned.at_most(most);
+            returned = sum.minus(account.returned);
+            account.returned = account.returned.at_least(sum);
+            let used = report.spent.plus(sum).at_most(account.granted);
+            account.ended = account.ended.at_least(used);
+        }
+        EndedLoans {
+            ended: self.expire(now),
+            returned,
         }
-        self.expire(now)
     }
 
     /// Notes time; returns what has ended since.
@@ -106,10 +144,9 @@
 /// What a borrower has spent of one holder's loans.
 #[derive(Clone, Copy, Debug, Default)]
 struct SpentAccount {
-    life: u64,
-    spent: LimitAmount,
-    /// Part of it that the holder was told about.
-    reported: LimitAmount,
+    report: LoanReport,
+    /// Whether the holder was told all of it.
+    reported: bool,
 }
 
 /// What a borrower has, oldest first.
@@ -123,10 +160,10 @@
     /// Puts a loan in.
     pub(super) fn put(&mut self, holder: PeerLife, expires: ClockTime, amount: LimitAmount) {
         let account = self.spent.entry(holder.instance).or_default();
-        if account.life != holder.life {
-            *account = SpentAccount {
+        if account.report.life != holder.life {
+            account.report = LoanReport {
                 life: holder.life,
-                ..SpentAccount::default()
+                ..LoanReport::default()
             };
         }
         self.credits.push_back(LoanCredit {
@@ -151,28 +188,45 @@
             credit.left = credit.left.minus(part);
             amount = amount.minus(part);
             if let Some(account) = self.spent.get_mut(&credit.holder.instance)
-                && account.life == credit.holder.life
+                && account.report.life == credit.holder.life
+                && !part.is_zero()
             {
-                account.spent = account.spent.plus(part);
+                account.report.spent = account.report.spent.plus(part);
+                account.reported = false;
             }
         }
         self.credits.retain(|credit| !credit.left.is_zero());
     }
 
-    /// Sum spent of the loans of a holder's life, for its ledger; counts as reported.
-    pub(super) fn report(&mut self, holder: InstanceKey) -> (u64, LimitAmount) {
+    /// Returns what expires soon to its holders, which can lend it to others.
+    pub(super) fn return_expiring(&mut self, now: ClockTime) {
+        let soon = now.after(RETURN_MARGIN);
+        for credit in self.credits.iter().filter(|credit| credit.expires <= soon) {
+            if credit.expires > now
+                && let Some(account) = self.spent.get_mut(&credit.holder.instance)
+                && account.report.life == credit.holder.life
+            {
+                account.report.returned = account.report.returned.plus(credit.left);
+                account.reported = false;
+            }
+        }
+        self.credits.retain(|credit| credit.expires > soon);
+    }
+
+    /// What was done with a holder's loans, for its ledger; counts as reported.
+    pub(super) fn report(&mut self, holder: InstanceKey) -> LoanReport {
         let Some(account) = self.spent.get_mut(&holder) else {
-            return (0, LimitAmount::ZERO);
+            return LoanReport::default();
         };
-        account.reported = account.spent;
-        (account.life, account.spent)
+        account.reported = true;
+        account.report
     }
 
-    /// Holders that do not know yet what was spent.
+    /// Holders that do not know yet what was done with their loans.
     pub(super) fn unreported(&self) -> Vec<InstanceKey> {
         self.spent
             .iter()
-            .filter(|(_, account)| account.spent != account.reported)
+            .filter(|(_, account)| !account.reported)
             .map(|(holder, _)| *holder)
             .collect()
     }
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -19,6 +19,7 @@
     activation::ShareActivation,
     book::{BorrowPlan, LimitBook, LimitTotals, LoanAnswer, LoanSettlement},
     bucket::ShareBucket,
+    loans::LoanReport,
 };
 use crate::config::{RegionKey, TeamKey, TeamRate};
 
@@ -133,8 +134,8 @@
 const LEAST_HOLDER_REQUESTS: u64 = 8;
 /// A holder's part of the burst should be this many tokens or more.
 const LEAST_HOLDER_TOKENS: u64 = 2_048;
-/// No limit of more than one request depends on a single holder.
-const LEAST_HOLDERS: usize = 2;
+/// A lost holder takes no more than this part of a limit, where whole requests allow it.
+const LEAST_HOLDERS: usize = 3;
 
 impl LimitRate {
     /// Holders that the shares are spread over.
@@ -147,10 +148,8 @@
             burst => burst / LEAST_HOLDER_TOKENS,
         };
         let holders = usize::try_from(by_requests.min(by_tokens)).unwrap_or(SHARES);
-        if self.burst_requests < LEAST_HOLDERS as u64 {
-            return 1;
-        }
-        holders.clamp(LEAST_HOLDERS, SHARES)
+        let whole_parts = usize::try_from(self.burst_requests).unwrap_or(SHARES);
+        holders.clamp(LEAST_HOLDERS, SHARES).min(whole_parts).max(1)
     }
 }
 
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -12,7 +12,7 @@
 use crate::{
     config::{ConfigState, LogEntry},
     error::ErrorKind,
-    limits::{LimitAmount, LimitKey},
+    limits::{LimitAmount, LimitKey, LoanReport},
     pool::WorkTarget,
 };
 
@@ -223,19 +223,15 @@
         amount: LimitAmount,
         /// What the next request needs.
         least: LimitAmount,
-        /// The holder's life that the sum spent refers to.
-        spent_life: u64,
-        /// Sum spent of that life's loans.
-        spent: LimitAmount,
+        /// What was done with the holder's loans.
+        report: LoanReport,
     },
-    /// To a holder of a limit: what was spent of its loans.
-    LimitSpent {
+    /// To a holder of a limit: what was done with its loans.
+    LoanReport {
         /// The limit.
         limit: NamedLimit,
-        /// The holder's life that the sum refers to.
-        spent_life: u64,
-        /// Sum spent of that life's loans.
-        spent: LimitAmount,
+        /// What was done with them.
+        report: LoanReport,
     },
     /// To a borrower: answers [`PeerMessage::LimitAsk`].
     LimitGrant {
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -21,11 +21,12 @@
 
 /// How long a request is held for allowance before it is refused, at least.
 const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
-/// A large request is held for up to this many times what its tokens take at the team's rate.
-const HOLD_FACTOR: u64 = 2;
-const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
+/// A request is held for up to this many times what its tokens, and those held before it, take at
+/// the team's rate.
+const HOLD_FACTOR: u64 = 3;
+const MAX_HOLD_TIME: Duration = Duration::from_secs(8);
 /// Tokens held before a request may amount to this many seconds of the team's rate.
-const HOLD_SECONDS: u64 = 2;
+const HOLD_SECONDS: u64 = 3;
 /// How often instances are asked which configuration they follow, while that matters.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// A gap between events longer than this means that the process was paused.
@@ -106,7 +107,8 @@
         }
         held.requests.push_back(request);
         held.tokens += tokens;
-        let hold_millis = tokens.saturating_mul(1_000 * HOLD_FACTOR) / rate.tokens_per_second;
+        let ahead = held.tokens;
+        let hold_millis = ahead.saturating_mul(1_000 * HOLD_FACTOR) / rate.tokens_per_second;
         let hold_time = Duration::from_millis(hold_millis).clamp(MIN_HOLD_TIME, MAX_HOLD_TIME);
         self.set_timer(now.after(hold_time), TimerKind::HoldEnd(request));
         self.admit_held(now, team, effects);
@@ -184,8 +186,7 @@
             number: plan.number,
             amount: plan.amount,
             least: plan.least,
-            spent_life: plan.spent_life,
-            spent: plan.spent,
+            report: plan.report,
         };
         self.send(plan.holder, message, effects);
     }
@@ -251,14 +252,13 @@
         self.book.give_back(now, LimitKey::Team(team), amount);
     }
 
-    /// Reports what was spent of loans to their holders.
-    pub(super) fn settle_loans(&mut self, effects: &mut Vec<Effect>) {
+    /// Reports to holders what was done with their loans, and returns what expires soon.
+    pub(super) fn settle_loans(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
         let config = self.config();
-        for settlement in self.book.settlements() {
-            let message = PeerMessage::LimitSpent {
+        for settlement in self.book.settlements(now) {
+            let message = PeerMessage::LoanReport {
                 limit: NamedLimit::new(&config, settlement.key),
-                spent_life: settlement.spent_life,
-                spent: settlement.spent,
+                report: settlement.report,
             };
             self.send(settlement.holder, message, effects);
         }
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -216,7 +216,7 @@
 
     fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
         self.update_limits(now, effects);
-        self.settle_loans(effects);
+        self.settle_loans(now, effects);
         self.renew_permits(now, effects);
         self.poll_reports(now, effects);
         self.gossip(now, effects);
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -187,30 +187,23 @@
                 number,
                 amount,
                 least,
-                spent_life,
-                spent,
+                report,
             } => {
                 let plan = BorrowPlan {
                     holder: peer,
                     number,
                     amount,
                     least,
-                    spent_life,
-                    spent,
+                    report,
                 };
                 self.limit_asked(now, sender, &limit, &plan, effects);
             }
-            PeerMessage::LimitSpent {
-                limit,
-                spent_life,
-                spent,
-            } => {
+            PeerMessage::LoanReport { limit, report } => {
                 if let Some(key) = limit.resolve(&self.config()) {
                     let settlement = LoanSettlement {
                         key,
                         holder: peer,
-                        spent_life,
-                        spent,
+                        report,
                     };
                     self.book
                         .settle(now, self.settings.life, sender, &settlement);
--- a/lib/src/reducer/pools.rs
+++ b/lib/src/reducer/pools.rs
@@ -118,7 +118,7 @@
             self.set_timer(wake, TimerKind::Pool(pool));
         }
         self.perform(pool, actions, effects);
-        self.settle_loans(effects);
+        self.settle_loans(now, effects);
         if let Some(missing) = missing {
             self.starved.insert(pool);
             self.borrow(now, limit, missing, effects);
--- a/lib/tests/limit_books.rs
+++ b/lib/tests/limit_books.rs
@@ -50,6 +50,8 @@
     Configure(usize),
     /// An operator adds an instance, so that shares move.
     AddInstance,
+    /// A book reports what it did with loans, and returns what expires soon.
+    Settle(usize),
     Cut(usize, usize),
     Mend,
 }
@@ -77,6 +79,7 @@
         1 => book.clone().prop_map(Action::Wake),
         2 => book.clone().prop_map(Action::Configure),
         1 => Just(Action::AddInstance),
+        3 => (0..BOOKS).prop_map(Action::Settle),
         1 => (book.clone(), book).prop_map(|(one, other)| Action::Cut(one, other)),
         1 => Just(Action::Mend),
     ]
@@ -248,6 +251,24 @@
         }
     }
 
+    fn settle(&mut self, node: usize) {
+        let Some(instance) = self.instance(node) else {
+            return;
+        };
+        let borrower = PeerLife {
+            instance,
+            life: self.nodes[node].life,
+        };
+        for settlement in self.nodes[node].book.settlements(self.now) {
+            let holder = (0..BOOKS).find(|other| self.instance(*other) == Some(settlement.holder));
+            if let Some(holder) = holder.filter(|holder| !self.cut.contains(&(node, *holder))) {
+                let lender = &mut self.nodes[holder];
+                let life = lender.life;
+                lender.book.settle(self.now, life, borrower, &settlement);
+            }
+        }
+    }
+
     fn drain(&mut self, node: usize) {
         let mut tokens = 1 << 12;
         while tokens > 0 {
@@ -311,6 +332,7 @@
                 self.newest.append(added.clone());
                 self.entries.push(added);
             }
+            Action::Settle(node) => self.settle(node),
             Action::Cut(one, other) => {
                 self.cut.extend([(one, other), (other, one)]);
             }
--- a/testutils/src/world/mod.rs
+++ b/testutils/src/world/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! Everything random comes from one seed, so that a failing schedule can be run again.
 
+pub mod baseline;
 mod engine;
+pub mod experiment;
 pub mod figures;
 mod observer;
 mod plan;
@@ -22,7 +24,7 @@
     config::{LogEntry, ServerKey, ServerRole, TeamKey},
     engine::{EngineOrder, OrderKind, OrderOutcome},
     error::{ErrorKind, RunState},
-    event::{CallerRequest, DispatchOrder, Effect, Event, RequestNumber},
+    event::{CallTarget, CallerRequest, DispatchOrder, Effect, Event, RequestNumber},
     limits::{LimitKey, LimitRate, LimitTotals},
     member::InstanceListing,
     message::{PEER_PROTOCOL, PeerEnvelope, PeerMessage},
@@ -87,6 +89,12 @@
     pub arrived: ClockTime,
     /// Tokens reserved.
     pub tokens: u64,
+    /// Adapter named; empty when there is none.
+    pub adapter: SmolStr,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Output tokens of the answer.
+    pub output_tokens: u64,
     /// Whether the fleet as a whole could have admitted it on arrival.
     pub within_rate: bool,
     /// Whether no engine had its adapter on arrival.
@@ -149,6 +157,14 @@
     output_tokens: u64,
 }
 
+/// Name of the adapter that a request runs on; empty when there is none.
+fn adapter_of(request: &CallerRequest) -> &str {
+    match &request.target {
+        CallTarget::Model(model) => model.split_once(':').map_or("", |(_, adapter)| adapter),
+        CallTarget::Service { .. } => "",
+    }
+}
+
 /// The whole world.
 pub struct World {
     now: ClockTime,
@@ -442,6 +458,9 @@
                 tokens,
                 within_rate,
                 cold: self.is_cold(&request),
+                adapter: adapter_of(&request).into(),
+                prompt_tokens: request.prompt_tokens,
+                output_tokens,
                 ..RequestHistory::default()
             },
         );
@@ -457,12 +476,10 @@
     }
 
     fn is_cold(&self, request: &CallerRequest) -> bool {
-        let wasabistall_lib::event::CallTarget::Model(model) = &request.target else {
+        let adapter = adapter_of(request);
+        if adapter.is_empty() {
             return false;
-        };
-        let Some((_, adapter)) = model.split_once(':') else {
-            return false;
-        };
+        }
         !self.engines.values().any(|engine| {
             engine
                 .slots
