limits: let the request that has waited longest go first among holders

Change: an ask says how long its request has waited; a holder keeps allowance for its own only against requests that have waited less.

--- a/lib/src/limits/book.rs
+++ b/lib/src/limits/book.rs
@@ -62,6 +62,8 @@
     pub amount: LimitAmount,
     /// What the next request needs; less is of little use.
     pub least: LimitAmount,
+    /// How long the next request has waited.
+    pub waited: Duration,
     /// What was done with the holder's loans.
     pub report: LoanReport,
 }
@@ -435,6 +437,7 @@
         now: ClockTime,
         key: LimitKey,
         missing: LimitAmount,
+        waited: Duration,
     ) -> Option<BorrowPlan> {
         let own = self.own;
         let entry = self.entries.get_mut(&key)?;
@@ -470,6 +473,7 @@
             number: self.last_number,
             amount,
             least: missing,
+            waited,
             report,
         })
     }
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -223,6 +223,9 @@
         amount: LimitAmount,
         /// What the next request needs.
         least: LimitAmount,
+        /// How long the next request has waited, in milliseconds.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        waited: Duration,
         /// What was done with the holder's loans.
         report: LoanReport,
     },
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -51,6 +51,7 @@
     idempotent: bool,
     prompt_tokens: u64,
     reserved: u64,
+    arrived: ClockTime,
     deadline: ClockTime,
     pool: PoolKey,
     phase: RequestPhase,
@@ -64,6 +65,13 @@
     trace: SmolStr,
 }
 
+impl RequestRecord {
+    /// When the request came.
+    pub(super) fn arrived(&self) -> ClockTime {
+        self.arrived
+    }
+}
+
 /// A request that passed all checks of key, model and service.
 struct AdmittedCall {
     grant: Option<GrantKey>,
@@ -118,6 +126,7 @@
             idempotent: call.idempotent,
             prompt_tokens: request.prompt_tokens,
             reserved,
+            arrived: now,
             deadline,
             pool,
             phase: RequestPhase::Held,
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -178,7 +178,8 @@
         missing: LimitAmount,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(plan) = self.book.borrow(now, key, missing) else {
+        let waited = self.longest_wait(now, key);
+        let Some(plan) = self.book.borrow(now, key, missing, waited) else {
             return;
         };
         let message = PeerMessage::LimitAsk {
@@ -186,6 +187,7 @@
             number: plan.number,
             amount: plan.amount,
             least: plan.least,
+            waited: plan.waited,
             report: plan.report,
         };
         self.send(plan.holder, message, effects);
@@ -202,7 +204,13 @@
         let config = self.config();
         let answer = match limit.resolve(&config) {
             Some(key) => {
-                let reserved = self.reserved_for_held(key);
+                // The request that has waited longest goes first; else holders that each keep
+                // a part for their own would wait for one another.
+                let reserved = if plan.waited > self.longest_wait(now, key) {
+                    LimitAmount::ZERO
+                } else {
+                    self.reserved_for_held(key)
+                };
                 self.book
                     .lend(now, self.settings.life, borrower, key, plan, reserved)
             }
@@ -217,6 +225,17 @@
         self.send(borrower.instance, message, effects);
     }
 
+    /// How long the first of the requests held here has waited.
+    fn longest_wait(&self, now: ClockTime, key: LimitKey) -> Duration {
+        let LimitKey::Team(team) = key else {
+            return Duration::ZERO;
+        };
+        let first = self.held.get(&team).and_then(|held| held.requests.front());
+        first
+            .and_then(|request| self.requests.get(request))
+            .map_or(Duration::ZERO, |record| now.since(record.arrived()))
+    }
+
     /// What the requests held here will need.
     fn reserved_for_held(&self, key: LimitKey) -> LimitAmount {
         let LimitKey::Team(team) = key else {
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -187,6 +187,7 @@
                 number,
                 amount,
                 least,
+                waited,
                 report,
             } => {
                 let plan = BorrowPlan {
@@ -194,6 +195,7 @@
                     number,
                     amount,
                     least,
+                    waited,
                     report,
                 };
                 self.limit_asked(now, sender, &limit, &plan, effects);
--- a/lib/tests/limit_books.rs
+++ b/lib/tests/limit_books.rs
@@ -213,7 +213,10 @@
     fn borrow(&mut self, node: usize, tokens: u64, delay: u64, lost: bool) {
         let (now, key) = (self.now, self.key);
         let missing = LimitAmount::whole(tokens, 0);
-        let Some(plan) = self.nodes[node].book.borrow(now, key, missing) else {
+        let Some(plan) = self.nodes[node]
+            .book
+            .borrow(now, key, missing, Duration::ZERO)
+        else {
             return;
         };
         let Some(holder) = (0..BOOKS).find(|other| self.instance(*other) == Some(plan.holder))
