--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pools: the backend servers of one kind in one data centre, scheduled together.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use la_arena::{Arena, Idx};
 use smol_str::{SmolStr, format_smolstr};
@@ -139,24 +139,33 @@
         let Some(servers) = self.by_served.get(target.served_by(config)) else {
             return Vec::new();
         };
-        let mut servers: Vec<ServerKey> = servers
-            .iter()
-            .copied()
-            .filter(|server| config.server_in_service(*server))
-            .collect();
-        rendezvous::rank(target.name(config), &mut servers, |server| {
-            &config.servers[server].name
-        });
-        if !matches!(target, WorkTarget::Adapter { .. }) {
-            servers.sort_by_key(|server| Some(config.servers[*server].data_centre) != near);
-        }
-        let mut pools = Vec::new();
+        // Only the best server of each pool counts, so nothing the size of the fleet is sorted.
+        let key = target.name(config);
+        let by_adapter = matches!(target, WorkTarget::Adapter { .. });
+        let mut ranks: BTreeMap<PoolKey, PoolRank> = BTreeMap::new();
         for server in servers {
-            let pool = self.by_server[&server];
-            if !pools.contains(&pool) {
-                pools.push(pool);
+            if !config.server_in_service(*server) {
+                continue;
             }
+            let record = &config.servers[*server];
+            let rank = PoolRank {
+                is_far: !by_adapter && Some(record.data_centre) != near,
+                weight: Reverse(rendezvous::weight(key, &record.name)),
+            };
+            let pool = self.by_server[server];
+            let best = ranks.entry(pool).or_insert(rank);
+            *best = rank.min(*best);
         }
-        pools
+        let mut pools: Vec<(PoolRank, PoolKey)> =
+            ranks.into_iter().map(|(pool, rank)| (rank, pool)).collect();
+        pools.sort();
+        pools.into_iter().map(|(_, pool)| pool).collect()
     }
 }
+
+/// Order of a pool for one target; the smallest is asked first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PoolRank {
+    is_far: bool,
+    weight: Reverse<u64>,
+}
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -10,13 +10,25 @@
 /// Separates the parts of a hashed key, so that `("ab", "c")` and `("a", "bc")` differ.
 const PART_SEPARATOR: u8 = 0x1f;
 
+/// Longest input that is put together without allocating, in bytes.
+const STACK_BYTES: usize = 256;
+
 /// Weight of `candidate` for `key`; the highest weight wins.
 pub fn weight(key: &str, candidate: &str) -> u64 {
-    let mut input = Vec::with_capacity(key.len() + candidate.len() + 1);
-    input.extend_from_slice(key.as_bytes());
-    input.push(PART_SEPARATOR);
-    input.extend_from_slice(candidate.as_bytes());
-    XxHash3_64::oneshot(&input)
+    let (key, candidate) = (key.as_bytes(), candidate.as_bytes());
+    let length = key.len() + 1 + candidate.len();
+    let mut stack = [0; STACK_BYTES];
+    let mut heap = Vec::new();
+    let input = if length <= STACK_BYTES {
+        &mut stack[..length]
+    } else {
+        heap.resize(length, 0);
+        &mut heap[..]
+    };
+    input[..key.len()].copy_from_slice(key);
+    input[key.len()] = PART_SEPARATOR;
+    input[key.len() + 1..].copy_from_slice(candidate);
+    XxHash3_64::oneshot(input)
 }
 
 /// Sorts `candidates` by descending weight for `key`, ties broken by name.
