idempotency: keys that name the one process life that may run a request

Cause: a call that may not be repeated ran again when its caller sent it through another instance (docs/guarantees.md listed it as not kept). Change: POST /v1/idempotency-keys issues a key for this life; calls that may not be repeated need one; used, foreign and old keys are refused as unknown. The plain service's lost answer really breaks off now: a body stream that failed was ended like a whole one by the server library.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -15,6 +15,7 @@
     },
 };
 use poem::{Body, Response, Server, endpoint, listener::TcpAcceptor};
+use serde::Serialize;
 use serde_json::{Map, Value};
 use smol_str::SmolStr;
 use tokio::{net::TcpListener, sync::oneshot};
@@ -23,6 +24,7 @@
     error::{ErrorKind, RefusalBody, RunState},
     event::{CallTarget, CallerRequest},
     key::KeyProof,
+    reducer::Reducer,
     settings::{CallerLimits, InstanceSettings},
 };
 
@@ -41,6 +43,8 @@
 const BYTES_PER_TOKEN: u64 = 4;
 /// A body longer than its limit times this is cut off.
 const DRAIN_FACTOR: usize = 4;
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 300;
 /// Time for connections to end once no request is in progress.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Header in which a caller names its deadline, in milliseconds.
@@ -129,6 +133,9 @@
         if method == Method::GET && path == "/v1/addresses" {
             return self.addresses(&request).await;
         }
+        if method == Method::POST && path == "/v1/idempotency-keys" {
+            return self.issue_key().await;
+        }
         let started = Instant::now();
         let span = tracing::info_span!("caller", otel.kind = "server", %method, path);
         telemetry::set_parent(&span, request.headers());
@@ -155,13 +162,14 @@
             .core
             .query(move |reducer| reducer.addresses(near.as_deref(), &caller))
             .await;
-        match list.and_then(|list| serde_json::to_vec(&list).ok()) {
-            Some(body) => Response::builder()
-                .header(CONTENT_TYPE, "application/json")
-                .header(CACHE_CONTROL, "no-store")
-                .body(body),
-            None => into_response(refusal(ErrorKind::InternalFault)),
-        }
+        json_response(list)
+    }
+
+    /// Issues an idempotency key, which this instance alone accepts.
+    async fn issue_key(&self) -> Response {
+        let random = rand::random();
+        let issue = move |reducer: &Reducer| reducer.issue_idempotency_key(random);
+        json_response(self.core.query(issue).await)
     }
 
     async fn serve(&self, mut request: poem::Request, open: OpenGuard) -> CallerReply {
@@ -189,6 +197,7 @@
             prompt_tokens: parsed.prompt_tokens,
             max_tokens: parsed.max_tokens,
             patience,
+            idempotency_key: idempotency_key(request.headers()),
             trace: telemetry::current_traceparent(),
         };
         let Some(opened) = self.core.open(caller_request).await else {
@@ -279,6 +288,22 @@
     Ok(collected.freeze())
 }
 
+/// An answer in JSON that nobody may cache.
+fn json_response<T: Serialize>(value: Option<T>) -> Response {
+    match value.and_then(|value| serde_json::to_vec(&value).ok()) {
+        Some(body) => Response::builder()
+            .header(CONTENT_TYPE, "application/json")
+            .header(CACHE_CONTROL, "no-store")
+            .body(body),
+        None => into_response(refusal(ErrorKind::InternalFault)),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Option<SmolStr> {
+    let value = headers.get(&IDEMPOTENCY_KEY)?.to_str().ok()?;
+    (value.len() <= MAX_KEY_BYTES).then(|| value.into())
+}
+
 /// A refusal before anything was sent anywhere.
 fn refusal(kind: ErrorKind) -> CallerReply {
     CallerReply::Refusal(RefusalBody::new(kind, RunState::NotRun, None))
--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -67,7 +67,7 @@
 pub(crate) enum CallerReply {
     /// A whole answer.
     Whole(WholeAnswer),
-    /// Server-sent events; an error ends the connection without a proper end.
+    /// Server-sent events. A broken answer ends with an error event and without `[DONE]`.
     Stream(mpsc::Receiver<Result<Bytes, std::io::Error>>),
     /// A refusal.
     Refusal(RefusalBody),
@@ -393,9 +393,6 @@
     let body = serde_json::to_string(refusal).unwrap_or_default();
     let event = Bytes::from(format!("event: error\ndata: {body}\n\n"));
     let _ = sender.send(Ok(event)).await;
-    let _ = sender
-        .send(Err(std::io::Error::other("the answer broke off")))
-        .await;
 }
 
 enum StreamEnd {
--- a/lib/benches/capacity.rs
+++ b/lib/benches/capacity.rs
@@ -169,6 +169,7 @@
         prompt_tokens: 1,
         max_tokens: 1,
         patience: Duration::from_secs(30),
+        idempotency_key: None,
         trace: "".into(),
     }
 }
--- a/lib/examples/embed.rs
+++ b/lib/examples/embed.rs
@@ -37,6 +37,7 @@
         prompt_tokens: 8,
         max_tokens: 16,
         patience: std::time::Duration::from_secs(30),
+        idempotency_key: None,
         trace: "".into(),
     };
     let listing = InstanceListing {
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -52,6 +52,14 @@
     ServerRefused,
     /// The answer broke off after its first byte.
     AnswerBroken,
+    /// The call may not be repeated and carries no idempotency key.
+    IdempotencyKeyRequired,
+    /// The idempotency key was used before; that request may have run.
+    IdempotencyKeyUsed,
+    /// The idempotency key names another instance or an earlier life of this one.
+    IdempotencyKeyElsewhere,
+    /// The idempotency key is too old.
+    IdempotencyKeyExpired,
     /// A fault of the instance itself.
     InternalFault,
 }
@@ -260,6 +268,34 @@
         "the answer broke off before its end",
         "discard the partial answer; retry if the call is idempotent",
     ),
+    row(
+        ErrorKind::IdempotencyKeyRequired,
+        428,
+        RetryAdvice::Never,
+        "the call may not be repeated and carries no idempotency key",
+        "get a key with POST /v1/idempotency-keys and send it to the instance that issued it",
+    ),
+    row(
+        ErrorKind::IdempotencyKeyUsed,
+        409,
+        RetryAdvice::Never,
+        "the idempotency key was used before",
+        "find out what became of the first request before sending it with a new key",
+    ),
+    row(
+        ErrorKind::IdempotencyKeyElsewhere,
+        421,
+        RetryAdvice::Never,
+        "the idempotency key was issued by another instance, or by one that has restarted",
+        "send it to the instance that issued it; if that is gone, find out the outcome first",
+    ),
+    row(
+        ErrorKind::IdempotencyKeyExpired,
+        410,
+        RetryAdvice::Never,
+        "the idempotency key is too old",
+        "find out the outcome of earlier requests, then get a new key",
+    ),
     row(
         ErrorKind::InternalFault,
         500,
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -48,6 +48,8 @@
     pub max_tokens: u64,
     /// How long the caller waits.
     pub patience: Duration,
+    /// Value of the `Idempotency-Key` header.
+    pub idempotency_key: Option<SmolStr>,
     /// W3C `traceparent` of the request's span; empty when there is none.
     pub trace: SmolStr,
 }
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -62,6 +62,8 @@
     may_have_run: bool,
     /// Whether the caller has part of the answer.
     started: bool,
+    /// Key that the request has used up.
+    idempotency_key: Option<SmolStr>,
     trace: SmolStr,
 }
 
@@ -89,11 +91,20 @@
     ) {
         let number = request.number;
         if let Err((kind, retry_after)) = self.admit(now, request, effects) {
-            self.requests.remove(&number);
+            if let Some(record) = self.requests.remove(&number) {
+                self.release_idempotency_key(&record);
+            }
+            // A key that was used, or belongs elsewhere, says nothing about its first request.
+            let run = match kind {
+                ErrorKind::IdempotencyKeyUsed
+                | ErrorKind::IdempotencyKeyElsewhere
+                | ErrorKind::IdempotencyKeyExpired => RunState::Unknown,
+                _ => RunState::NotRun,
+            };
             effects.push(Effect::Refuse(RequestRefusal {
                 request: number,
                 kind,
-                run: RunState::NotRun,
+                run,
                 retry_after,
             }));
         }
@@ -114,6 +125,7 @@
             .candidate_pools(call.target)
             .first()
             .ok_or((ErrorKind::NoServer, Some(SCHEDULER_RETRY)))?;
+        let idempotency_key = self.claim_idempotency_key(now, request, &call)?;
         let reserved = request.prompt_tokens + request.max_tokens;
         let deadline = now.after(request.patience);
         let record = RequestRecord {
@@ -135,6 +147,7 @@
             refused_by: Vec::new(),
             may_have_run: false,
             started: false,
+            idempotency_key,
             trace: request.trace.clone(),
         };
         self.requests.insert(request.number, record);
@@ -146,6 +159,31 @@
         Ok(())
     }
 
+    /// Uses up the idempotency key of a call that may not be repeated.
+    fn claim_idempotency_key(
+        &mut self,
+        now: ClockTime,
+        request: &CallerRequest,
+        call: &AdmittedCall,
+    ) -> Result<Option<SmolStr>, (ErrorKind, Option<Duration>)> {
+        if call.idempotent {
+            return Ok(None);
+        }
+        let key = request.idempotency_key.clone();
+        let key = key.ok_or((ErrorKind::IdempotencyKeyRequired, None))?;
+        self.idempotency
+            .claim(now, &key)
+            .map_err(|kind| (kind, None))?;
+        Ok(Some(key))
+    }
+
+    /// Lets the key of a request be used again, because the request did not run.
+    fn release_idempotency_key(&mut self, record: &RequestRecord) {
+        if let Some(key) = &record.idempotency_key {
+            self.idempotency.release(key);
+        }
+    }
+
     /// Tokens that a request reserves.
     pub(super) fn reserved_tokens(&self, request: RequestNumber) -> Option<u64> {
         let record = self.requests.get(&request)?;
@@ -433,6 +471,7 @@
 
     /// Returns everything taken for a request that did not run.
     fn give_back_unused(&mut self, now: ClockTime, record: &RequestRecord) {
+        self.release_idempotency_key(record);
         if let Some(team) = record.team
             && record.phase != RequestPhase::Held
         {
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -23,6 +23,7 @@
     clock::ClockTime,
     config::{ConfigLog, ConfigState, LogEntry, TeamKey},
     event::{Effect, Event, RequestNumber},
+    idempotency::{IssuedKey, KeyRegister},
     limits::{LimitBook, LimitKey, LimitTotals},
     member::MemberTable,
     message::PeerMessage,
@@ -72,6 +73,7 @@
     /// Pools that wait for the allowance to load an adapter.
     starved: BTreeSet<PoolKey>,
     usage: UsageMeter,
+    idempotency: KeyRegister,
     timers: BTreeSet<(ClockTime, TimerKind)>,
     wake: Option<ClockTime>,
     /// Messages of this instance to itself.
@@ -119,6 +121,7 @@
     pub fn new(settings: ReducerSettings) -> Reducer {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
         let housekeeping = (ClockTime::ZERO, TimerKind::Housekeeping);
+        let idempotency = KeyRegister::new(settings.instance.clone(), settings.life);
         Reducer {
             settings,
             random,
@@ -131,6 +134,7 @@
             schedulers: BTreeMap::new(),
             starved: BTreeSet::new(),
             usage: UsageMeter::default(),
+            idempotency,
             timers: BTreeSet::from([housekeeping]),
             wake: None,
             loopback: VecDeque::new(),
@@ -279,6 +283,11 @@
         &self.log
     }
 
+    /// Issues a key for a call that may not be repeated.
+    pub fn issue_idempotency_key(&self, random: u64) -> IssuedKey {
+        self.idempotency.issue(self.last_event, random)
+    }
+
     /// Usage counted so far.
     pub fn usage(&self) -> &UsageMeter {
         &self.usage
--- /dev/null
+++ b/lib/tests/at_most_once.rs
@@ -0,0 +1,111 @@
+//! A call that may not be repeated runs at most once, whatever the caller sends again.
+
+mod common;
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use smol_str::SmolStr;
+use wasabistall_lib::{
+    engine::LoadReport,
+    error::RunState,
+    event::{CallTarget, CallerRequest, Event},
+};
+
+use self::common::{JoinedReducers, completion};
+
+fn confirmation(number: u64, key: Option<SmolStr>) -> CallerRequest {
+    CallerRequest {
+        target: CallTarget::Service {
+            service: "booking".into(),
+            method: "POST".into(),
+            path: "/confirmations".into(),
+        },
+        idempotency_key: key,
+        ..completion(number)
+    }
+}
+
+fn started(count: usize) -> JoinedReducers {
+    let mut joined = JoinedReducers::started(count);
+    let config = joined.reducers[0].config();
+    let server = config.servers.key("booking-1").unwrap();
+    for node in 0..count {
+        let report = LoadReport {
+            epoch: 1,
+            age_ms: 0,
+            running: 0,
+            fence: 0,
+            slots: Vec::new(),
+        };
+        let asked = joined.now;
+        joined.tell(
+            node,
+            Event::LoadReported {
+                server,
+                asked,
+                report: Some(report),
+            },
+        );
+    }
+    joined.take_session();
+    joined
+}
+
+#[test]
+fn a_key_runs_once_and_only_where_it_was_issued() {
+    let mut joined = started(2);
+    let key = Some(joined.reducers[0].issue_idempotency_key(1).key);
+    joined.tell(0, Event::RequestArrived(confirmation(1, None)));
+    joined.tell(
+        0,
+        Event::RequestArrived(confirmation(2, Some("nonsense".into()))),
+    );
+    joined.tell(1, Event::RequestArrived(confirmation(1, key.clone())));
+    joined.tell(0, Event::RequestArrived(confirmation(3, key.clone())));
+    joined.tell(0, Event::RequestArrived(confirmation(4, key.clone())));
+    joined.tell(
+        0,
+        Event::AnswerFailed {
+            request: 3,
+            run: RunState::Unknown,
+            output_tokens: 0,
+        },
+    );
+    joined.tell(0, Event::RequestArrived(confirmation(5, key.clone())));
+    joined.run(Duration::from_secs(3_700));
+    joined.tell(0, Event::RequestArrived(confirmation(6, key)));
+    assert_snapshot!(joined.take_session());
+}
+
+#[test]
+fn a_key_can_be_used_again_when_its_request_did_not_run() {
+    let mut joined = started(1);
+    let key = Some(joined.reducers[0].issue_idempotency_key(1).key);
+    joined.tell(0, Event::RequestArrived(confirmation(1, key.clone())));
+    for _ in 0..3 {
+        joined.tell(
+            0,
+            Event::AnswerFailed {
+                request: 1,
+                run: RunState::NotRun,
+                output_tokens: 0,
+            },
+        );
+        joined.run(Duration::from_secs(1));
+    }
+    joined.tell(0, Event::RequestArrived(confirmation(2, key)));
+    assert_snapshot!(joined.take_session());
+}
+
+#[test]
+fn a_later_life_refuses_the_keys_of_an_earlier_one() {
+    let joined = started(1);
+    let key = joined.reducers[0].issue_idempotency_key(1).key;
+    let mut register = wasabistall_lib::idempotency::KeyRegister::new("i1".into(), 2_000);
+    let claimed = register.claim(joined.now, &key);
+    assert_eq!(
+        claimed,
+        Err(wasabistall_lib::error::ErrorKind::IdempotencyKeyElsewhere)
+    );
+}
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -83,6 +83,7 @@
         prompt_tokens: 10,
         max_tokens: 20,
         patience: Duration::from_secs(30),
+        idempotency_key: None,
         trace: "".into(),
     }
 }
--- a/lib/tests/golden.rs
+++ b/lib/tests/golden.rs
@@ -103,7 +103,9 @@
     let mut joined = JoinedReducers::started(1);
     report_load(&mut joined, &[("clans", 1)]);
     joined.tell(0, Event::RequestArrived(completion(1)));
+    let key = joined.reducers[0].issue_idempotency_key(7).key;
     let confirmation = CallerRequest {
+        idempotency_key: Some(key),
         target: CallTarget::Service {
             service: "booking".into(),
             method: "POST".into(),
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use hyper::{
+    Method, Request, StatusCode,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
+};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -95,9 +98,10 @@
     Some(status)
 }
 
-/// An answer whose body breaks off at once.
+/// An answer that announces a body and breaks off before it.
 pub(crate) fn broken() -> Response {
-    let fault = Err::<Bytes, _>(std::io::Error::other("broken on purpose"));
-    let stream = futures_util::stream::iter([fault]);
-    Response::builder().body(poem::Body::from_bytes_stream(stream))
+    let nothing = futures_util::stream::empty::<Result<Bytes, std::io::Error>>();
+    Response::builder()
+        .header(CONTENT_LENGTH, "1")
+        .body(poem::Body::from_bytes_stream(nothing))
 }
--- a/testutils/src/world/plan.rs
+++ b/testutils/src/world/plan.rs
@@ -314,6 +314,7 @@
             },
             max_tokens: 60,
             patience: Duration::from_secs(20),
+            idempotency_key: None,
             trace: SmolStr::default(),
         };
         world.request(self.entries[entry], request, team, output_tokens)
