--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -154,7 +154,7 @@
         requests: HashMap::new(),
         next_request: 1,
         wake: Some(ClockTime::ZERO),
-        peers: PeerLink::new(settings, handle.clone(), client.clone()),
+        peers: PeerLink::new(settings, handle.clone(), client.clone(), metrics.clone()),
         engines: EngineLink::new(handle.clone(), client),
         shared,
         metrics,
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -40,6 +40,7 @@
     settings: Arc<InstanceSettings>,
     core: CoreHandle,
     client: HttpClient,
+    metrics: MetricSet,
     queues: HashMap<SmolStr, mpsc::Sender<PeerMessage>>,
 }
 
@@ -48,11 +49,13 @@
         settings: &InstanceSettings,
         core: CoreHandle,
         client: HttpClient,
+        metrics: MetricSet,
     ) -> PeerLink {
         PeerLink {
             settings: Arc::new(settings.clone()),
             core,
             client,
+            metrics,
             queues: HashMap::new(),
         }
     }
@@ -65,6 +68,7 @@
                 settings: self.settings.clone(),
                 core: self.core.clone(),
                 client: self.client.clone(),
+                metrics: self.metrics.clone(),
                 to: to.clone(),
                 address,
             };
@@ -83,6 +87,7 @@
     settings: Arc<InstanceSettings>,
     core: CoreHandle,
     client: HttpClient,
+    metrics: MetricSet,
     to: SmolStr,
     address: SocketAddr,
 }
@@ -118,6 +123,7 @@
         };
         let mut headers = HeaderMap::new();
         headers.insert(SIGNATURE_HEADER, signature);
+        self.metrics.count_envelope_sent(signed.body.len());
         let body = Bytes::from(signed.body);
         let call = self.client.call(
             Method::POST,
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -166,6 +166,8 @@
     registry: Arc<Registry>,
     answers: Counter<u64>,
     answer_seconds: Histogram<f64>,
+    envelopes_sent: Counter<u64>,
+    envelope_bytes: Counter<u64>,
     envelopes_refused: Counter<u64>,
     config_version: Gauge<u64>,
 }
@@ -184,6 +186,15 @@
                 .with_unit("s")
                 .with_description("Time until the head of an answer")
                 .build(),
+            envelopes_sent: meter
+                .u64_counter("wasabistall.envelopes.sent")
+                .with_description("Envelopes sent to peers")
+                .build(),
+            envelope_bytes: meter
+                .u64_counter("wasabistall.envelopes.sent.bytes")
+                .with_unit("By")
+                .with_description("Bytes of the envelopes sent to peers")
+                .build(),
             envelopes_refused: meter
                 .u64_counter("wasabistall.envelopes.refused")
                 .with_description("Envelopes of peers that were refused, by fault")
@@ -205,6 +216,12 @@
         self.answer_seconds.record(elapsed.as_secs_f64(), &labels);
     }
 
+    /// Counts an envelope sent to a peer.
+    pub(crate) fn count_envelope_sent(&self, bytes: usize) {
+        self.envelopes_sent.add(1, &[]);
+        self.envelope_bytes.add(bytes as u64, &[]);
+    }
+
     /// Counts a refused envelope.
     pub(crate) fn count_envelope_refused(&self, fault: &'static str) {
         self.envelopes_refused
