peers: keep messages that nobody waits for until others go to the same peer

Cause: each release, renewal and loan report travelled in an envelope of its own; HTTP around single messages is two thirds of the control bytes at the target size (docs/CAPACITY.md). Change: such messages wait up to 20 ms for company; urgent ones go at once and take them along.

--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -29,6 +29,8 @@
 const PEER_QUEUE: usize = 4_096;
 /// Messages in one envelope at most.
 const ENVELOPE_MESSAGES: usize = 256;
+/// Messages that nobody waits for are kept this long for others to the same peer.
+const GATHER_TIME: Duration = Duration::from_millis(20);
 /// A peer that does not answer within this time counts as unreachable.
 const PEER_LIMITS: CallLimits = CallLimits {
     timeout: Duration::from_secs(1),
@@ -96,6 +98,7 @@
     async fn run(self, mut queue: mpsc::Receiver<PeerMessage>) {
         let mut messages = Vec::new();
         while queue.recv_many(&mut messages, ENVELOPE_MESSAGES).await > 0 {
+            gather(&mut queue, &mut messages).await;
             let batch = std::mem::take(&mut messages);
             if !self.deliver(batch).await {
                 self.core.tell(Event::PeerFailed(self.to.clone())).await;
@@ -147,6 +150,17 @@
     }
 }
 
+/// Waits a little for more messages, unless somebody waits for one of them.
+async fn gather(queue: &mut mpsc::Receiver<PeerMessage>, messages: &mut Vec<PeerMessage>) {
+    let deadline = tokio::time::Instant::now() + GATHER_TIME;
+    while messages.len() < ENVELOPE_MESSAGES && !messages.iter().any(PeerMessage::is_urgent) {
+        match tokio::time::timeout_at(deadline, queue.recv()).await {
+            Ok(Some(message)) => messages.push(message),
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
+
 /// Serves envelopes of other instances.
 pub(crate) fn serve(
     listener: TcpListener,
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -263,3 +263,24 @@
         entries: Arc<[LogEntry]>,
     },
 }
+
+impl PeerMessage {
+    /// Whether somebody waits for the message; others may wait a little for company.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            PeerMessage::PermitRequest(_)
+            | PeerMessage::PermitGrant { .. }
+            | PeerMessage::PermitRefusal { .. }
+            | PeerMessage::LimitAsk { .. }
+            | PeerMessage::LimitGrant { .. }
+            | PeerMessage::Hello
+            | PeerMessage::HelloAnswer
+            | PeerMessage::ConfigEntries { .. } => true,
+            PeerMessage::PermitCancel { .. }
+            | PeerMessage::PermitRelease { .. }
+            | PeerMessage::PermitRenew { .. }
+            | PeerMessage::LoanReport { .. }
+            | PeerMessage::ConfigPull { .. } => false,
+        }
+    }
+}
