--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -187,7 +187,7 @@
             Ok(parsed) => parsed,
             Err(kind) => return refusal(kind),
         };
-        let Some(patience) = self.patience(request.headers()) else {
+        let Some(timeout) = self.timeout(request.headers()) else {
             return refusal(ErrorKind::MalformedRequest);
         };
         let caller_request = CallerRequest {
@@ -196,7 +196,7 @@
             key: bearer_key(request.headers()),
             prompt_tokens: parsed.prompt_tokens,
             max_tokens: parsed.max_tokens,
-            patience,
+            timeout,
             idempotency_key: idempotency_key(request.headers()),
             trace: telemetry::current_traceparent(),
         };
@@ -232,7 +232,7 @@
     }
 
     /// How long the caller waits; `None` when its header is not a number.
-    fn patience(&self, headers: &HeaderMap) -> Option<Duration> {
+    fn timeout(&self, headers: &HeaderMap) -> Option<Duration> {
         let Some(value) = headers.get(&DEADLINE) else {
             return Some(self.limits.default_deadline);
         };
--- a/lib/benches/capacity.rs
+++ b/lib/benches/capacity.rs
@@ -168,7 +168,7 @@
         key: Ok(KeyProof::parse(KEY)),
         prompt_tokens: 1,
         max_tokens: 1,
-        patience: Duration::from_secs(30),
+        timeout: Duration::from_secs(30),
         idempotency_key: None,
         trace: "".into(),
     }
--- a/lib/examples/embed.rs
+++ b/lib/examples/embed.rs
@@ -36,7 +36,7 @@
         key: Ok(None),
         prompt_tokens: 8,
         max_tokens: 16,
-        patience: std::time::Duration::from_secs(30),
+        timeout: std::time::Duration::from_secs(30),
         idempotency_key: None,
         trace: "".into(),
     };
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -47,7 +47,7 @@
     /// Most output tokens asked for.
     pub max_tokens: u64,
     /// How long the caller waits.
-    pub patience: Duration,
+    pub timeout: Duration,
     /// Value of the `Idempotency-Key` header.
     pub idempotency_key: Option<SmolStr>,
     /// W3C `traceparent` of the request's span; empty when there is none.
--- a/lib/src/limits/loans.rs
+++ b/lib/src/limits/loans.rs
@@ -1,4 +1,4 @@
-//! Both sides of a loan: the holder's ledger and the borrower's purse.
+//! Both sides of a loan: the holder's ledger and the borrower's credits.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -151,12 +151,12 @@
 
 /// What a borrower has, oldest first.
 #[derive(Clone, Debug, Default)]
-pub(super) struct LoanPurse {
+pub(super) struct CreditQueue {
     credits: VecDeque<LoanCredit>,
     spent: BTreeMap<InstanceKey, SpentAccount>,
 }
 
-impl LoanPurse {
+impl CreditQueue {
     /// Puts a loan in.
     pub(super) fn put(&mut self, holder: PeerLife, expires: ClockTime, amount: LimitAmount) {
         let account = self.spent.entry(holder.instance).or_default();
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -7,9 +7,9 @@
 //! wastes some, and a repeated one is ignored.
 
 mod activation;
-mod book;
 mod bucket;
 mod loans;
+mod table;
 
 use std::time::Duration;
 
@@ -17,9 +17,9 @@
 
 pub use self::{
     activation::ShareActivation,
-    book::{BorrowPlan, LimitBook, LimitTotals, LoanAnswer, LoanSettlement},
     bucket::ShareBucket,
     loans::LoanReport,
+    table::{BorrowPlan, LimitTable, LimitTotals, LoanAnswer, LoanSettlement},
 };
 use crate::config::{RegionKey, TeamKey, TeamRate};
 
--- a/lib/src/limits/book.rs
+++ b/lib/src/limits/table.rs
@@ -9,7 +9,7 @@
 
 use super::{
     LOAN_TIME, LimitAmount, LimitKey, LimitRate, SHARES, ShareActivation, ShareBucket,
-    loans::{LoanLedger, LoanPurse, LoanReport},
+    loans::{CreditQueue, LoanLedger, LoanReport},
 };
 use crate::{
     clock::ClockTime,
@@ -107,7 +107,7 @@
     tokens: ShareBucket,
     requests: ShareBucket,
     ledger: LoanLedger,
-    purse: LoanPurse,
+    credits: CreditQueue,
     asked: Option<SentAsk>,
     next_holder: usize,
     empty_answers: usize,
@@ -138,7 +138,7 @@
             tokens: ShareBucket::empty(now, rate.tokens, rate.burst_tokens, 0),
             requests: ShareBucket::empty(now, rate.requests, rate.burst_requests, 0),
             ledger: LoanLedger::default(),
-            purse: LoanPurse::default(),
+            credits: CreditQueue::default(),
             asked: None,
             next_holder: 0,
             empty_answers: 0,
@@ -249,14 +249,14 @@
 
 /// The limits of one instance.
 #[derive(Clone, Debug, Default)]
-pub struct LimitBook {
+pub struct LimitTable {
     own: Option<InstanceKey>,
     entries: BTreeMap<LimitKey, LimitEntry>,
     activation: ShareActivation,
     last_number: u64,
 }
 
-impl LimitBook {
+impl LimitTable {
     /// Takes in the instances of the configuration in force.
     pub fn configure(
         &mut self,
@@ -320,7 +320,7 @@
         for entry in self.entries.values_mut() {
             entry.tokens.drain(now);
             entry.requests.drain(now);
-            entry.purse.clear();
+            entry.credits.clear();
         }
     }
 
@@ -379,7 +379,7 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return Err(amount);
         };
-        let borrowed = entry.purse.available(now);
+        let borrowed = entry.credits.available(now);
         let own = if active {
             entry.own_available(now)
         } else {
@@ -392,7 +392,7 @@
         entry.count_demand(now, amount);
         entry.totals.taken = entry.totals.taken.plus(amount);
         let from_loans = borrowed.at_most(amount);
-        entry.purse.spend(from_loans);
+        entry.credits.spend(from_loans);
         let rest = amount.minus(from_loans);
         entry.tokens.take(now, rest.tokens);
         entry.requests.take(now, rest.requests);
@@ -467,7 +467,7 @@
             sent: now,
             amount: missing,
         });
-        let report = entry.purse.report(holder);
+        let report = entry.credits.report(holder);
         Some(BorrowPlan {
             holder,
             number: self.last_number,
@@ -482,12 +482,12 @@
     pub fn settlements(&mut self, now: ClockTime) -> Vec<LoanSettlement> {
         let mut settlements = Vec::new();
         for (key, entry) in &mut self.entries {
-            entry.purse.return_expiring(now);
-            for holder in entry.purse.unreported() {
+            entry.credits.return_expiring(now);
+            for holder in entry.credits.unreported() {
                 settlements.push(LoanSettlement {
                     key: *key,
                     holder,
-                    report: entry.purse.report(holder),
+                    report: entry.credits.report(holder),
                 });
             }
         }
@@ -590,7 +590,7 @@
         }
         let expires = asked.sent.after(LOAN_TIME);
         if expires > now {
-            entry.purse.put(holder, expires, amount);
+            entry.credits.put(holder, expires, amount);
         }
     }
 
--- /dev/null
+++ b/lib/src/reducer/admission.rs
@@ -0,0 +1,143 @@
+//! Admission checks of a request: key, model, service, call.
+
+use crate::{
+    config::{ConfigState, GrantKey, TeamKey},
+    error::ErrorKind,
+    event::{CallTarget, CallerRequest},
+    key::KeyProof,
+    pool::WorkTarget,
+};
+
+/// A request that passed all checks of key, model and service.
+pub(super) struct AdmittedCall {
+    pub(super) grant: Option<GrantKey>,
+    pub(super) team: Option<TeamKey>,
+    pub(super) target: WorkTarget,
+    pub(super) idempotent: bool,
+}
+
+/// Checks key, model and service of a request.
+pub(super) fn admit_call(
+    config: &ConfigState,
+    request: &CallerRequest,
+) -> Result<AdmittedCall, ErrorKind> {
+    match &request.target {
+        CallTarget::Model(model) => admit_model(config, request, model),
+        CallTarget::Service {
+            service,
+            method,
+            path,
+        } => admit_service(config, request, service, method, path),
+    }
+}
+
+fn admit_model(
+    config: &ConfigState,
+    request: &CallerRequest,
+    model: &str,
+) -> Result<AdmittedCall, ErrorKind> {
+    let (base, adapter) = match model.split_once(':') {
+        Some((base, adapter)) => (base, Some(adapter)),
+        None => (model, None),
+    };
+    let base = config.bases.key(base);
+    let Some(adapter) = adapter else {
+        let open = base.is_some_and(|base| config.bases[base].open);
+        let (grant, team) = if open {
+            (None, None)
+        } else {
+            let (grant, team) = check_key(config, &request.key)?;
+            (Some(grant), Some(team))
+        };
+        let base = base.ok_or(ErrorKind::UnknownModel)?;
+        return Ok(AdmittedCall {
+            grant,
+            team,
+            target: WorkTarget::Base(base),
+            idempotent: true,
+        });
+    };
+    let (grant, team) = check_key(config, &request.key)?;
+    let adapter = config
+        .adapters
+        .key(adapter)
+        .ok_or(ErrorKind::UnknownModel)?;
+    let record = &config.adapters[adapter];
+    if record.removed || Some(record.base) != base {
+        return Err(ErrorKind::UnknownModel);
+    }
+    if record.team != team {
+        return Err(ErrorKind::NotYourAdapter);
+    }
+    Ok(AdmittedCall {
+        grant: Some(grant),
+        team: Some(team),
+        target: WorkTarget::Adapter {
+            adapter,
+            version: record.version,
+        },
+        idempotent: true,
+    })
+}
+
+fn admit_service(
+    config: &ConfigState,
+    request: &CallerRequest,
+    service: &str,
+    method: &str,
+    path: &str,
+) -> Result<AdmittedCall, ErrorKind> {
+    let service = config.services.key(service);
+    let call = service.and_then(|service| {
+        config.services[service]
+            .calls
+            .iter()
+            .find(|call| call.method == method && path_fits(&call.path, path))
+    });
+    let (grant, team) = if call.is_some_and(|call| call.open) {
+        (None, None)
+    } else {
+        let (grant, team) = check_key(config, &request.key)?;
+        (Some(grant), Some(team))
+    };
+    let service = service.ok_or(ErrorKind::UnknownService)?;
+    let call = call.ok_or(ErrorKind::UnknownRoute)?;
+    let owner = config.services[service].team;
+    if team.is_some() && owner.is_some() && owner != team {
+        return Err(ErrorKind::NotYourAdapter);
+    }
+    Ok(AdmittedCall {
+        grant,
+        team,
+        target: WorkTarget::Service(service),
+        idempotent: call.idempotent,
+    })
+}
+
+/// Whether `path` is `prefix` or lies below it, segment by segment.
+fn path_fits(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
+
+fn check_key(
+    config: &ConfigState,
+    key: &Result<Option<KeyProof>, ()>,
+) -> Result<(GrantKey, TeamKey), ErrorKind> {
+    let proof = match key {
+        Ok(Some(proof)) => proof,
+        Ok(None) => return Err(ErrorKind::MissingKey),
+        Err(()) => return Err(ErrorKind::InvalidKey),
+    };
+    let grant = config.keys.key(&proof.id).ok_or(ErrorKind::InvalidKey)?;
+    let record = &config.keys[grant];
+    if !record.digest.matches(&proof.digest) {
+        return Err(ErrorKind::InvalidKey);
+    }
+    if record.withdrawn || config.teams[record.team].removed {
+        return Err(ErrorKind::KeyWithdrawn);
+    }
+    Ok((grant, record.team))
+}
--- a/lib/src/reducer/entry.rs
+++ b/lib/src/reducer/entry.rs
@@ -1,16 +1,18 @@
 //! Requests of callers: admission, permits, dispatch, retries, settlement.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use smol_str::{SmolStr, format_smolstr};
 
-use super::{Reducer, TimerKind};
+use super::{
+    Reducer, TimerKind,
+    admission::{AdmittedCall, admit_call},
+};
 use crate::{
     clock::ClockTime,
     config::{ConfigState, GrantKey, InstanceKey, PriceClass, ServerKey, TeamKey},
     error::{ErrorKind, RunState},
-    event::{CallTarget, CallerRequest, DispatchOrder, Effect, RequestNumber, RequestRefusal},
-    key::KeyProof,
+    event::{CallerRequest, DispatchOrder, Effect, RequestNumber, RequestRefusal},
     message::{NamedTarget, PeerMessage, PermitFault, PermitHolding, PermitRequest, PermitUse},
     pool::{PoolKey, WorkTarget},
     usage::{UsageAccount, UsageOutcome},
@@ -74,14 +76,6 @@
     }
 }
 
-/// A request that passed all checks of key, model and service.
-struct AdmittedCall {
-    grant: Option<GrantKey>,
-    team: Option<TeamKey>,
-    target: WorkTarget,
-    idempotent: bool,
-}
-
 impl Reducer {
     pub(super) fn request_arrived(
         &mut self,
@@ -127,7 +121,7 @@
             .ok_or((ErrorKind::NoServer, Some(SCHEDULER_RETRY)))?;
         let idempotency_key = self.claim_idempotency_key(now, request, &call)?;
         let reserved = request.prompt_tokens + request.max_tokens;
-        let deadline = now.after(request.patience);
+        let deadline = now.after(request.timeout);
         let record = RequestRecord {
             grant: call.grant,
             team: call.team,
@@ -203,7 +197,7 @@
             .is_some_and(|record| record.phase == RequestPhase::Held);
         if held {
             // Without its own shares the instance cannot tell whether the rate is used up.
-            let kind = if self.book.is_active(now) {
+            let kind = if self.limits.is_active(now) {
                 ErrorKind::RateExceeded
             } else {
                 ErrorKind::NotReady
@@ -636,8 +630,7 @@
         }
         self.last_renewal = now;
         let config = self.config();
-        let mut by_pool: std::collections::BTreeMap<PoolKey, Vec<PermitHolding>> =
-            std::collections::BTreeMap::new();
+        let mut by_pool: BTreeMap<PoolKey, Vec<PermitHolding>> = BTreeMap::new();
         for (request, record) in &self.requests {
             if let RequestPhase::Running { server } = record.phase {
                 by_pool.entry(record.pool).or_default().push(PermitHolding {
@@ -674,129 +667,6 @@
     }
 }
 
-/// Checks key, model and service of a request.
-fn admit_call(config: &ConfigState, request: &CallerRequest) -> Result<AdmittedCall, ErrorKind> {
-    match &request.target {
-        CallTarget::Model(model) => admit_model(config, request, model),
-        CallTarget::Service {
-            service,
-            method,
-            path,
-        } => admit_service(config, request, service, method, path),
-    }
-}
-
-fn admit_model(
-    config: &ConfigState,
-    request: &CallerRequest,
-    model: &str,
-) -> Result<AdmittedCall, ErrorKind> {
-    let (base, adapter) = match model.split_once(':') {
-        Some((base, adapter)) => (base, Some(adapter)),
-        None => (model, None),
-    };
-    let base = config.bases.key(base);
-    let Some(adapter) = adapter else {
-        let open = base.is_some_and(|base| config.bases[base].open);
-        let (grant, team) = if open {
-            (None, None)
-        } else {
-            let (grant, team) = check_key(config, &request.key)?;
-            (Some(grant), Some(team))
-        };
-        let base = base.ok_or(ErrorKind::UnknownModel)?;
-        return Ok(AdmittedCall {
-            grant,
-            team,
-            target: WorkTarget::Base(base),
-            idempotent: true,
-        });
-    };
-    let (grant, team) = check_key(config, &request.key)?;
-    let adapter = config
-        .adapters
-        .key(adapter)
-        .ok_or(ErrorKind::UnknownModel)?;
-    let record = &config.adapters[adapter];
-    if record.removed || Some(record.base) != base {
-        return Err(ErrorKind::UnknownModel);
-    }
-    if record.team != team {
-        return Err(ErrorKind::NotYourAdapter);
-    }
-    Ok(AdmittedCall {
-        grant: Some(grant),
-        team: Some(team),
-        target: WorkTarget::Adapter {
-            adapter,
-            version: record.version,
-        },
-        idempotent: true,
-    })
-}
-
-fn admit_service(
-    config: &ConfigState,
-    request: &CallerRequest,
-    service: &str,
-    method: &str,
-    path: &str,
-) -> Result<AdmittedCall, ErrorKind> {
-    let service = config.services.key(service);
-    let call = service.and_then(|service| {
-        config.services[service]
-            .calls
-            .iter()
-            .find(|call| call.method == method && path_fits(&call.path, path))
-    });
-    let (grant, team) = if call.is_some_and(|call| call.open) {
-        (None, None)
-    } else {
-        let (grant, team) = check_key(config, &request.key)?;
-        (Some(grant), Some(team))
-    };
-    let service = service.ok_or(ErrorKind::UnknownService)?;
-    let call = call.ok_or(ErrorKind::UnknownRoute)?;
-    let owner = config.services[service].team;
-    if team.is_some() && owner.is_some() && owner != team {
-        return Err(ErrorKind::NotYourAdapter);
-    }
-    Ok(AdmittedCall {
-        grant,
-        team,
-        target: WorkTarget::Service(service),
-        idempotent: call.idempotent,
-    })
-}
-
-/// Whether `path` is `prefix` or lies below it, segment by segment.
-fn path_fits(prefix: &str, path: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else {
-        return false;
-    };
-    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
-}
-
-fn check_key(
-    config: &ConfigState,
-    key: &Result<Option<KeyProof>, ()>,
-) -> Result<(GrantKey, TeamKey), ErrorKind> {
-    let proof = match key {
-        Ok(Some(proof)) => proof,
-        Ok(None) => return Err(ErrorKind::MissingKey),
-        Err(()) => return Err(ErrorKind::InvalidKey),
-    };
-    let grant = config.keys.key(&proof.id).ok_or(ErrorKind::InvalidKey)?;
-    let record = &config.keys[grant];
-    if !record.digest.matches(&proof.digest) {
-        return Err(ErrorKind::InvalidKey);
-    }
-    if record.withdrawn || config.teams[record.team].removed {
-        return Err(ErrorKind::KeyWithdrawn);
-    }
-    Ok((grant, record.team))
-}
-
 /// Why an admitted request may no longer be sent, if so.
 fn withdrawn(config: &ConfigState, record: &RequestRecord) -> Option<ErrorKind> {
     if record
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -56,7 +56,7 @@
         let own = config.instances.key(&self.settings.instance);
         let members: BTreeSet<InstanceKey> = config.live_instances().map(|(key, _)| key).collect();
         let sequence = self.log.sequence();
-        self.book.configure(own, members, sequence);
+        self.limits.configure(own, members, sequence);
         let unchanged = before.instances == config.instances
             && before.teams == config.teams
             && before.regions == config.regions;
@@ -72,14 +72,15 @@
             (LimitKey::Loads(region), &record.name, rate)
         });
         for (key, name, rate) in teams.chain(regions) {
-            self.book.set_limit(now, key, name, rate, &config, sequence);
+            self.limits
+                .set_limit(now, key, name, rate, &config, sequence);
         }
     }
 
     /// Notices a pause of the process: whatever was lent or held before may have been replaced.
     pub(super) fn notice_pause(&mut self, now: ClockTime) {
         if now.since(self.last_event) > PAUSE_LIMIT {
-            self.book.suspend(now);
+            self.limits.suspend(now);
         }
         self.last_event = now;
     }
@@ -130,7 +131,7 @@
                 continue;
             };
             let amount = LimitAmount::whole(tokens, 1);
-            if let Err(missing) = self.book.take(now, key, amount) {
+            if let Err(missing) = self.limits.take(now, key, amount) {
                 self.borrow(now, key, missing, effects);
                 self.plan_admission(now, team, amount);
                 return;
@@ -161,8 +162,8 @@
     /// Plans the next look at a team's held requests.
     fn plan_admission(&mut self, now: ClockTime, team: TeamKey, amount: LimitAmount) {
         let key = LimitKey::Team(team);
-        let mut next = self.book.next_ask(now, key);
-        if let Some(wait) = self.book.own_wait(now, key, amount) {
+        let mut next = self.limits.next_ask(now, key);
+        if let Some(wait) = self.limits.own_wait(now, key, amount) {
             next = next.min(now.after(wait.max(Duration::from_millis(1))));
         }
         self.timers
@@ -179,7 +180,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let waited = self.longest_wait(now, key);
-        let Some(plan) = self.book.borrow(now, key, missing, waited) else {
+        let Some(plan) = self.limits.borrow(now, key, missing, waited) else {
             return;
         };
         let message = PeerMessage::LimitAsk {
@@ -211,7 +212,7 @@
                 } else {
                     self.reserved_for_held(key)
                 };
-                self.book
+                self.limits
                     .lend(now, self.settings.life, borrower, key, plan, reserved)
             }
             None => LoanAnswer::NOTHING,
@@ -258,7 +259,7 @@
         let Some(key) = limit.resolve(&self.config()) else {
             return;
         };
-        self.book.granted(now, key, holder, number, answer);
+        self.limits.granted(now, key, holder, number, answer);
         match key {
             LimitKey::Team(team) => self.admit_held(now, team, effects),
             LimitKey::Loads(_) => self.step_starved_pools(now, effects),
@@ -268,13 +269,13 @@
     /// Returns tokens that were reserved and not used.
     pub(super) fn give_back(&mut self, now: ClockTime, team: TeamKey, tokens: u64, requests: u64) {
         let amount = LimitAmount::whole(tokens, requests);
-        self.book.give_back(now, LimitKey::Team(team), amount);
+        self.limits.give_back(now, LimitKey::Team(team), amount);
     }
 
     /// Reports to holders what was done with their loans, and returns what expires soon.
     pub(super) fn settle_loans(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
         let config = self.config();
-        for settlement in self.book.settlements(now) {
+        for settlement in self.limits.settlements(now) {
             let message = PeerMessage::LoanReport {
                 limit: NamedLimit::new(&config, settlement.key),
                 report: settlement.report,
@@ -285,8 +286,8 @@
 
     /// Lets shares become active, and asks other instances what that needs.
     pub(super) fn update_limits(&mut self, now: ClockTime, effects: &mut Vec<Effect>) {
-        self.book.update(now);
-        if !self.book.wants_hearing(now) || now.since(self.last_hello) < HELLO_INTERVAL {
+        self.limits.update(now);
+        if !self.limits.wants_hearing(now) || now.since(self.last_hello) < HELLO_INTERVAL {
             return;
         }
         self.last_hello = now;
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 //! `reduce` takes the time and an event, changes the state and appends effects. It reads no
 //! clock, socket or random source, so that the same events give the same effects.
 
+mod admission;
 mod entry;
 mod limits;
 mod peers;
@@ -24,7 +25,7 @@
     config::{ConfigLog, ConfigState, LogEntry, TeamKey},
     event::{Effect, Event, RequestNumber},
     idempotency::{IssuedKey, KeyRegister},
-    limits::{LimitBook, LimitKey, LimitTotals},
+    limits::{LimitKey, LimitTable, LimitTotals},
     member::MemberTable,
     message::PeerMessage,
     pool::{PoolKey, PoolTable},
@@ -66,7 +67,7 @@
     log: ConfigLog,
     members: MemberTable,
     pools: PoolTable,
-    book: LimitBook,
+    limits: LimitTable,
     held: BTreeMap<TeamKey, HeldQueue>,
     requests: BTreeMap<RequestNumber, RequestRecord>,
     schedulers: BTreeMap<PoolKey, PoolScheduler>,
@@ -128,7 +129,7 @@
             log: ConfigLog::default(),
             members: MemberTable::default(),
             pools: PoolTable::default(),
-            book: LimitBook::default(),
+            limits: LimitTable::default(),
             held: BTreeMap::new(),
             requests: BTreeMap::new(),
             schedulers: BTreeMap::new(),
@@ -295,7 +296,7 @@
 
     /// What this process has admitted of a limit so far.
     pub fn admitted(&self, key: LimitKey) -> LimitTotals {
-        self.book.totals(key)
+        self.limits.totals(key)
     }
 
     /// What this instance must know of itself.
@@ -316,7 +317,7 @@
 
     /// Whether the instance can admit requests: it is configured and may use its shares.
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && !self.superseded && self.book.is_active(self.last_event)
+        self.is_configured() && !self.superseded && self.limits.is_active(self.last_event)
     }
 
     /// Ranks addresses for a caller in the data centre `near`, or in this instance's own.
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -90,7 +90,7 @@
         }
         self.members.heard(&from, life);
         if let Some(peer) = self.config().instances.key(&from) {
-            self.book.heard(
+            self.limits.heard(
                 PeerLife {
                     instance: peer,
                     life,
@@ -207,7 +207,7 @@
                         holder: peer,
                         report,
                     };
-                    self.book
+                    self.limits
                         .settle(now, self.settings.life, sender, &settlement);
                 }
             }
@@ -247,7 +247,7 @@
     ) {
         if let Some(key) = self.config().instances.key(instance) {
             self.scheduler_lost(now, key);
-            self.book.ask_failed(key);
+            self.limits.ask_failed(key);
         }
     }
 
--- a/lib/src/reducer/pools.rs
+++ b/lib/src/reducer/pools.rs
@@ -105,10 +105,10 @@
         };
         let mut actions = Vec::new();
         let one_load = LimitAmount::whole(0, 1);
-        let book = &mut self.book;
+        let limits = &mut self.limits;
         let mut missing = None;
         let mut allow_load = || {
-            missing = book.take(now, limit, one_load).err();
+            missing = limits.take(now, limit, one_load).err();
             missing.is_none()
         };
         scheduler.step(now, &config, &mut allow_load, &mut actions);
@@ -122,7 +122,7 @@
         if let Some(missing) = missing {
             self.starved.insert(pool);
             self.borrow(now, limit, missing, effects);
-            let next = self.book.next_ask(now, limit);
+            let next = self.limits.next_ask(now, limit);
             self.set_timer(next, TimerKind::Pool(pool));
         } else {
             self.starved.remove(&pool);
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler/mod.rs
@@ -4,13 +4,16 @@
 //! One instance schedules a pool at a time. Entries ask it for permits; it queues them fairly by
 //! team, has adapters loaded, and never grants more than a server bears.
 
+mod gate;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use smol_str::SmolStr;
 
+use self::gate::{AdapterSlot, ServerGate, SlotPhase, cold_limit, has_target, pin_slot};
 use crate::{
     clock::ClockTime,
-    config::{AdapterKey, ConfigState, InstanceKey, PriceClass, ServerKey, ServerRole, TeamKey},
+    config::{AdapterKey, ConfigState, InstanceKey, PriceClass, ServerKey, TeamKey},
     engine::{EngineOrder, LoadReport, OrderKind, OrderOutcome},
     error::ErrorKind,
     message::{PermitFault, PermitUse},
@@ -28,8 +31,6 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 /// A slot whose load failed is not tried for the same adapter for this long.
 const LOAD_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// A cold server starts at this fraction of its concurrency.
-const COLD_FRACTION: u32 = 4;
 /// Retry advice given with a refusal for lack of servers or queue space.
 const REFUSAL_RETRY: Duration = Duration::from_millis(500);
 /// Queue tags count tokens in this many parts, so that weights divide evenly enough.
@@ -108,94 +109,6 @@
     expires: ClockTime,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SlotPhase {
-    Loading,
-    Ready,
-    Unloading,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct AdapterSlot {
-    adapter: AdapterKey,
-    version: u32,
-    phase: SlotPhase,
-    /// Requests with a permit for this slot.
-    pins: u32,
-    /// Requests that the engine reported on this slot.
-    reported: u32,
-    changed: ClockTime,
-    used: ClockTime,
-}
-
-/// What the scheduler knows of one server.
-#[derive(Clone, Debug)]
-struct ServerGate {
-    concurrency: u32,
-    /// Requests it bears now; grows with evidence.
-    limit: u32,
-    running: u32,
-    slots: Vec<AdapterSlot>,
-    max_slots: usize,
-    epoch: Option<u64>,
-    paused_until: ClockTime,
-    fence: u64,
-}
-
-impl ServerGate {
-    fn new(config: &ConfigState, server: ServerKey) -> ServerGate {
-        let record = &config.servers[server];
-        let max_slots = match record.role {
-            ServerRole::Engine { slots, .. } => slots as usize,
-            ServerRole::Service { .. } => 0,
-        };
-        ServerGate {
-            concurrency: record.concurrency,
-            limit: cold_limit(record.concurrency),
-            running: 0,
-            slots: Vec::new(),
-            max_slots,
-            epoch: None,
-            paused_until: ClockTime::ZERO,
-            fence: 0,
-        }
-    }
-
-    fn slot(&mut self, adapter: AdapterKey, version: u32) -> Option<&mut AdapterSlot> {
-        self.slots
-            .iter_mut()
-            .find(|slot| slot.adapter == adapter && slot.version == version)
-    }
-
-    fn slot_phase(&self, adapter: AdapterKey, version: u32) -> Option<SlotPhase> {
-        self.slots
-            .iter()
-            .find(|slot| slot.adapter == adapter && slot.version == version)
-            .map(|slot| slot.phase)
-    }
-
-    fn takes_requests(&self, now: ClockTime) -> bool {
-        self.epoch.is_some() && self.running < self.limit && now >= self.paused_until
-    }
-
-    /// The least recently used slot that nothing runs on.
-    fn evictable(&self) -> Option<(AdapterKey, u32)> {
-        self.slots
-            .iter()
-            .filter(|slot| slot.phase == SlotPhase::Ready && slot.pins == 0 && slot.reported == 0)
-            .min_by_key(|slot| slot.used)
-            .map(|slot| (slot.adapter, slot.version))
-    }
-
-    fn is_reloading(&self) -> bool {
-        self.slots.iter().any(|slot| slot.phase != SlotPhase::Ready)
-    }
-}
-
-fn cold_limit(concurrency: u32) -> u32 {
-    (concurrency / COLD_FRACTION).max(1)
-}
-
 /// Figures of a pool for operators and experiments.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SchedulerStats {
@@ -727,29 +640,3 @@
         }
     }
 }
-
-fn has_target(gate: &ServerGate, target: WorkTarget) -> bool {
-    match target {
-        WorkTarget::Adapter { adapter, version } => {
-            gate.slot_phase(adapter, version) == Some(SlotPhase::Ready)
-        }
-        WorkTarget::Base(_) | WorkTarget::Service(_) => true,
-    }
-}
-
-fn pin_slot(gate: &mut ServerGate, now: ClockTime, adapter: AdapterKey, version: u32) {
-    if let Some(slot) = gate.slot(adapter, version) {
-        slot.pins += 1;
-        slot.used = now;
-        return;
-    }
-    gate.slots.push(AdapterSlot {
-        adapter,
-        version,
-        phase: SlotPhase::Ready,
-        pins: 1,
-        reported: 0,
-        changed: now,
-        used: now,
-    });
-}
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -82,7 +82,7 @@
         key: Ok(KeyProof::parse(ELDERS_KEY)),
         prompt_tokens: 10,
         max_tokens: 20,
-        patience: Duration::from_secs(30),
+        timeout: Duration::from_secs(30),
         idempotency_key: None,
         trace: "".into(),
     }
--- a/lib/tests/limit_books.rs
+++ b/lib/tests/limit_tables.rs
@@ -11,16 +11,16 @@
 use wasabistall_lib::{
     clock::ClockTime,
     config::{ConfigLog, ConfigState, InstanceKey},
-    limits::{BorrowPlan, LimitAmount, LimitBook, LimitKey, LimitRate, LimitTotals, LoanAnswer},
+    limits::{BorrowPlan, LimitAmount, LimitKey, LimitRate, LimitTable, LimitTotals, LoanAnswer},
     member::PeerLife,
 };
 use wasabistall_testutils::world::LimitObserver;
 
 use self::common::{entry, first_changes};
 
-const BOOKS: usize = 4;
-/// Books of the first configuration; the others are added while all run.
-const FIRST_BOOKS: usize = 2;
+const TABLES: usize = 4;
+/// Tables of the first configuration; the others are added while all run.
+const FIRST_TABLES: usize = 2;
 const RATE: LimitRate = LimitRate {
     tokens: 1_000,
     burst_tokens: 1_000,
@@ -32,40 +32,40 @@
 #[derive(Clone, Debug)]
 enum Action {
     Wait(u64),
-    /// A book asks its next holder; the answer takes a while or is lost.
+    /// A table asks its next holder; the answer takes a while or is lost.
     Borrow {
-        book: usize,
+        table: usize,
         tokens: u64,
         delay: u64,
         lost: bool,
     },
-    /// A book takes all it has.
+    /// A table takes all it has.
     Drain(usize),
-    /// All books take all they have.
+    /// All tables take all they have.
     DrainAll,
     Restart(usize),
-    /// A book's process was paused and notices it.
+    /// A table's process was paused and notices it.
     Wake(usize),
-    /// A book applies the newest configuration.
+    /// A table applies the newest configuration.
     Configure(usize),
     /// An operator adds an instance, so that shares move.
     AddInstance,
-    /// A book reports what it did with loans, and returns what expires soon.
+    /// A table reports what it did with loans, and returns what expires soon.
     Settle(usize),
     Cut(usize, usize),
     Mend,
 }
 
 fn any_action() -> impl Strategy<Value = Action> {
-    let book = 0..BOOKS;
+    let table = 0..TABLES;
     let borrow = (
-        book.clone(),
+        table.clone(),
         1..2_000_u64,
         0..1_200_u64,
         prop::bool::weighted(0.1),
     )
-        .prop_map(|(book, tokens, delay, lost)| Action::Borrow {
-            book,
+        .prop_map(|(table, tokens, delay, lost)| Action::Borrow {
+            table,
             tokens,
             delay,
             lost,
@@ -73,20 +73,20 @@
     prop_oneof![
         4 => (1..1_200_u64).prop_map(Action::Wait),
         6 => borrow,
-        2 => book.clone().prop_map(Action::Drain),
+        2 => table.clone().prop_map(Action::Drain),
         2 => Just(Action::DrainAll),
-        1 => book.clone().prop_map(Action::Restart),
-        1 => book.clone().prop_map(Action::Wake),
-        2 => book.clone().prop_map(Action::Configure),
+        1 => table.clone().prop_map(Action::Restart),
+        1 => table.clone().prop_map(Action::Wake),
+        2 => table.clone().prop_map(Action::Configure),
         1 => Just(Action::AddInstance),
-        3 => (0..BOOKS).prop_map(Action::Settle),
-        1 => (book.clone(), book).prop_map(|(one, other)| Action::Cut(one, other)),
+        3 => (0..TABLES).prop_map(Action::Settle),
+        1 => (table.clone(), table).prop_map(|(one, other)| Action::Cut(one, other)),
         1 => Just(Action::Mend),
     ]
 }
 
-struct BookNode {
-    book: LimitBook,
+struct TableNode {
+    table: LimitTable,
     life: u64,
     log: ConfigLog,
     last_update: ClockTime,
@@ -102,10 +102,10 @@
     answer: LoanAnswer,
 }
 
-struct BookWorld {
+struct TableWorld {
     newest: ConfigLog,
     now: ClockTime,
-    nodes: Vec<BookNode>,
+    nodes: Vec<TableNode>,
     entries: Vec<wasabistall_lib::config::LogEntry>,
     grants: Vec<GrantOnWay>,
     cut: BTreeSet<(usize, usize)>,
@@ -114,13 +114,13 @@
     key: LimitKey,
 }
 
-impl BookWorld {
-    fn new() -> BookWorld {
-        let entries = vec![entry(1, 0, &first_changes(FIRST_BOOKS))];
+impl TableWorld {
+    fn new() -> TableWorld {
+        let entries = vec![entry(1, 0, &first_changes(FIRST_TABLES))];
         let mut log = ConfigLog::default();
         log.append(entries[0].clone());
         let key = LimitKey::Team(log.state().teams.key("elders").unwrap());
-        let mut world = BookWorld {
+        let mut world = TableWorld {
             newest: log,
             now: ClockTime::from_millis(1),
             nodes: Vec::new(),
@@ -131,9 +131,9 @@
             dead: LimitTotals::default(),
             key,
         };
-        for node in 0..BOOKS {
-            world.nodes.push(BookNode {
-                book: LimitBook::default(),
+        for node in 0..TABLES {
+            world.nodes.push(TableNode {
+                table: LimitTable::default(),
                 life: 1,
                 log: ConfigLog::default(),
                 last_update: world.now,
@@ -159,9 +159,9 @@
             let sequence = target.log.sequence();
             let own = config.instances.key(&format!("i{}", node + 1));
             let members = config.live_instances().map(|(member, _)| member).collect();
-            target.book.configure(own, members, sequence);
+            target.table.configure(own, members, sequence);
             target
-                .book
+                .table
                 .set_limit(now, key, "elders", RATE, &config, sequence);
         }
     }
@@ -173,22 +173,22 @@
             self.hear();
             self.deliver();
             for node in &mut self.nodes {
-                node.book.update(self.now);
+                node.table.update(self.now);
                 node.last_update = self.now;
             }
         }
     }
 
     fn hear(&mut self) {
-        for from in 0..BOOKS {
+        for from in 0..TABLES {
             let (life, sequence) = (self.nodes[from].life, self.nodes[from].log.sequence());
             let Some(instance) = self.instance(from) else {
                 continue;
             };
-            for to in (0..BOOKS).filter(|to| *to != from) {
+            for to in (0..TABLES).filter(|to| *to != from) {
                 if !self.cut.contains(&(from, to)) {
                     let peer = PeerLife { instance, life };
-                    self.nodes[to].book.heard(peer, sequence);
+                    self.nodes[to].table.heard(peer, sequence);
                 }
             }
         }
@@ -204,7 +204,7 @@
         for grant in due {
             let node = &mut self.nodes[grant.borrower];
             if node.life == grant.borrower_life {
-                node.book
+                node.table
                     .granted(now, self.key, grant.holder, grant.number, grant.answer);
             }
         }
@@ -214,12 +214,12 @@
         let (now, key) = (self.now, self.key);
         let missing = LimitAmount::whole(tokens, 0);
         let Some(plan) = self.nodes[node]
-            .book
+            .table
             .borrow(now, key, missing, Duration::ZERO)
         else {
             return;
         };
-        let Some(holder) = (0..BOOKS).find(|other| self.instance(*other) == Some(plan.holder))
+        let Some(holder) = (0..TABLES).find(|other| self.instance(*other) == Some(plan.holder))
         else {
             return;
         };
@@ -237,7 +237,7 @@
         let lender = &mut self.nodes[holder];
         let life = lender.life;
         let answer = lender
-            .book
+            .table
             .lend(now, life, borrower, key, &plan, LimitAmount::ZERO);
         if !lost {
             self.grants.push(GrantOnWay {
@@ -262,12 +262,12 @@
             instance,
             life: self.nodes[node].life,
         };
-        for settlement in self.nodes[node].book.settlements(self.now) {
-            let holder = (0..BOOKS).find(|other| self.instance(*other) == Some(settlement.holder));
+        for settlement in self.nodes[node].table.settlements(self.now) {
+            let holder = (0..TABLES).find(|other| self.instance(*other) == Some(settlement.holder));
             if let Some(holder) = holder.filter(|holder| !self.cut.contains(&(node, *holder))) {
                 let lender = &mut self.nodes[holder];
                 let life = lender.life;
-                lender.book.settle(self.now, life, borrower, &settlement);
+                lender.table.settle(self.now, life, borrower, &settlement);
             }
         }
     }
@@ -277,7 +277,7 @@
         while tokens > 0 {
             let amount = LimitAmount::whole(tokens, 0);
             if self.nodes[node]
-                .book
+                .table
                 .take(self.now, self.key, amount)
                 .is_err()
             {
@@ -290,17 +290,17 @@
     fn observe(&mut self) {
         let mut sums = self.dead;
         for node in &self.nodes {
-            let totals = node.book.totals(self.key);
+            let totals = node.table.totals(self.key);
             sums.taken = sums.taken.plus(totals.taken);
         }
         self.observer.observe(self.now, sums);
     }
 
     fn restart(&mut self, node: usize) {
-        let old = self.nodes[node].book.totals(self.key);
+        let old = self.nodes[node].table.totals(self.key);
         self.dead.taken = self.dead.taken.plus(old.taken);
         let target = &mut self.nodes[node];
-        target.book = LimitBook::default();
+        target.table = LimitTable::default();
         target.log = ConfigLog::default();
         target.life += 1;
         self.configure(node);
@@ -310,20 +310,20 @@
         match *action {
             Action::Wait(millis) => self.wait(millis),
             Action::Borrow {
-                book,
+                table,
                 tokens,
                 delay,
                 lost,
-            } => self.borrow(book, tokens, delay, lost),
+            } => self.borrow(table, tokens, delay, lost),
             Action::Drain(node) => self.drain(node),
-            Action::DrainAll => (0..BOOKS).for_each(|node| self.drain(node)),
+            Action::DrainAll => (0..TABLES).for_each(|node| self.drain(node)),
             Action::Restart(node) => self.restart(node),
-            Action::Wake(node) => self.nodes[node].book.suspend(self.now),
+            Action::Wake(node) => self.nodes[node].table.suspend(self.now),
             Action::Configure(node) => self.configure(node),
             Action::AddInstance => {
                 let base = self.entries.len();
-                let number = FIRST_BOOKS + base;
-                if number > BOOKS {
+                let number = FIRST_TABLES + base;
+                if number > TABLES {
                     return;
                 }
                 let change = serde_json::json!([{
@@ -345,7 +345,7 @@
 }
 
 fn overdraft(actions: &[Action]) -> u64 {
-    let mut world = BookWorld::new();
+    let mut world = TableWorld::new();
     for action in actions {
         world.act(action);
     }
@@ -362,7 +362,7 @@
     })]
 
     #[test]
-    fn greedy_books_stay_within_rate_and_burst(
+    fn greedy_tables_stay_within_rate_and_burst(
         actions in proptest::collection::vec(any_action(), 0..40),
     ) {
         prop_assert_eq!(overdraft(&actions), 0);
--- a/testutils/src/world/mod.rs
+++ b/testutils/src/world/mod.rs
@@ -140,7 +140,7 @@
 
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
-enum Happening {
+enum WorldEvent {
     Tick(usize, u64),
     ReadPlatform(usize, u64),
     Tell(usize, u64, Event),
@@ -170,8 +170,8 @@
     now: ClockTime,
     random: ChaCha8Rng,
     nodes: Vec<WorldNode>,
-    happenings: BTreeMap<(ClockTime, u64), Happening>,
-    next_happening: u64,
+    events: BTreeMap<(ClockTime, u64), WorldEvent>,
+    next_event: u64,
     log: Vec<LogEntry>,
     log_published: Vec<ClockTime>,
     listings: Vec<(ClockTime, Vec<InstanceListing>)>,
@@ -205,8 +205,8 @@
             now: ClockTime::from_millis(1),
             random: ChaCha8Rng::seed_from_u64(seed),
             nodes: Vec::new(),
-            happenings: BTreeMap::new(),
-            next_happening: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
             log: Vec::new(),
             log_published: Vec::new(),
             listings: Vec::new(),
@@ -329,9 +329,9 @@
         let jitter = self
             .random
             .random_range(0..PLATFORM_INTERVAL.as_micros() as u64 / 4);
-        self.at(Duration::ZERO, Happening::Tick(node, life));
+        self.at(Duration::ZERO, WorldEvent::Tick(node, life));
         let delay = Duration::from_micros(jitter);
-        self.at(delay, Happening::ReadPlatform(node, life));
+        self.at(delay, WorldEvent::ReadPlatform(node, life));
     }
 
     /// Kills an instance; what it had on engines is cancelled.
@@ -491,21 +491,21 @@
     /// Lets time pass.
     pub fn run(&mut self, time: Duration) {
         let end = self.now.after(time);
-        while let Some(entry) = self.happenings.first_entry() {
+        while let Some(entry) = self.events.first_entry() {
             if entry.key().0 > end {
                 break;
             }
-            let ((time, _), happening) = entry.remove_entry();
+            let ((time, _), event) = entry.remove_entry();
             self.now = self.now.max(time);
-            self.happen(happening);
+            self.handle(event);
         }
         self.now = end;
     }
 
-    fn at(&mut self, delay: Duration, happening: Happening) {
-        self.next_happening += 1;
-        let key = (self.now.after(delay), self.next_happening);
-        self.happenings.insert(key, happening);
+    fn at(&mut self, delay: Duration, event: WorldEvent) {
+        self.next_event += 1;
+        let key = (self.now.after(delay), self.next_event);
+        self.events.insert(key, event);
     }
 
     fn is_running(&self, node: usize, life: u64) -> bool {
@@ -513,41 +513,41 @@
     }
 
     /// Delays what concerns a paused instance; returns whether it may happen now.
-    fn awake(&mut self, node: usize, happening: &Happening) -> bool {
+    fn awake(&mut self, node: usize, event: &WorldEvent) -> bool {
         let paused_until = self.nodes[node].paused_until;
         if paused_until <= self.now {
             return true;
         }
         let delay = paused_until.since(self.now);
-        self.at(delay, happening.clone());
+        self.at(delay, event.clone());
         false
     }
 
-    fn happen(&mut self, happening: Happening) {
-        if let Happening::Tick(node, life)
-        | Happening::ReadPlatform(node, life)
-        | Happening::Tell(node, life, _) = &happening
-            && (!self.is_running(*node, *life) || !self.awake(*node, &happening))
+    fn handle(&mut self, event: WorldEvent) {
+        if let WorldEvent::Tick(node, life)
+        | WorldEvent::ReadPlatform(node, life)
+        | WorldEvent::Tell(node, life, _) = &event
+            && (!self.is_running(*node, *life) || !self.awake(*node, &event))
         {
             return;
         }
-        match happening {
-            Happening::Tick(node, _) => self.tell(node, Event::Tick),
-            Happening::ReadPlatform(node, life) => self.read_platform(node, life),
-            Happening::Tell(node, _, event) => self.tell(node, event),
-            Happening::Arrive(id, order, attempt) => self.arrive(id, &order, attempt),
-            Happening::Finish(id, attempt) => self.finish(id, attempt),
-            Happening::Order(node, life, order, adapter) => {
+        match event {
+            WorldEvent::Tick(node, _) => self.tell(node, Event::Tick),
+            WorldEvent::ReadPlatform(node, life) => self.read_platform(node, life),
+            WorldEvent::Tell(node, _, event) => self.tell(node, event),
+            WorldEvent::Arrive(id, order, attempt) => self.arrive(id, &order, attempt),
+            WorldEvent::Finish(id, attempt) => self.finish(id, attempt),
+            WorldEvent::Order(node, life, order, adapter) => {
                 self.order(node, life, order, &adapter);
             }
-            Happening::Loaded(node, life, order, loaded) => {
+            WorldEvent::Loaded(node, life, order, loaded) => {
                 self.loaded(node, life, order, &loaded);
             }
         }
     }
 
     fn read_platform(&mut self, node: usize, life: u64) {
-        self.at(PLATFORM_INTERVAL, Happening::ReadPlatform(node, life));
+        self.at(PLATFORM_INTERVAL, WorldEvent::ReadPlatform(node, life));
         if !self.nodes[node].reads_platform {
             return;
         }
@@ -620,7 +620,7 @@
                     history.sent.get_or_insert(self.now);
                 }
                 let delay = self.delay();
-                self.at(delay, Happening::Arrive(id, order, attempt));
+                self.at(delay, WorldEvent::Arrive(id, order, attempt));
             }
             Effect::Refuse(refusal) => {
                 let id = RequestId {
@@ -640,12 +640,12 @@
             Effect::SendPeer { to, message, .. } => self.send(node, &to, message),
             Effect::OrderEngine { order, adapter, .. } => {
                 let delay = self.delay();
-                self.at(delay, Happening::Order(node, life, order, adapter));
+                self.at(delay, WorldEvent::Order(node, life, order, adapter));
             }
             Effect::PollReport { server, address } => self.poll(node, server, address),
             Effect::WakeAt(time) => {
                 let due = self.nodes[node].started.after(time.since(ClockTime::ZERO));
-                self.at(due.since(self.now), Happening::Tick(node, life));
+                self.at(due.since(self.now), WorldEvent::Tick(node, life));
             }
             Effect::LogApplied { .. } | Effect::TraceGrant { .. } => {}
         }
@@ -673,7 +673,7 @@
         if lost || unreachable {
             let notice = if refused { self.delay() } else { LOSS_NOTICE };
             let event = Event::PeerFailed(to.into());
-            self.at(notice, Happening::Tell(from, life, event));
+            self.at(notice, WorldEvent::Tell(from, life, event));
             // Half of the losses concern the answer: the message itself arrives.
             if unreachable || self.random.random_bool(0.5) {
                 return;
@@ -682,7 +682,7 @@
         let delay = self.delay();
         let target_life = self.nodes[target].life;
         let event = Event::PeerReceived(envelope);
-        self.at(delay, Happening::Tell(target, target_life, event));
+        self.at(delay, WorldEvent::Tell(target, target_life, event));
     }
 
     fn poll(&mut self, node: usize, server: ServerKey, _address: SocketAddr) {
@@ -700,7 +700,7 @@
             report,
         };
         let delay = self.delay();
-        self.at(delay, Happening::Tell(node, life, event));
+        self.at(delay, WorldEvent::Tell(node, life, event));
     }
 
     fn arrive(&mut self, id: RequestId, order: &DispatchOrder, attempt: u32) {
@@ -746,7 +746,7 @@
                 prompt_tokens: size.prompt_tokens,
             },
         );
-        self.at(time, Happening::Finish(id, attempt));
+        self.at(time, WorldEvent::Finish(id, attempt));
     }
 
     /// Crashes an engine; its requests fail.
@@ -771,7 +771,7 @@
             output_tokens: 0,
         };
         let delay = self.delay();
-        self.at(delay, Happening::Tell(id.node, id.life, event));
+        self.at(delay, WorldEvent::Tell(id.node, id.life, event));
     }
 
     /// Takes a request off its engine.
@@ -808,13 +808,13 @@
             output_tokens: running.output_tokens,
         };
         let delay = self.delay();
-        self.at(delay, Happening::Tell(id.node, id.life, event));
+        self.at(delay, WorldEvent::Tell(id.node, id.life, event));
     }
 
     fn answer_order(&mut self, node: usize, life: u64, order: EngineOrder, outcome: OrderOutcome) {
         let delay = self.delay();
         let event = Event::OrderDone(order, outcome);
-        self.at(delay, Happening::Tell(node, life, event));
+        self.at(delay, WorldEvent::Tell(node, life, event));
     }
 
     fn order(&mut self, node: usize, life: u64, order: EngineOrder, adapter: &SmolStr) {
@@ -858,7 +858,7 @@
         self.most_loads = self.most_loads.max(self.loads);
         let crowd = self.loads.div_ceil(FULL_SPEED_LOADS);
         let time = LOAD_TIME * u32::try_from(crowd).unwrap_or(1);
-        self.at(time, Happening::Loaded(node, life, order, loaded));
+        self.at(time, WorldEvent::Loaded(node, life, order, loaded));
     }
 
     /// Takes a load from a region's store.
--- a/testutils/src/world/plan.rs
+++ b/testutils/src/world/plan.rs
@@ -313,7 +313,7 @@
                 SHORT_PROMPT_TOKENS
             },
             max_tokens: 60,
-            patience: Duration::from_secs(20),
+            timeout: Duration::from_secs(20),
             idempotency_key: None,
             trace: SmolStr::default(),
         };
