tests: configuration relayed by peers, and never taken back

Change: schedules in virtual time: one reader for 6 and 48 instances, an instance cut off and back, a pause. Found: an instance that starts while the service is down knows no peer and stays without configuration.

--- /dev/null
+++ b/lib/tests/config_relay.rs
@@ -0,0 +1,151 @@
+//! An accepted configuration is in force everywhere within eight seconds, also where the
+//! configuration service cannot be reached.
+
+use std::time::Duration;
+
+use wasabistall_lib::{
+    clock::ClockTime,
+    error::{ErrorKind, RunState},
+    event::{CallTarget, CallerRequest},
+    key::KeyProof,
+};
+use wasabistall_testutils::world::{DeploymentPlan, World};
+
+/// Time within which a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(8);
+const STEP: Duration = Duration::from_millis(100);
+
+fn plan(instances: usize) -> DeploymentPlan {
+    let mut plan = DeploymentPlan::sauti();
+    plan.instances = instances;
+    plan.teams.truncate(2);
+    for team in &mut plan.teams {
+        team.adapters = 2;
+    }
+    plan
+}
+
+fn withdraw(world: &mut World, plan: &DeploymentPlan) {
+    let key = plan.teams[0].name;
+    world.publish(
+        1,
+        &serde_json::json!([{ "op": "withdraw_key", "key": key }]),
+    );
+}
+
+/// Lets time pass until all instances in `nodes` follow `sequence`; returns how long it took.
+fn time_to_follow(world: &mut World, nodes: &[usize], sequence: u64) -> Option<Duration> {
+    let start = world.now();
+    let follows = |world: &World, node: usize| {
+        world
+            .reducer(node)
+            .is_some_and(|reducer| reducer.config_log().sequence() >= sequence)
+    };
+    while world.now().since(start) <= IN_FORCE {
+        if nodes.iter().all(|node| follows(world, *node)) {
+            return Some(world.now().since(start));
+        }
+        world.run(STEP);
+    }
+    None
+}
+
+fn request(plan: &DeploymentPlan) -> CallerRequest {
+    CallerRequest {
+        number: 0,
+        target: CallTarget::Model(format!("nyota:{}", plan.adapter(0, 0)).into()),
+        key: Ok(KeyProof::parse(&plan.key(0))),
+        prompt_tokens: 10,
+        max_tokens: 10,
+        timeout: Duration::from_secs(20),
+        idempotency_key: None,
+        trace: "".into(),
+    }
+}
+
+/// Whether a request with the withdrawn key is refused for it.
+fn is_refused(world: &mut World, plan: &DeploymentPlan, node: usize) -> bool {
+    let id = world.request(node, request(plan), 0, 5).unwrap();
+    world.run(Duration::from_secs(1));
+    let history = world.histories().find(|(other, _)| **other == id);
+    matches!(
+        history.and_then(|(_, history)| history.refused),
+        Some((_, ErrorKind::KeyWithdrawn, RunState::NotRun))
+    )
+}
+
+#[test]
+fn a_withdrawal_that_one_instance_read_reaches_all() {
+    for (seed, instances) in [(1, 6), (2, 6), (3, 48)] {
+        let plan = plan(instances);
+        let mut world = plan.start(seed);
+        for node in 1..instances {
+            world.set_platform(node, false);
+        }
+        withdraw(&mut world, &plan);
+        let all: Vec<usize> = (0..instances).collect();
+        let time = time_to_follow(&mut world, &all, 2);
+        assert!(time.is_some(), "{instances} instances, seed {seed}");
+        assert!(is_refused(&mut world, &plan, instances - 1));
+    }
+}
+
+#[test]
+fn an_instance_that_starts_without_the_service_learns_from_peers() {
+    let plan = plan(6);
+    let mut world = plan.start(4);
+    withdraw(&mut world, &plan);
+    world.run(IN_FORCE);
+    world.set_platform(3, false);
+    world.start(3);
+    // It knows no peer before it has read anything: the service must answer it once, however old.
+    let known = time_to_follow(&mut world, &[3], 1);
+    assert_eq!(
+        known, None,
+        "without any configuration it has nobody to ask"
+    );
+    world.set_platform(3, true);
+    assert!(time_to_follow(&mut world, &[3], 2).is_some());
+}
+
+#[test]
+fn an_instance_that_is_cut_off_follows_when_it_is_back() {
+    let plan = plan(6);
+    let mut world = plan.start(5);
+    for other in 1..6 {
+        world.set_cut(0, other, true);
+    }
+    world.set_platform(0, false);
+    withdraw(&mut world, &plan);
+    let others: Vec<usize> = (1..6).collect();
+    assert!(time_to_follow(&mut world, &others, 2).is_some());
+    assert_eq!(time_to_follow(&mut world, &[0], 2), None);
+    for other in 1..6 {
+        world.set_cut(0, other, false);
+    }
+    assert!(time_to_follow(&mut world, &[0], 2).is_some());
+    assert!(is_refused(&mut world, &plan, 0));
+}
+
+#[test]
+fn older_entries_never_take_a_configuration_back() {
+    let plan = plan(6);
+    let mut world = plan.start(6);
+    withdraw(&mut world, &plan);
+    world.run(IN_FORCE);
+    let mut highest = [0; 6];
+    for step in 0..100 {
+        if step == 30 {
+            world.pause(2, Duration::from_secs(4));
+        }
+        world.run(STEP);
+        for (node, highest) in highest.iter_mut().enumerate() {
+            let sequence = world
+                .reducer(node)
+                .map_or(0, |reducer| reducer.config_log().sequence());
+            assert!(sequence >= *highest, "instance {node} at {:?}", world.now());
+            *highest = sequence;
+        }
+    }
+    assert!(world.now() > ClockTime::ZERO);
+}
