config: ask peers from the settings while there is no configuration

Change: settings name some peers; a process without configuration asks them for the log, and takes signed entries from instances that it does not know yet.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -149,6 +149,7 @@
             instance: settings.instance.clone(),
             life,
             seed: rand::random(),
+            first_peers: settings.first_peers.clone(),
         }),
         started: Instant::now(),
         requests: HashMap::new(),
--- a/daemon/tests/lifecycle.rs
+++ b/daemon/tests/lifecycle.rs
@@ -166,3 +166,34 @@
     let refused = stranger.get(operators, "/operator/v1/status").await;
     assert_eq!(refused.status, 401);
 }
+
+#[tokio::test]
+async fn an_instance_starts_while_the_configuration_service_is_down() {
+    let size = DeploymentSize {
+        instances: 2,
+        ..DeploymentSize::default()
+    };
+    let mut deployment = TestDeployment::start(size).await;
+    let change = json!([{ "op": "withdraw_key", "key": "elders-1" }]);
+    let sequence = deployment.publish(1, change).await;
+    deployment.wait_applied("instance-1", sequence).await;
+    let service = deployment.platform_address("configuration");
+    let down = deployment
+        .set_faults(service, json!({ "down": true }))
+        .await;
+    assert_eq!(down.status, 204);
+    deployment.signal("instance-2", "KILL");
+    deployment.wait_exit("instance-2").await;
+    deployment.start_daemon("instance-2");
+    deployment.wait_ready("instance-2").await;
+    let address = deployment.address("callers", "instance-2");
+    let body = json!({ "model": "nyota-7b:elders-1", "prompt": "hello", "max_tokens": 1 });
+    let caller = deployment.caller("elders");
+    let answer = caller.post(address, "/v1/completions", &body).await;
+    assert_eq!(answer.status, 401, "{}", answer.body);
+    assert_eq!(answer.json()["kind"], "key_withdrawn");
+    let other = deployment.caller("historians");
+    let body = json!({ "model": "nyota-7b:historians-1", "prompt": "hello", "max_tokens": 1 });
+    let answer = other.post(address, "/v1/completions", &body).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
--- a/lib/benches/capacity.rs
+++ b/lib/benches/capacity.rs
@@ -128,6 +128,7 @@
         instance: "instance-0".into(),
         life: 1,
         seed: 1,
+        first_peers: Vec::new(),
     });
     let entries = log(instances, servers, adapters);
     let sequence = entries.len() as u64;
--- a/lib/examples/embed.rs
+++ b/lib/examples/embed.rs
@@ -29,6 +29,7 @@
         instance: "i1".into(),
         life: 1,
         seed: 1,
+        first_peers: Vec::new(),
     });
     let request = CallerRequest {
         number: 1,
--- a/lib/src/reducer/mod.rs
+++ b/lib/src/reducer/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -47,6 +48,8 @@
     pub life: u64,
     /// Seed of the random choices.
     pub seed: u64,
+    /// Where some instances listen for peers; asked while there is no configuration.
+    pub first_peers: Vec<SocketAddr>,
 }
 
 /// What a timer is for.
--- a/lib/src/reducer/peers.rs
+++ b/lib/src/reducer/peers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use rand_chacha::rand_core::RngCore;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::Reducer;
 use crate::{
@@ -149,8 +149,14 @@
         message: PeerMessage,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(peer) = self.config().instances.key(from) else {
-            return;
+        let (peer, message) = match (self.config().instances.key(from), message) {
+            (Some(peer), message) => (peer, message),
+            // A process without configuration knows nobody yet; the envelope was signed.
+            (None, PeerMessage::ConfigEntries { entries }) => {
+                self.log_read(now, entries.to_vec(), effects);
+                return;
+            }
+            (None, _) => return,
         };
         let sender = PeerLife {
             instance: peer,
@@ -257,6 +263,10 @@
             return;
         }
         self.last_gossip = now;
+        if !self.is_configured() {
+            self.ask_first_peers(effects);
+            return;
+        }
         let config = self.config();
         let mut peers: Vec<InstanceKey> = self
             .members
@@ -272,6 +282,18 @@
         }
     }
 
+    /// Asks the peers named in the settings for the configuration.
+    fn ask_first_peers(&self, effects: &mut Vec<Effect>) {
+        let after = self.log.sequence();
+        for address in &self.settings.first_peers {
+            effects.push(Effect::SendPeer {
+                to: format_smolstr!("{address}"),
+                address: *address,
+                message: PeerMessage::ConfigPull { after },
+            });
+        }
+    }
+
     /// Tells all peers that this instance is leaving.
     pub(super) fn announce_leaving(&mut self, effects: &mut Vec<Effect>) {
         self.send_to_all(&PeerMessage::Hello, effects);
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -103,6 +103,8 @@
     pub platform: PlatformSettings,
     /// Secrets that sign messages between instances: the first signs, all are accepted.
     pub peer_secrets: Vec<PeerSecret>,
+    /// Where some instances listen for peers; asked while the configuration service is silent.
+    pub first_peers: Vec<SocketAddr>,
     /// SHA-256 digests of the tokens that operators show.
     pub operator_digests: Vec<[u8; DIGEST_BYTES]>,
     /// Bounds on callers.
@@ -138,6 +140,7 @@
     let listen = read_listen(root.object("listen", faults), faults);
     let platform = read_platform(root.object("platform", faults), faults);
     let peer_secrets = read_peer_secrets(root, faults);
+    let first_peers = read_first_peers(root, faults);
     let operator_digests = read_operator_digests(root, faults);
     let limits = read_limits(root.optional_object("limits", faults), faults);
     let telemetry = read_telemetry(root.optional_object("telemetry", faults), faults);
@@ -150,6 +153,7 @@
         listen: listen?,
         platform: platform?,
         peer_secrets,
+        first_peers,
         operator_digests,
         limits,
         telemetry,
@@ -241,6 +245,24 @@
     secrets
 }
 
+fn read_first_peers(
+    root: &mut ObjectReader<'_, '_>,
+    faults: &mut FaultList<'_>,
+) -> Vec<SocketAddr> {
+    if !root.has("first_peers") {
+        return Vec::new();
+    }
+    let hint = "write a list of IP:PORT, such as [\"10.0.0.2:7101\"]";
+    let mut peers = Vec::new();
+    for (offset, text) in root.texts("first_peers", hint, faults) {
+        match text.parse() {
+            Ok(address) => peers.push(address),
+            Err(_) => faults.add(offset, "first_peers", "not an IP address with a port", hint),
+        }
+    }
+    peers
+}
+
 fn read_operator_digests(
     root: &mut ObjectReader<'_, '_>,
     faults: &mut FaultList<'_>,
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -105,6 +105,7 @@
                     instance: format!("i{number}").into(),
                     life: 1_000,
                     seed: number as u64,
+                    first_peers: Vec::new(),
                 })
             })
             .collect();
--- a/standin/src/deployment.rs
+++ b/standin/src/deployment.rs
@@ -337,6 +337,12 @@
         .iter()
         .map(|byte| format!("{byte:02x}"))
         .collect();
+    let peers: Vec<String> = map
+        .peers
+        .values()
+        .map(|peer| format!("\"{peer}\""))
+        .collect();
+    let peers = peers.join(", ");
     let platform = (map.configuration, map.instances_list);
     let (Some(configuration), Some(list)) = platform else {
         return Err(eyre!("the platform has no addresses"));
@@ -360,6 +366,7 @@
     }},
     // The first secret signs, all are accepted.
     "peer_secrets": ["{secret}"],
+    "first_peers": [{peers}],
     "operator_token_sha256": ["{digest}"],
 }}
 "#,
