telemetry: run the exporters on the runtime that their HTTP client needs

Cause: with a collector in the settings the exporters ran on threads without a runtime and panicked at the first batch ("there is no reactor running"); no test used a collector. Change: batch processor and periodic reader on tokio.

--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -12,8 +12,11 @@
 };
 use opentelemetry_otlp::{MetricExporter, SpanExporter, WithExportConfig};
 use opentelemetry_sdk::{
-    Resource, metrics::SdkMeterProvider, propagation::TraceContextPropagator,
-    trace::SdkTracerProvider,
+    Resource,
+    metrics::{SdkMeterProvider, periodic_reader_with_async_runtime::PeriodicReader},
+    propagation::TraceContextPropagator,
+    runtime::Tokio,
+    trace::{SdkTracerProvider, span_processor_with_async_runtime::BatchSpanProcessor},
 };
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::SmolStr;
@@ -73,8 +76,9 @@
             .with_endpoint(format!("http://{collector}/v1/metrics"))
             .build()
             .wrap_err("cannot export metrics")?;
-        tracers = tracers.with_batch_exporter(spans);
-        meters = meters.with_periodic_exporter(metrics);
+        // The exporters' HTTP client needs the runtime that these run on.
+        tracers = tracers.with_span_processor(BatchSpanProcessor::builder(spans, Tokio).build());
+        meters = meters.with_reader(PeriodicReader::builder(metrics, Tokio).build());
     }
     let (tracers, meters) = (tracers.build(), meters.build());
     start_logs(settings, &tracers)?;
