scripts: wait in the quick start until instances admit requests

Cause: the first answer shown was a refusal of an instance that had just started. Change: the script asks again until it is answered, and prints the answer alone.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -28,8 +28,10 @@
 
 echo "--- asking as a caller of the team elders"
 key=$(sed -n 's/.*"elders": "\(ws_[^"]*\)".*/\1/p' "$dir/deployment.json")
-until "$bin/wasabistall" ask nyota-7b:elders-1 "Which clan tells this story?" \
-    --key "$key" --max-tokens 6; do sleep 0.5; done
+# Instances admit requests two seconds after their start.
+until answer=$("$bin/wasabistall" ask nyota-7b:elders-1 "Which clan tells this story?" \
+    --key "$key" --max-tokens 6 2>/dev/null); do sleep 0.5; done
+echo "$answer"
 
 echo "--- what was counted, and who schedules what"
 "$bin/wasabistall" usage --by team
