all: one piece of code for what stood twice

Cause: three selects of the request driver and two closures on heard sequences were the same; the end of an attempt was said twice (an Option and an enum); a result nobody read; the arrivals of the static split were collected twice; two tests opened the same stream. Change: interrupted and give_up, has_said, open_endless; AttemptEnd and the hand-written Default are gone. No behaviour changes, no assertion touched.

--- a/daemon/src/driver.rs
+++ b/daemon/src/driver.rs
@@ -92,12 +92,12 @@
     pub(crate) reply: oneshot::Sender<CallerReply>,
 }
 
-/// How an attempt on one server ended.
-enum AttemptEnd {
-    /// The reducer decides what comes next.
-    Undecided,
-    /// The request is over.
-    Over,
+/// Why an attempt is given up before its answer begins.
+enum Interruption {
+    /// The reducer wants it stopped.
+    Aborted,
+    /// The caller went away.
+    CallerGone,
 }
 
 /// Why an attempt gave no answer.
@@ -158,8 +158,8 @@
                         request = self.number,
                     );
                     match self.attempt(order).instrument(span).await {
-                        (Some(driver), AttemptEnd::Undecided) => self = driver,
-                        _ => return,
+                        Some(driver) => self = driver,
+                        None => return,
                     }
                 }
                 Some(RequestCommand::Refuse(refusal)) => {
@@ -178,19 +178,13 @@
     }
 
     /// Sends the request to one server. Returns the driver unless the request is over.
-    async fn attempt(mut self, order: DispatchOrder) -> (Option<RequestDriver>, AttemptEnd) {
+    async fn attempt(mut self, order: DispatchOrder) -> Option<RequestDriver> {
         let clients = self.clients.clone();
         let exchange = send_call(&clients, self.number, self.core.life, &self.call, &order);
         let head = tokio::select! {
             head = exchange => head,
-            _ = aborted(&mut self.commands) => {
-                self.cancel(&order);
-                return (Some(self), AttemptEnd::Undecided);
-            }
-            () = self.reply.closed() => {
-                self.cancel(&order);
-                self.core.tell(Event::CallerGone(self.number)).await;
-                return (None, AttemptEnd::Over);
+            interruption = interrupted(&mut self.commands, &mut self.reply) => {
+                return self.give_up(&order, interruption).await;
             }
         };
         let response = match head {
@@ -205,7 +199,23 @@
         }
     }
 
-    async fn failed(self, fault: AttemptFault) -> (Option<RequestDriver>, AttemptEnd) {
+    /// Stops the attempt at its server. Returns the driver unless the request is over.
+    async fn give_up(
+        self,
+        order: &DispatchOrder,
+        interruption: Interruption,
+    ) -> Option<RequestDriver> {
+        self.cancel(order);
+        match interruption {
+            Interruption::Aborted => Some(self),
+            Interruption::CallerGone => {
+                self.core.tell(Event::CallerGone(self.number)).await;
+                None
+            }
+        }
+    }
+
+    async fn failed(self, fault: AttemptFault) -> Option<RequestDriver> {
         self.core
             .tell(Event::AnswerFailed {
                 request: self.number,
@@ -213,24 +223,18 @@
                 output_tokens: fault.output_tokens,
             })
             .await;
-        (Some(self), AttemptEnd::Undecided)
+        Some(self)
     }
 
     async fn whole(
         mut self,
         response: Response<Incoming>,
         order: &DispatchOrder,
-    ) -> (Option<RequestDriver>, AttemptEnd) {
+    ) -> Option<RequestDriver> {
         let answer = tokio::select! {
             answer = read_whole(response, MAX_ANSWER_BYTES) => answer,
-            _ = aborted(&mut self.commands) => {
-                self.cancel(order);
-                return (Some(self), AttemptEnd::Undecided);
-            }
-            () = self.reply.closed() => {
-                self.cancel(order);
-                self.core.tell(Event::CallerGone(self.number)).await;
-                return (None, AttemptEnd::Over);
+            interruption = interrupted(&mut self.commands, &mut self.reply) => {
+                return self.give_up(order, interruption).await;
             }
         };
         let Ok(answer) = answer else {
@@ -259,25 +263,19 @@
             })
             .await;
         let _ = self.reply.send(CallerReply::Whole(answer));
-        (None, AttemptEnd::Over)
+        None
     }
 
     async fn stream(
         mut self,
         response: Response<Incoming>,
         order: &DispatchOrder,
-    ) -> (Option<RequestDriver>, AttemptEnd) {
+    ) -> Option<RequestDriver> {
         let mut answer = AnswerStream::new(response, self.clients.stall_timeout);
         let first = tokio::select! {
             first = answer.next() => first,
-            _ = aborted(&mut self.commands) => {
-                self.cancel(order);
-                return (Some(self), AttemptEnd::Undecided);
-            }
-            () = self.reply.closed() => {
-                self.cancel(order);
-                self.core.tell(Event::CallerGone(self.number)).await;
-                return (None, AttemptEnd::Over);
+            interruption = interrupted(&mut self.commands, &mut self.reply) => {
+                return self.give_up(order, interruption).await;
             }
         };
         let Ok(Some(first)) = first else {
@@ -295,7 +293,7 @@
         } = self;
         if reply.send(CallerReply::Stream(receiver)).is_err() {
             core.tell(Event::CallerGone(number)).await;
-            return (None, AttemptEnd::Over);
+            return None;
         }
         let forward = forward_events(&mut answer, first, &sender);
         let end = tokio::select! {
@@ -303,7 +301,7 @@
             refusal = refused(&mut commands) => {
                 cancel_at(&clients, order.address, request_id(&clients.instance, core.life, number));
                 break_stream(&sender, &refusal).await;
-                return (None, AttemptEnd::Over);
+                return None;
             }
         };
         match end {
@@ -334,7 +332,7 @@
                 break_stream(&sender, &refusal).await;
             }
         }
-        (None, AttemptEnd::Over)
+        None
     }
 
     fn cancel(&self, order: &DispatchOrder) {
@@ -355,6 +353,17 @@
     std::future::pending::<()>().await;
 }
 
+/// Waits until an attempt must be given up.
+async fn interrupted(
+    commands: &mut mpsc::Receiver<RequestCommand>,
+    reply: &mut oneshot::Sender<CallerReply>,
+) -> Interruption {
+    tokio::select! {
+        () = aborted(commands) => Interruption::Aborted,
+        () = reply.closed() => Interruption::CallerGone,
+    }
+}
+
 /// Waits until the reducer refuses a request whose answer has begun.
 async fn refused(commands: &mut mpsc::Receiver<RequestCommand>) -> RefusalBody {
     while let Some(command) = commands.recv().await {
--- a/daemon/tests/lifecycle.rs
+++ b/daemon/tests/lifecycle.rs
@@ -1,9 +1,9 @@
 //! Starting and stopping real instances.
 
-use std::process::Command;
+use std::{net::SocketAddr, process::Command};
 
 use http_body_util::BodyExt;
-use hyper::Method;
+use hyper::{Method, Response, body::Incoming};
 use insta::assert_snapshot;
 use serde_json::json;
 use wasabistall_testutils::{DeploymentSize, TestCaller, TestDeployment, until};
@@ -83,6 +83,18 @@
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
 
+/// Opens a completion that streams for longer than any test.
+async fn open_endless(deployment: &TestDeployment, address: SocketAddr) -> Response<Incoming> {
+    let body = json!({
+        "model": "nyota-7b:elders-1", "prompt": "endless", "max_tokens": 15000, "stream": true,
+    });
+    let caller = deployment.caller("elders");
+    caller
+        .open(Method::POST, address, "/v1/completions", body.to_string())
+        .await
+        .unwrap()
+}
+
 #[tokio::test]
 async fn a_second_signal_ends_the_process() {
     let size = DeploymentSize {
@@ -91,14 +103,7 @@
     };
     let mut deployment = TestDeployment::start(size).await;
     let address = deployment.address("callers", "instance-1");
-    let body = json!({
-        "model": "nyota-7b:elders-1", "prompt": "endless", "max_tokens": 15000, "stream": true,
-    });
-    let caller = deployment.caller("elders");
-    let response = caller
-        .open(Method::POST, address, "/v1/completions", body.to_string())
-        .await
-        .unwrap();
+    let response = open_endless(&deployment, address).await;
     assert_eq!(response.status(), 200);
     deployment.signal("instance-1", "TERM");
     until(|| async { deployment.log("instance-1").contains("shutting down") }).await;
@@ -118,14 +123,7 @@
     };
     let deployment = TestDeployment::start(size).await;
     let address = deployment.address("callers", "instance-1");
-    let body = json!({
-        "model": "nyota-7b:elders-1", "prompt": "endless", "max_tokens": 15000, "stream": true,
-    });
-    let caller = deployment.caller("elders");
-    let response = caller
-        .open(Method::POST, address, "/v1/completions", body.to_string())
-        .await
-        .unwrap();
+    let response = open_endless(&deployment, address).await;
     drop(response);
     until(|| async {
         let mut cancelled = 0;
--- a/lib/src/limits/activation.rs
+++ b/lib/src/limits/activation.rs
@@ -2,9 +2,9 @@
 //!
 //! A share that changes hands is used by its new holder only after all that held it before have
 //! said that they follow the newer configuration, a majority of the instances has said so too,
-//! and all loans of the former holders have expired. A process that starts, or was paused, first hears from a
-//! majority of the instances, follows the newest configuration among theirs, and waits out the
-//! loans that an earlier life of its own may have made.
+//! and all loans of the former holders have expired. A process that starts, or was paused, first
+//! hears from a majority of the instances, follows the newest configuration among theirs, and
+//! waits out the loans that an earlier life of its own may have made.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,7 +19,7 @@
 }
 
 /// What one process has heard from the other instances.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ShareActivation {
     own: Option<InstanceKey>,
     members: BTreeSet<InstanceKey>,
@@ -29,24 +29,7 @@
     active_at: Option<ClockTime>,
 }
 
-impl Default for ShareActivation {
-    fn default() -> ShareActivation {
-        ShareActivation::new()
-    }
-}
-
 impl ShareActivation {
-    /// A process that has heard from nobody.
-    pub fn new() -> ShareActivation {
-        ShareActivation {
-            own: None,
-            members: BTreeSet::new(),
-            sequence: 0,
-            heard: BTreeMap::new(),
-            active_at: None,
-        }
-    }
-
     /// Takes in the instances and the sequence of the configuration in force.
     pub fn configure(
         &mut self,
@@ -80,24 +63,26 @@
     /// Number of instances that follow `sequence` or a later one, this one included.
     fn followers(&self, sequence: u64) -> usize {
         let own = self.own.filter(|_| self.sequence >= sequence);
-        let follows = |member: &&InstanceKey| {
-            Some(**member) == own
-                || self
-                    .heard
-                    .get(*member)
-                    .is_some_and(|heard| heard.sequence >= sequence)
-        };
+        let follows =
+            |member: &&InstanceKey| Some(**member) == own || self.has_said(**member, sequence);
         self.members.iter().filter(follows).count()
     }
 
+    /// Whether another instance has said that it follows `sequence` or a later one.
+    fn has_said(&self, member: InstanceKey, sequence: u64) -> bool {
+        self.heard
+            .get(&member)
+            .is_some_and(|heard| heard.sequence >= sequence)
+    }
+
     fn is_majority(&self, count: usize) -> bool {
         2 * count > self.members.len()
     }
 
-    /// Looks whether the process may use its shares; returns whether it may from now on or soon.
-    pub fn update(&mut self, now: ClockTime) -> bool {
+    /// Looks whether the process may use its shares after the loan time.
+    pub fn update(&mut self, now: ClockTime) {
         if self.active_at.is_some() {
-            return true;
+            return;
         }
         let is_member = self.own.is_some_and(|own| self.members.contains(&own));
         let newest = self.heard.values().map(|heard| heard.sequence).max();
@@ -105,7 +90,6 @@
         if is_member && is_newest && self.is_majority(self.followers(0)) {
             self.active_at = Some(now.after(LOAN_TIME));
         }
-        self.active_at.is_some()
     }
 
     /// Whether the process as a whole may use its shares.
@@ -120,10 +104,7 @@
         let follows = |former: &InstanceKey| {
             Some(*former) == self.own
                 || !self.members.contains(former)
-                || self
-                    .heard
-                    .get(former)
-                    .is_some_and(|heard| heard.sequence >= since)
+                || self.has_said(*former, since)
         };
         formers.iter().all(follows) && self.is_majority(self.followers(since))
     }
--- a/lib/src/reducer/limits.rs
+++ b/lib/src/reducer/limits.rs
@@ -11,7 +11,7 @@
 use super::{Reducer, TimerKind};
 use crate::{
     clock::ClockTime,
-    config::{ConfigState, InstanceKey, TeamKey},
+    config::{ConfigState, InstanceKey, RegionKey, TeamKey},
     error::ErrorKind,
     event::{Effect, RequestNumber},
     limits::{BorrowPlan, LimitAmount, LimitKey, LimitRate, LoanAnswer},
@@ -39,7 +39,7 @@
     tokens: u64,
 }
 
-fn loads_rate(config: &ConfigState, key: crate::config::RegionKey) -> LimitRate {
+fn loads_rate(config: &ConfigState, key: RegionKey) -> LimitRate {
     let loads = config.regions[key].store_loads_per_second;
     LimitRate {
         tokens: 0,
--- a/testutils/src/world/figures.rs
+++ b/testutils/src/world/figures.rs
@@ -242,20 +242,16 @@
         }
     };
     let parts = plan.instances as u64;
-    let histories: Vec<&RequestHistory> = world
+    let mut arrivals: Vec<(&RequestId, &RequestHistory)> = world
         .histories()
         .filter(|(id, _)| sent.contains(id))
-        .map(|(_, history)| history)
         .collect();
+    arrivals.sort_by_key(|(_, history)| history.arrived);
+    let histories: Vec<&RequestHistory> = arrivals.iter().map(|(_, history)| *history).collect();
     let modest = modest_teams(plan, &histories, time);
     let mut whole: BTreeMap<usize, LimitObserver> = BTreeMap::new();
     let mut split: BTreeMap<(usize, usize), LimitObserver> = BTreeMap::new();
     let mut totals: BTreeMap<(usize, usize), LimitTotals> = BTreeMap::new();
-    let mut arrivals: Vec<(&RequestId, &RequestHistory)> = world
-        .histories()
-        .filter(|(id, _)| sent.contains(id))
-        .collect();
-    arrivals.sort_by_key(|(_, history)| history.arrived);
     let (mut inside, mut wrongful) = (0_usize, 0_usize);
     for (id, history) in arrivals {
         let now = history.arrived;
