--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod core;
 mod driver;
 mod engines;
+mod gateway;
 mod operators;
 mod peers;
 mod platform;
@@ -15,7 +16,8 @@
 
 use eyre::{Result, WrapErr, eyre};
 use tokio::net::{TcpListener, TcpSocket};
-use wasabistall_lib::settings::InstanceSettings;
+use wasabistall_lib::settings::{InstanceSettings, ProcessSettings};
+use wasabistall_platform::SETTINGS_VARIABLE;
 
 /// Connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -26,8 +28,9 @@
     xflags::xflags! {
         /// Entry daemon of wasabistall.
         cmd wasabistalld {
-            /// Settings of the instance, in JSON with comments.
-            required settings: PathBuf
+            /// Settings of the instance, in JSON with comments; without it, the file that the
+            /// platform names in the environment.
+            optional settings: PathBuf
         }
     }
 }
@@ -37,7 +40,7 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    match start(&flags.settings) {
+    match start(flags.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -46,22 +49,34 @@
     }
 }
 
-fn read_settings(path: &PathBuf) -> Result<InstanceSettings> {
+fn settings_path(named: Option<PathBuf>) -> Result<PathBuf> {
+    named
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| {
+            eyre!("no settings named\n    hint: write wasabistalld SETTINGS, or set {SETTINGS_VARIABLE}")
+        })
+}
+
+fn read_settings(path: &PathBuf) -> Result<ProcessSettings> {
     let text = std::fs::read_to_string(path)
         .wrap_err_with(|| format!("cannot read settings {}", path.display()))?;
-    InstanceSettings::parse(&text).map_err(|faults| {
+    ProcessSettings::parse(&text).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("{} is not valid:\n{}", path.display(), lines.join("\n"))
     })
 }
 
-fn start(path: &PathBuf) -> Result<()> {
-    let settings = read_settings(path)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .wrap_err("cannot start the runtime")?;
-    runtime.block_on(run(settings))
+fn start(named: Option<PathBuf>) -> Result<()> {
+    match read_settings(&settings_path(named)?)? {
+        ProcessSettings::Gateway(settings) => gateway::run(*settings),
+        ProcessSettings::Instance(settings) => {
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .enable_all()
+                .build()
+                .wrap_err("cannot start the runtime")?;
+            runtime.block_on(run(*settings))
+        }
+    }
 }
 
 fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
--- /dev/null
+++ b/lib/src/gateway/desk.rs
@@ -0,0 +1,684 @@
+//! The scheduler of one model server: which adapters it holds, what it reads, who may send.
+//!
+//! One instance has a server's desk. Others ask it for a grant before they send a request there,
+//! so that adapters in use are known and prompts do not pile up at one server.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use smol_str::SmolStr;
+
+use super::{
+    catalog::{EngineRule, HeldAdapter, HeldModel, ServerReport},
+    prompt::{PartCache, PromptPart},
+    right::OrderRight,
+};
+use crate::clock::ClockTime;
+
+/// Time of an adapter's load from the weight store while few are on their way.
+const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time of a load of an adapter that the server held lately.
+const RECENT_LOAD_TIME: Duration = Duration::from_millis(25);
+/// Time for an order to reach the server.
+const ORDER_TIME: Duration = Duration::from_millis(8);
+/// Adapters that a server keeps close at hand after they made way.
+const RECENT_ADAPTERS: usize = 32;
+/// Adapters that may be on their way to a server at the same time.
+const MAX_COMING: usize = 4;
+/// Part of a server's memory that requests may fill.
+const MEMORY_PART: f64 = 0.9;
+/// Prompt tokens that a server reads in a millisecond, until it has been measured.
+const FIRST_READ_RATE: f64 = 30.0;
+/// Weight of the newest measurement of the reading rate.
+const READ_RATE_WEIGHT: f64 = 0.1;
+/// Time for another report after an unload that waits for its runs.
+const PLACE_RECHECK: Duration = Duration::from_millis(600);
+
+/// Identifies a grant: the instance that asked and its number there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GrantKey {
+    /// Name of the instance.
+    pub entry: SmolStr,
+    /// Start of its process, in Unix milliseconds.
+    pub life: u64,
+    /// Number of the request within the process.
+    pub request: u64,
+}
+
+/// Asks to send a request to a model server.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantAsk {
+    /// The grant.
+    pub key: GrantKey,
+    /// The server's id.
+    pub server: SmolStr,
+    /// Base model.
+    pub model: SmolStr,
+    /// Adapter; `None` for the base model itself.
+    pub adapter: Option<SmolStr>,
+    /// Oldest version of the adapter that will do.
+    pub version: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Most output tokens.
+    pub output_tokens: u64,
+    /// Shared parts of the prompt.
+    pub parts: Vec<PromptPart>,
+    /// How long the grant is held if nothing more is heard of it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lifetime: Duration,
+}
+
+/// Why a grant was declined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeclineReason {
+    /// The instance does not schedule the server.
+    NotScheduled,
+    /// The adapter is missing and the instance may not give orders yet.
+    NoRight,
+    /// The base model is not in place.
+    NoModel,
+    /// All places hold adapters in use.
+    NoPlace,
+    /// Slots or memory are used up.
+    Full,
+}
+
+/// Answer to a [`GrantAsk`].
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum GrantReply {
+    /// The request may be sent after `wait`.
+    Granted {
+        /// Time until the adapter is in place.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        wait: Duration,
+        /// Time until the server would begin with another prompt.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        backlog: Duration,
+    },
+    /// The request must go elsewhere.
+    Declined {
+        /// Why.
+        reason: DeclineReason,
+        /// Time until the server would begin with another prompt.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        backlog: Duration,
+    },
+}
+
+/// Tells a desk that a request has ended.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantRelease {
+    /// The server's id.
+    pub server: SmolStr,
+    /// The grant.
+    pub key: GrantKey,
+    /// Time from sending to the first event, if one came.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub first_event: Option<Duration>,
+    /// Whether the server said that it lacks the adapter.
+    pub adapter_missing: bool,
+}
+
+/// What an order wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Load a base model.
+    LoadModel,
+    /// Load an adapter, or replace it by a newer version; 0 means the newest.
+    LoadAdapter {
+        /// Adapter.
+        adapter: SmolStr,
+        /// Version, or 0 for the newest.
+        version: u64,
+    },
+    /// Drop an adapter.
+    UnloadAdapter {
+        /// Adapter.
+        adapter: SmolStr,
+    },
+}
+
+/// An order to a model server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerOrder {
+    /// What to do.
+    pub action: OrderAction,
+    /// Base model.
+    pub model: SmolStr,
+    /// Count of accepted orders that it is conditional on.
+    pub expected: u64,
+    /// Fencing token: grows with the count and differs between instances.
+    pub fence: u64,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerOrderOutcome {
+    /// It holds already or was done at once.
+    Done,
+    /// It is being carried out.
+    Accepted,
+    /// Another order is in progress, or the count differs.
+    Conflict,
+    /// The server refused it or is another one.
+    Refused,
+    /// Nothing was heard.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlacePhase {
+    Ready,
+    Unloading,
+}
+
+#[derive(Clone, Debug)]
+struct AdapterPlace {
+    model: SmolStr,
+    adapter: SmolStr,
+    version: u64,
+    phase: PlacePhase,
+    /// When a load is done.
+    ready_at: ClockTime,
+    changed: ClockTime,
+    used: ClockTime,
+    pins: u32,
+}
+
+impl AdapterPlace {
+    fn is_for(&self, model: &str, adapter: &str) -> bool {
+        self.model == model && self.adapter == adapter
+    }
+}
+
+#[derive(Clone, Debug)]
+struct GrantRecord {
+    model: SmolStr,
+    adapter: Option<SmolStr>,
+    tokens: u64,
+    unread: u64,
+    /// Whether nothing was read ahead of it and nothing had to be loaded.
+    undisturbed: bool,
+    expires: ClockTime,
+}
+
+/// The scheduler of one model server.
+#[derive(Debug)]
+pub struct ServerDesk {
+    right: OrderRight,
+    models: Vec<SmolStr>,
+    places: Vec<AdapterPlace>,
+    recent: VecDeque<(SmolStr, SmolStr)>,
+    grants: BTreeMap<GrantKey, GrantRecord>,
+    parts: PartCache,
+    read_until: ClockTime,
+    read_rate: f64,
+    queue: VecDeque<(SmolStr, OrderAction)>,
+    ordered: Option<(SmolStr, OrderAction)>,
+    model_loading_until: ClockTime,
+    reported: bool,
+}
+
+impl ServerDesk {
+    /// A desk that has not heard from its server yet; `models` is what is published of it.
+    pub fn new(now: ClockTime, lease: Duration, rule: &EngineRule, models: &[HeldModel]) -> Self {
+        let mut desk = ServerDesk {
+            right: OrderRight::new(now, lease),
+            models: Vec::new(),
+            places: Vec::new(),
+            recent: VecDeque::new(),
+            grants: BTreeMap::new(),
+            parts: PartCache::new(rule.cache_tokens),
+            read_until: now,
+            read_rate: FIRST_READ_RATE,
+            queue: VecDeque::new(),
+            ordered: None,
+            model_loading_until: now,
+            reported: false,
+        };
+        desk.adopt_models(now, models);
+        desk
+    }
+
+    /// The right to order.
+    pub fn right(&self) -> &OrderRight {
+        &self.right
+    }
+
+    /// The right to order, to be changed.
+    pub fn right_mut(&mut self) -> &mut OrderRight {
+        &mut self.right
+    }
+
+    /// Time until the server would begin with another prompt.
+    pub fn backlog(&self, now: ClockTime) -> Duration {
+        self.read_until.since(now)
+    }
+
+    /// What the server holds and will hold soon.
+    pub fn holdings(&self) -> Vec<HeldModel> {
+        self.models
+            .iter()
+            .map(|model| HeldModel {
+                name: model.clone(),
+                adapters: self
+                    .places
+                    .iter()
+                    .filter(|place| place.model == *model && place.phase == PlacePhase::Ready)
+                    .map(|place| HeldAdapter {
+                        name: place.adapter.clone(),
+                        version: place.version,
+                    })
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Decides on a request that wants to be sent to the server.
+    pub fn ask(&mut self, now: ClockTime, rule: &EngineRule, ask: &GrantAsk) -> GrantReply {
+        self.expire(now);
+        match self.admit(now, rule, ask) {
+            Ok(wait) => {
+                let unread = self.parts.unread(ask);
+                let busy_until = self.read_until.max(now);
+                let undisturbed = busy_until == now && wait.is_zero();
+                let reading = Duration::from_secs_f64(unread as f64 / self.read_rate / 1_000.0);
+                self.read_until = busy_until.after(reading);
+                self.parts.remember(ask);
+                self.grants.insert(
+                    ask.key.clone(),
+                    GrantRecord {
+                        model: ask.model.clone(),
+                        adapter: ask.adapter.clone(),
+                        tokens: ask.prompt_tokens + ask.output_tokens,
+                        unread,
+                        undisturbed,
+                        expires: now.after(ask.lifetime),
+                    },
+                );
+                GrantReply::Granted {
+                    wait,
+                    backlog: self.backlog(now),
+                }
+            }
+            Err(reason) => GrantReply::Declined {
+                reason,
+                backlog: self.backlog(now),
+            },
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        ask: &GrantAsk,
+    ) -> Result<Duration, DeclineReason> {
+        if !self.models.contains(&ask.model) {
+            return Err(DeclineReason::NoModel);
+        }
+        let tokens: u64 = self.grants.values().map(|grant| grant.tokens).sum();
+        let wanted = ask.prompt_tokens + ask.output_tokens;
+        let memory = (rule.cache_tokens as f64 * MEMORY_PART) as u64;
+        let is_full = self.grants.len() >= rule.slots as usize
+            || (!self.grants.is_empty() && tokens + wanted > memory);
+        if is_full {
+            return Err(DeclineReason::Full);
+        }
+        let Some(adapter) = &ask.adapter else {
+            return Ok(Duration::ZERO);
+        };
+        let ready_at = self.place_adapter(now, rule, &ask.model, adapter, ask.version)?;
+        if let Some(place) = self.place(&ask.model, adapter) {
+            place.pins += 1;
+            place.used = now;
+        }
+        Ok(ready_at.since(now))
+    }
+
+    fn place(&mut self, model: &str, adapter: &str) -> Option<&mut AdapterPlace> {
+        self.places
+            .iter_mut()
+            .find(|place| place.is_for(model, adapter))
+    }
+
+    /// Makes sure that the adapter is or will be in place; returns when.
+    fn place_adapter(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        model: &SmolStr,
+        adapter: &SmolStr,
+        version: u64,
+    ) -> Result<ClockTime, DeclineReason> {
+        let is_active = self.right.is_active();
+        if let Some(place) = self.place(model, adapter) {
+            if place.phase == PlacePhase::Unloading {
+                return Err(DeclineReason::NoPlace);
+            }
+            if place.version >= version {
+                return Ok(place.ready_at.max(now));
+            }
+            if !is_active {
+                return Err(DeclineReason::NoRight);
+            }
+            if place.pins > 0 {
+                return Err(DeclineReason::NoPlace);
+            }
+            place.version = version;
+            place.changed = now;
+            place.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_TIME);
+            let ready_at = place.ready_at;
+            self.push_load(model, adapter, version);
+            return Ok(ready_at);
+        }
+        if !is_active {
+            return Err(DeclineReason::NoRight);
+        }
+        let coming = self
+            .places
+            .iter()
+            .filter(|place| place.ready_at > now)
+            .count();
+        if coming >= MAX_COMING {
+            return Err(DeclineReason::NoPlace);
+        }
+        if self.places.len() >= rule.adapter_slots {
+            self.evict(now)?;
+        }
+        let was_recent = self.forget_recent(model, adapter);
+        let load_time = if was_recent {
+            RECENT_LOAD_TIME
+        } else {
+            ADAPTER_LOAD_TIME
+        };
+        let ready_at = now.after(load_time + ORDER_TIME);
+        self.places.push(AdapterPlace {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            version: version.max(1),
+            phase: PlacePhase::Ready,
+            ready_at,
+            changed: now,
+            used: now,
+            pins: 0,
+        });
+        self.push_load(model, adapter, version);
+        Ok(ready_at)
+    }
+
+    fn push_load(&mut self, model: &SmolStr, adapter: &SmolStr, version: u64) {
+        let action = OrderAction::LoadAdapter {
+            adapter: adapter.clone(),
+            version,
+        };
+        self.queue.push_back((model.clone(), action));
+    }
+
+    /// Makes the least recently used adapter that nobody uses leave its place.
+    fn evict(&mut self, now: ClockTime) -> Result<(), DeclineReason> {
+        let victim = self
+            .places
+            .iter()
+            .enumerate()
+            .filter(|(_, place)| {
+                place.pins == 0 && place.phase == PlacePhase::Ready && place.ready_at <= now
+            })
+            .min_by_key(|(_, place)| place.used)
+            .map(|(position, _)| position)
+            .ok_or(DeclineReason::NoPlace)?;
+        let place = self.places.remove(victim);
+        let action = OrderAction::UnloadAdapter {
+            adapter: place.adapter.clone(),
+        };
+        self.queue.push_back((place.model.clone(), action));
+        self.remember_recent(place.model, place.adapter);
+        Ok(())
+    }
+
+    fn remember_recent(&mut self, model: SmolStr, adapter: SmolStr) {
+        self.recent.push_back((model, adapter));
+        if self.recent.len() > RECENT_ADAPTERS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn forget_recent(&mut self, model: &str, adapter: &str) -> bool {
+        let position = self
+            .recent
+            .iter()
+            .position(|(held_model, held)| held_model == model && held == adapter);
+        position
+            .and_then(|position| self.recent.remove(position))
+            .is_some()
+    }
+
+    fn expire(&mut self, now: ClockTime) {
+        let expired: Vec<GrantKey> = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.expires <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in expired {
+            self.end_grant(&key);
+        }
+    }
+
+    fn end_grant(&mut self, key: &GrantKey) -> Option<GrantRecord> {
+        let grant = self.grants.remove(key)?;
+        if let Some(adapter) = &grant.adapter
+            && let Some(place) = self.place(&grant.model, adapter)
+        {
+            place.pins = place.pins.saturating_sub(1);
+        }
+        Some(grant)
+    }
+
+    /// Takes a grant back.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) {
+        let Some(grant) = self.end_grant(&release.key) else {
+            return;
+        };
+        if release.adapter_missing
+            && let Some(adapter) = &grant.adapter
+        {
+            self.places.retain(|place| {
+                !place.is_for(&grant.model, adapter) || now.since(place.changed) < PLACE_RECHECK
+            });
+            self.right.refresh(now);
+        }
+        if let Some(first) = release.first_event
+            && grant.undisturbed
+            && grant.unread > 1_000
+        {
+            let rate = grant.unread as f64 / (first.as_secs_f64() * 1_000.0).max(1.0);
+            self.read_rate += (rate - self.read_rate) * READ_RATE_WEIGHT;
+        }
+    }
+
+    /// The next order to give, if one may be given now.
+    ///
+    /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
+    pub fn next_order(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        holder_bits: u16,
+    ) -> Option<ServerOrder> {
+        if self.ordered.is_some() {
+            return None;
+        }
+        let expected = self.right.expected()?;
+        if self.queue.is_empty() {
+            self.want_model(now, rule);
+        }
+        let (model, action) = self.queue.pop_front()?;
+        self.ordered = Some((model.clone(), action.clone()));
+        Some(ServerOrder {
+            action,
+            model,
+            expected,
+            fence: (expected + 1) << 16 | u64::from(holder_bits),
+        })
+    }
+
+    /// Has a base model loaded on a server that has none.
+    fn want_model(&mut self, now: ClockTime, rule: &EngineRule) {
+        if !self.models.is_empty() || !self.reported || now < self.model_loading_until {
+            return;
+        }
+        let Some(model) = rule.models.first() else {
+            return;
+        };
+        self.model_loading_until = now.after(model.load_time * 2);
+        self.queue
+            .push_back((model.name.clone(), OrderAction::LoadModel));
+    }
+
+    /// Takes in how the order ended that was given last.
+    pub fn order_ended(&mut self, now: ClockTime, outcome: ServerOrderOutcome) {
+        let Some((model, action)) = self.ordered.take() else {
+            return;
+        };
+        match outcome {
+            ServerOrderOutcome::Done => self.right.accept(),
+            ServerOrderOutcome::Accepted => {
+                self.right.accept();
+                if matches!(action, OrderAction::UnloadAdapter { .. }) {
+                    // It waits for runs that this desk does not know of.
+                    self.drop_queue();
+                    self.keep_unloading(now, model, action);
+                    self.right.refresh(now);
+                } else if action == OrderAction::LoadModel {
+                    self.right.refresh(now);
+                }
+            }
+            ServerOrderOutcome::Conflict
+            | ServerOrderOutcome::Lost
+            | ServerOrderOutcome::Refused => {
+                self.undo(&model, &action);
+                self.drop_queue();
+                self.right.unsettle(now);
+            }
+        }
+    }
+
+    fn keep_unloading(&mut self, now: ClockTime, model: SmolStr, action: OrderAction) {
+        if let OrderAction::UnloadAdapter { adapter } = action {
+            self.places.push(AdapterPlace {
+                model,
+                adapter,
+                version: 0,
+                phase: PlacePhase::Unloading,
+                ready_at: now,
+                changed: now,
+                used: now,
+                pins: 0,
+            });
+        }
+    }
+
+    fn undo(&mut self, model: &str, action: &OrderAction) {
+        if let OrderAction::LoadAdapter { adapter, .. } = action {
+            self.places.retain(|place| !place.is_for(model, adapter));
+        }
+    }
+
+    fn drop_queue(&mut self) {
+        for (model, action) in std::mem::take(&mut self.queue) {
+            self.undo(&model, &action);
+        }
+    }
+
+    /// Takes in a report of the server, or that there was none.
+    pub fn observe(&mut self, now: ClockTime, report: Option<&ServerReport>) {
+        self.right.observe(now, report);
+        let Some(report) = report else { return };
+        self.reported = true;
+        if self.ordered.is_some() || !self.queue.is_empty() {
+            return;
+        }
+        self.adopt_models(now, &report.models);
+        for (model, adapter) in &report.coming {
+            self.adopt_adapter(now, model, adapter, now.after(ADAPTER_LOAD_TIME));
+        }
+        let unloading = |place: &AdapterPlace| place.phase == PlacePhase::Unloading;
+        if self.models.is_empty() || self.places.iter().any(unloading) {
+            self.right.refresh(now);
+        }
+    }
+
+    /// Starts over with a server whose process was replaced.
+    pub fn server_restarted(&mut self, now: ClockTime, models: &[HeldModel]) {
+        self.drop_queue();
+        self.recent.clear();
+        self.parts.clear();
+        self.places.clear();
+        self.models.clear();
+        self.model_loading_until = now;
+        self.adopt_models(now, models);
+        self.right.suspend(now);
+    }
+
+    /// Takes in what is published of a server that has not been asked itself.
+    pub fn published(&mut self, now: ClockTime, models: &[HeldModel]) {
+        if !models.is_empty() && self.models.is_empty() {
+            self.adopt_models(now, models);
+        }
+    }
+
+    fn adopt_models(&mut self, now: ClockTime, models: &[HeldModel]) {
+        self.models = models.iter().map(|model| model.name.clone()).collect();
+        self.places.retain(|place| {
+            let listed = models.iter().any(|model| {
+                model.name == place.model
+                    && model
+                        .adapters
+                        .iter()
+                        .any(|adapter| adapter.name == place.adapter)
+            });
+            // A report may be older than the newest order.
+            listed || now.since(place.changed) < PLACE_RECHECK
+        });
+        for model in models {
+            for adapter in &model.adapters {
+                self.adopt_adapter(now, &model.name, adapter, now);
+            }
+        }
+    }
+
+    fn adopt_adapter(
+        &mut self,
+        now: ClockTime,
+        model: &SmolStr,
+        adapter: &HeldAdapter,
+        ready_at: ClockTime,
+    ) {
+        if let Some(place) = self.place(model, &adapter.name) {
+            if now.since(place.changed) >= PLACE_RECHECK {
+                place.version = adapter.version;
+            }
+            return;
+        }
+        self.places.push(AdapterPlace {
+            model: model.clone(),
+            adapter: adapter.name.clone(),
+            version: adapter.version,
+            phase: PlacePhase::Ready,
+            ready_at,
+            changed: now,
+            used: now,
+            pins: 0,
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/mod.rs
@@ -0,0 +1,364 @@
+//! The gateway: serves the routes that a platform's operator publishes, in front of servers that
+//! register themselves, on instances that find each other.
+//!
+//! Like [`crate::reducer`], [`GatewayReducer::reduce`] takes the time and an event, changes the
+//! state and appends effects; it reads no clock, socket or random source.
+
+pub mod allowance;
+pub mod board;
+pub mod catalog;
+pub mod desk;
+mod engines;
+pub mod event;
+pub mod members;
+pub mod message;
+mod peers;
+pub mod prompt;
+mod requests;
+pub mod right;
+pub mod routes;
+pub mod servers;
+mod store;
+mod suspects;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use smol_str::SmolStr;
+
+use self::{
+    allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
+    board::PublishedBoard,
+    desk::{GrantRelease, ServerDesk},
+    engines::OwnerView,
+    event::{DecisionNote, GatewayEffect, GatewayEvent, RequestNumber},
+    members::{GossipTable, MemberPhase, MemberRecord},
+    requests::RequestRecord,
+    routes::RouteIndex,
+    servers::{GatewayServerKey, GatewayServers},
+    store::StoreReader,
+    suspects::SuspectList,
+};
+use crate::clock::ClockTime;
+
+/// How often each duty that no event triggers is looked after.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
+/// How often members are exchanged when nothing has changed.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// A new process waits this long for peers before it takes servers over.
+const JOIN_TIME: Duration = Duration::from_millis(1_500);
+
+/// Fleet-wide bounds that instances divide among themselves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetBounds {
+    /// On teams.
+    pub quota: QuotaBounds,
+    /// On repeated sends.
+    pub retry: RetryBounds,
+    /// On cold servers.
+    pub cold: ColdBounds,
+    /// Time that must pass between orders of two instances to one server.
+    pub order_lease: Duration,
+}
+
+/// What an instance must know of itself to start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayPlan {
+    /// Its name.
+    pub instance: SmolStr,
+    /// Start of its process, in Unix milliseconds.
+    pub life: u64,
+    /// Seed of the random choices.
+    pub seed: u64,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// Where it takes requests.
+    pub callers: SocketAddr,
+    /// Where it takes messages of peers.
+    pub peers: SocketAddr,
+    /// Peers that may already run.
+    pub first_peers: Vec<SocketAddr>,
+    /// Instances to assume while the members are not known yet.
+    pub least_population: usize,
+    /// Fleet-wide bounds.
+    pub bounds: FleetBounds,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum TimerKind {
+    Housekeeping,
+    Gossip,
+    Deadline(RequestNumber),
+    Continue(RequestNumber),
+}
+
+/// What a call to a peer was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallPurpose {
+    Gossip,
+    Board,
+    Grant(RequestNumber, GatewayServerKey),
+    Releases,
+}
+
+/// Counters of one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GatewayStats {
+    /// Requests of callers.
+    pub requests: u64,
+    /// Requests ended without a server's answer.
+    pub refusals: u64,
+    /// Sends to servers beyond the first of each request.
+    pub repeats: u64,
+    /// Orders given.
+    pub orders: u64,
+    /// Requests that waited for an adapter.
+    pub stalls: u64,
+}
+
+/// All state of one instance of the gateway.
+pub struct GatewayReducer {
+    plan: GatewayPlan,
+    random: ChaCha8Rng,
+    members: GossipTable,
+    board: PublishedBoard,
+    board_confirmed: Option<ClockTime>,
+    routes: Option<RouteIndex>,
+    adapter_versions: BTreeMap<(SmolStr, SmolStr), u64>,
+    servers: GatewayServers,
+    store: StoreReader,
+    requests: BTreeMap<RequestNumber, RequestRecord>,
+    team_buckets: BTreeMap<SmolStr, TeamBucket>,
+    retry_budgets: BTreeMap<SmolStr, RetryBudget>,
+    desks: BTreeMap<GatewayServerKey, ServerDesk>,
+    owners: BTreeMap<SmolStr, OwnerView>,
+    releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
+    suspects: SuspectList,
+    has_quorum: bool,
+    timers: BTreeSet<(ClockTime, TimerKind)>,
+    wake: Option<ClockTime>,
+    calls: BTreeMap<u64, CallPurpose>,
+    next_call: u64,
+    last_rumor: ClockTime,
+    leaving: bool,
+    stats: GatewayStats,
+}
+
+impl GatewayReducer {
+    /// A fresh instance that knows nothing but its plan.
+    pub fn new(plan: GatewayPlan) -> GatewayReducer {
+        let own = MemberRecord {
+            name: plan.instance.clone(),
+            life: plan.life,
+            heartbeat: 0,
+            phase: MemberPhase::Starting,
+            data_centre: plan.data_centre.clone(),
+            callers: plan.callers,
+            peers: plan.peers,
+            claims: Vec::new(),
+            suspects: Vec::new(),
+        };
+        let members = GossipTable::new(own, plan.first_peers.clone(), plan.least_population);
+        let timers = BTreeSet::from([
+            (ClockTime::ZERO, TimerKind::Housekeeping),
+            (ClockTime::ZERO, TimerKind::Gossip),
+        ]);
+        GatewayReducer {
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
+            plan,
+            members,
+            board: PublishedBoard::default(),
+            board_confirmed: None,
+            routes: None,
+            adapter_versions: BTreeMap::new(),
+            servers: GatewayServers::default(),
+            store: StoreReader::default(),
+            requests: BTreeMap::new(),
+            team_buckets: BTreeMap::new(),
+            retry_budgets: BTreeMap::new(),
+            desks: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            suspects: SuspectList::default(),
+            has_quorum: true,
+            timers,
+            wake: None,
+            calls: BTreeMap::new(),
+            next_call: 1,
+            last_rumor: ClockTime::ZERO,
+            leaving: false,
+            stats: GatewayStats::default(),
+        }
+    }
+
+    /// Takes in one event and appends what should be done about it.
+    pub fn reduce(
+        &mut self,
+        now: ClockTime,
+        event: GatewayEvent,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match event {
+            GatewayEvent::RequestArrived(request) => self.request_arrived(now, request, effects),
+            GatewayEvent::CallerGone(request) => self.caller_gone(now, request, effects),
+            GatewayEvent::AnswerStarted(request) => self.answer_started(request),
+            GatewayEvent::AttemptEnded {
+                request,
+                end,
+                sight,
+            } => self.attempt_ended(now, request, end, sight, effects),
+            GatewayEvent::PeerCalled { call, message } => {
+                self.peer_called(now, call, message, effects);
+            }
+            GatewayEvent::PeerAnswered { call, peer, answer } => {
+                self.peer_answered(now, call, peer, answer, effects);
+            }
+            GatewayEvent::StoreAnswered(answer) => self.store_answered(now, answer, effects),
+            GatewayEvent::ReportRead { server, report } => {
+                self.report_read(now, server, report.as_ref(), effects);
+            }
+            GatewayEvent::OrderEnded { server, outcome } => {
+                self.order_ended(now, server, outcome, effects);
+            }
+            GatewayEvent::Paused => self.paused(now, effects),
+            GatewayEvent::Tick => self.wake = None,
+            GatewayEvent::ShutdownRequested => self.shutdown_requested(now, effects),
+        }
+        self.run_timers(now, effects);
+        self.plan_wake(effects);
+    }
+
+    fn set_timer(&mut self, time: ClockTime, kind: TimerKind) {
+        self.timers.insert((time, kind));
+    }
+
+    fn run_timers(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        while let Some((time, kind)) = self.timers.first().copied() {
+            if time > now {
+                return;
+            }
+            self.timers.pop_first();
+            match kind {
+                TimerKind::Housekeeping => self.housekeeping(now, effects),
+                TimerKind::Gossip => {
+                    self.gossip(now, effects);
+                    self.set_timer(now.after(GOSSIP_INTERVAL), TimerKind::Gossip);
+                }
+                TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
+                TimerKind::Continue(request) => self.continue_request(now, request, effects),
+            }
+        }
+    }
+
+    fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        self.note_member_changes(now, effects);
+        self.read_store(now, effects);
+        self.sync_desks(now, effects);
+        self.pump_desks(now, effects);
+        self.flush_releases(effects);
+        self.set_timer(now.after(HOUSEKEEPING_INTERVAL), TimerKind::Housekeeping);
+    }
+
+    fn plan_wake(&mut self, effects: &mut Vec<GatewayEffect>) {
+        let Some((next, _)) = self.timers.first().copied() else {
+            return;
+        };
+        if self.wake.is_none_or(|wake| next < wake) {
+            self.wake = Some(next);
+            effects.push(GatewayEffect::WakeAt(next));
+        }
+    }
+
+    fn paused(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        note(effects, "process_paused", "", "");
+        self.members.excuse_silence(now);
+        // Other instances may have taken the servers over meanwhile.
+        for desk in self.desks.values_mut() {
+            desk.right_mut().suspend(now);
+        }
+        self.board_confirmed = None;
+        self.store.hurry(now);
+        self.read_store(now, effects);
+    }
+
+    fn shutdown_requested(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        self.leaving = true;
+        self.members.own_mut().phase = MemberPhase::Leaving;
+        self.gossip(now, effects);
+    }
+
+    fn population(&self, now: ClockTime) -> usize {
+        self.members.population(now)
+    }
+
+    /// Whether the instance can serve.
+    pub fn is_ready(&self) -> bool {
+        self.routes.is_some() && !self.leaving
+    }
+
+    /// Whether the instance was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Requests of callers in progress.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> GatewayStats {
+        self.stats
+    }
+
+    /// Version of the configuration in force; 0 while there is none.
+    pub fn config_version(&self) -> u64 {
+        self.routes
+            .as_ref()
+            .map_or(0, |routes| routes.config().version)
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<catalog::ServingConfig>> {
+        self.routes.as_ref().map(RouteIndex::config)
+    }
+
+    /// Members alive, with the own record first.
+    pub fn members(&self, now: ClockTime) -> Vec<&MemberRecord> {
+        [self.members.own()]
+            .into_iter()
+            .chain(self.members.alive(now))
+            .collect()
+    }
+
+    /// Addresses that a caller can connect to now.
+    pub fn caller_addresses(&self, now: ClockTime) -> Vec<SocketAddr> {
+        let members = self.members(now);
+        let ready = |record: &&MemberRecord| record.phase == MemberPhase::Ready;
+        let mut addresses: Vec<SocketAddr> = members
+            .iter()
+            .copied()
+            .filter(ready)
+            .map(|record| record.callers)
+            .collect();
+        if addresses.is_empty() {
+            // An address that may soon serve is better than none.
+            addresses.extend(members.iter().map(|record| record.callers));
+        }
+        addresses
+    }
+}
+
+/// Appends a line for the log.
+fn note(effects: &mut Vec<GatewayEffect>, event: &'static str, attempt: &str, detail: &str) {
+    effects.push(GatewayEffect::Note(DecisionNote {
+        event,
+        attempt: attempt.into(),
+        detail: detail.into(),
+    }));
+}
--- /dev/null
+++ b/lib/src/gateway/requests.rs
@@ -0,0 +1,764 @@
+//! A caller's request: admission, choice of servers, repeats and its one final answer.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use rand::Rng;
+
+use super::{
+    GatewayReducer, TimerKind,
+    allowance::{BucketShape, TeamBucket},
+    catalog::{QuotaUnit, RepeatRule, RouteRule, TeamRule},
+    desk::{DeclineReason, GrantRelease, GrantReply},
+    engines::EngineChoice,
+    event::{
+        AttemptEnd, AttemptSight, GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber,
+        ServerDispatch,
+    },
+    note,
+    routes::pick_target,
+    servers::{ColdShare, GatewayServerKey, ServerOutcome},
+};
+use crate::{clock::ClockTime, error::ErrorKind};
+
+/// A request with less time than this left is not sent any more.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+/// Pause before a request that found no server looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Part of the objective for which a request waits for a server before it is refused.
+const HOLD_PART: f64 = 0.5;
+/// When a refused caller may come back if nothing better is known.
+const REFUSED_RETRY: Duration = Duration::from_millis(400);
+/// Servers that may reject one request unrun, or be out of reach, before it is refused.
+const MAX_SENDS: u32 = 5;
+/// Part of the time left that an attempt may use while the request could go elsewhere.
+const PATIENCE_PART: f64 = 0.5;
+/// An attempt is given up after this many objectives, if the request could go elsewhere.
+const PATIENCE_OBJECTIVES: f64 = 2.0;
+/// Confirmed crashes after which a request is taken to be their cause.
+const MAX_CRASHES: u32 = 2;
+/// Share of failures at which a server's answer is rather given up for another attempt.
+const MAX_PRIORITY: u8 = 9;
+/// Part of a server's slots that cost nothing extra when servers are compared.
+const CROSSING_COST: f64 = 0.15;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPhase {
+    /// Looks for a server, or waits to look again.
+    Choosing,
+    /// Waits for a grant.
+    Asking(GatewayServerKey),
+    /// Has a grant and waits for the adapter.
+    Placing(GatewayServerKey),
+    /// Is at a server.
+    Sent(GatewayServerKey),
+}
+
+/// A caller's request in progress.
+#[derive(Debug)]
+pub(super) struct RequestRecord {
+    pub(super) request: GatewayRequest,
+    pub(super) service: SmolStr,
+    route: SmolStr,
+    repeat: RepeatRule,
+    objective: Duration,
+    max_attempts: u32,
+    priority: u8,
+    team: Option<SmolStr>,
+    cost: f64,
+    arrived: ClockTime,
+    /// When it gets its final answer at the latest.
+    pub(super) ends_at: ClockTime,
+    hold_until: ClockTime,
+    phase: RequestPhase,
+    has_grant: bool,
+    /// Servers not to try again.
+    pub(super) excluded: Vec<GatewayServerKey>,
+    /// Times that it was sent.
+    sends: u32,
+    /// Times that a server may have run it.
+    runs: u32,
+    started: bool,
+    fingerprint: u64,
+}
+
+impl GatewayReducer {
+    pub(super) fn request_arrived(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.stats.requests += 1;
+        let number = request.number;
+        match self.admit(now, request) {
+            Ok(record) => {
+                self.set_timer(record.ends_at, TimerKind::Deadline(number));
+                self.requests.insert(number, record);
+                self.continue_request(now, number, effects);
+            }
+            Err((kind, retry_after, attempt, detail)) => {
+                self.stats.refusals += 1;
+                note(effects, "request_refused", &attempt, &detail);
+                effects.push(GatewayEffect::Refuse(GatewayRefusal {
+                    request: number,
+                    kind,
+                    retry_after,
+                }));
+            }
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+    ) -> Result<RequestRecord, (ErrorKind, Option<Duration>, SmolStr, String)> {
+        let attempt = request.attempt.clone();
+        let refuse = |kind: ErrorKind, retry: Option<Duration>, detail: String| {
+            (
+                kind,
+                retry,
+                attempt.clone(),
+                format!("kind={kind:?} {detail}"),
+            )
+        };
+        let Some(routes) = &self.routes else {
+            let detail = "no configuration yet".to_owned();
+            return Err(refuse(ErrorKind::NotReady, Some(REFUSED_RETRY), detail));
+        };
+        let version = routes.config().version;
+        let Some(route) = routes.route(&request.host, &request.path) else {
+            let detail = format!("config={version}");
+            return Err(refuse(ErrorKind::UnknownRoute, None, detail));
+        };
+        let team = request.key.and_then(|key| routes.team(&key)).cloned();
+        if !route.public && !routes.config().teams.is_empty() && team.is_none() {
+            let kind = match request.key {
+                Some(_) => ErrorKind::InvalidKey,
+                None => ErrorKind::MissingKey,
+            };
+            return Err(refuse(kind, None, format!("config={version}")));
+        }
+        let route = route.clone();
+        let fingerprint = fingerprint(&request, team.as_ref());
+        if self.members.suspicions(fingerprint) >= MAX_CRASHES {
+            let detail = format!("fingerprint={fingerprint:016x} crashed servers before");
+            return Err(refuse(ErrorKind::NoServer, Some(REFUSED_RETRY), detail));
+        }
+        let cost = request_cost(&request, team.as_ref());
+        if let Some(team) = &team
+            && let Err(wait) = self.take_quota(now, team, cost)
+        {
+            let detail = format!(
+                "team={} cost={cost} wait_ms={}",
+                team.name,
+                wait.as_millis()
+            );
+            return Err(refuse(ErrorKind::RateExceeded, Some(wait), detail));
+        }
+        Ok(self.new_record(now, request, &route, team.as_ref(), cost, fingerprint))
+    }
+
+    fn new_record(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+        route: &RouteRule,
+        team: Option<&TeamRule>,
+        cost: f64,
+        fingerprint: u64,
+    ) -> RequestRecord {
+        let draw = self.random.random_range(0.0..1.0);
+        let service = pick_target(&route.targets, draw)
+            .map(|target| target.service.clone())
+            .unwrap_or_default();
+        let time = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+        RequestRecord {
+            service,
+            route: route.name.clone(),
+            repeat: route.repeat,
+            objective: route.objective,
+            max_attempts: route.max_attempts.max(1),
+            priority: team
+                .and_then(|team| team.priority)
+                .unwrap_or(route.priority)
+                .min(MAX_PRIORITY),
+            team: team.map(|team| team.name.clone()),
+            cost,
+            arrived: now,
+            ends_at: now.after(time),
+            hold_until: now.after(route.objective.mul_f64(HOLD_PART)),
+            phase: RequestPhase::Choosing,
+            has_grant: false,
+            excluded: Vec::new(),
+            sends: 0,
+            runs: 0,
+            started: false,
+            fingerprint,
+            request,
+        }
+    }
+
+    fn take_quota(&mut self, now: ClockTime, team: &TeamRule, cost: f64) -> Result<(), Duration> {
+        if team.rate <= 0.0 {
+            return Ok(());
+        }
+        let shape = self.team_shape(now, team);
+        self.team_buckets
+            .entry(team.name.clone())
+            .or_insert_with(|| TeamBucket::new(now, shape))
+            .take(now, shape, cost)
+    }
+
+    fn team_shape(&self, now: ClockTime, team: &TeamRule) -> BucketShape {
+        let mut bounds = self.plan.bounds.quota;
+        if team.unit == QuotaUnit::Requests {
+            bounds.slack = bounds.slack.min(team.burst);
+        }
+        BucketShape::of_team(team.rate, team.burst, &bounds, self.population(now))
+    }
+
+    /// Goes on with a request that waits to be sent.
+    pub(super) fn continue_request(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.get(&number) else {
+            return;
+        };
+        match record.phase {
+            RequestPhase::Choosing if record.request.model.is_some() && self.is_engine(number) => {
+                match self.choose_engine(now, number) {
+                    Some(EngineChoice::Ask(server)) => {
+                        self.set_phase(number, RequestPhase::Asking(server));
+                        self.ask_grant(now, number, server, effects);
+                    }
+                    Some(EngineChoice::Direct(server)) => self.send(now, number, server, effects),
+                    None => self.look_again(now, number, effects),
+                }
+            }
+            RequestPhase::Choosing => match self.choose_plain(now, number) {
+                Some(server) => self.send(now, number, server, effects),
+                None => self.look_again(now, number, effects),
+            },
+            RequestPhase::Placing(server) => self.send(now, number, server, effects),
+            RequestPhase::Asking(_) | RequestPhase::Sent(_) => {}
+        }
+    }
+
+    fn is_engine(&self, number: RequestNumber) -> bool {
+        let service = self.requests.get(&number).map(|record| &record.service);
+        service
+            .and_then(|service| self.config()?.service(service))
+            .is_some_and(|service| service.engine.is_some())
+    }
+
+    fn set_phase(&mut self, number: RequestNumber, phase: RequestPhase) {
+        if let Some(record) = self.requests.get_mut(&number) {
+            record.phase = phase;
+        }
+    }
+
+    /// The least loaded server of a plain service.
+    fn choose_plain(&mut self, now: ClockTime, number: RequestNumber) -> Option<GatewayServerKey> {
+        let record = self.requests.get(&number)?;
+        let service = record.service.clone();
+        let cold_rate = self.config()?.service(&service)?.cold_rate;
+        let keys: Vec<GatewayServerKey> = self
+            .servers
+            .in_service(&service)
+            .map(|(key, _)| key)
+            .filter(|key| !record.excluded.contains(key) && self.servers.is_open(now, *key))
+            .collect();
+        let share = ColdShare {
+            bounds: self.plan.bounds.cold,
+            population: self.members.population(now),
+            instance: &self.plan.instance,
+        };
+        let mut best: Option<(f64, GatewayServerKey)> = None;
+        for key in keys {
+            if self.servers.is_cold_full(now, key, cold_rate, &share) {
+                continue;
+            }
+            let server = self.servers.get(key);
+            let slots = f64::from(server.record.slots.max(1));
+            let crossing = if server.record.data_centre == self.plan.data_centre {
+                0.0
+            } else {
+                CROSSING_COST
+            };
+            let jitter = self.random.random_range(0.0..0.05);
+            let cost = server.estimated_load(now) / slots
+                + server.failure_share(now) * 4.0
+                + crossing
+                + jitter;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn look_again(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
+        record.phase = RequestPhase::Choosing;
+        if now >= record.hold_until {
+            self.refuse(now, number, ErrorKind::NoServer, effects);
+            return;
+        }
+        // Servers that declined may have room by then.
+        record.excluded.clear();
+        self.set_timer(now.after(LOOK_AGAIN), TimerKind::Continue(number));
+    }
+
+    /// A scheduler answered, or did not.
+    pub(super) fn grant_answered(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        reply: Option<GrantReply>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let is_asking = self
+            .requests
+            .get(&number)
+            .is_some_and(|record| record.phase == RequestPhase::Asking(server));
+        match reply {
+            Some(GrantReply::Granted { wait, backlog }) => {
+                self.note_backlog(now, server, backlog);
+                if !is_asking {
+                    self.release_grant(now, number, server, None, false, effects);
+                    return;
+                }
+                if let Some(record) = self.requests.get_mut(&number) {
+                    record.has_grant = true;
+                    record.phase = RequestPhase::Placing(server);
+                }
+                if wait.is_zero() {
+                    self.send(now, number, server, effects);
+                } else {
+                    self.stats.stalls += 1;
+                    self.set_timer(now.after(wait), TimerKind::Continue(number));
+                }
+            }
+            Some(GrantReply::Declined { reason, backlog }) => {
+                self.note_backlog(now, server, backlog);
+                if is_asking {
+                    self.grant_declined(now, number, server, reason, effects);
+                }
+            }
+            None if is_asking => self.try_elsewhere(now, number, server, effects),
+            None => {}
+        }
+    }
+
+    fn grant_declined(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        reason: DeclineReason,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(record) = self.requests.get(&number) {
+            let id = &self.servers.get(server).record.id;
+            let detail = format!("server={id} reason={reason:?}");
+            note(effects, "grant_declined", &record.request.attempt, &detail);
+        }
+        self.try_elsewhere(now, number, server, effects);
+    }
+
+    fn try_elsewhere(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(record) = self.requests.get_mut(&number) {
+            record.phase = RequestPhase::Choosing;
+            record.excluded.push(server);
+        }
+        self.continue_request(now, number, effects);
+    }
+
+    fn send(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if !self.servers.is_in_service(server) {
+            self.drop_grant(now, number, server, None, false, effects);
+            self.try_elsewhere(now, number, server, effects);
+            return;
+        }
+        let population = self.population(now);
+        let bounds = self.plan.bounds.retry;
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let left = record.ends_at.since(now);
+        if left < LEAST_TIME {
+            self.drop_grant(now, number, server, None, false, effects);
+            self.refuse(now, number, ErrorKind::DeadlineExceeded, effects);
+            return;
+        }
+        let budget = self
+            .retry_budgets
+            .entry(record.service.clone())
+            .or_default();
+        if record.sends == 0 {
+            budget.count_request(now);
+        } else if !budget.take(now, &bounds, population) {
+            let detail = format!("service={} sends={}", record.service, record.sends);
+            note(
+                effects,
+                "retry_budget_empty",
+                &record.request.attempt,
+                &detail,
+            );
+            self.drop_grant(now, number, server, None, false, effects);
+            self.refuse(now, number, ErrorKind::NoServer, effects);
+            return;
+        } else {
+            self.stats.repeats += 1;
+        }
+        record.sends += 1;
+        record.phase = RequestPhase::Sent(server);
+        let could_repeat =
+            record.repeat.may_repeat() && record.runs + 1 < record.max_attempts && !record.started;
+        let patience = if could_repeat {
+            let objectives = record.objective.mul_f64(PATIENCE_OBJECTIVES);
+            objectives.min(left.mul_f64(PATIENCE_PART))
+        } else {
+            left
+        };
+        let target = &self.servers.get(server).record;
+        let dispatch = ServerDispatch {
+            request: number,
+            server,
+            id: target.id.clone(),
+            address: target.address,
+            deadline: left,
+            patience,
+            team: record.team.clone(),
+            priority: record.request.model.as_ref().map(|_| record.priority),
+            drop_failures: could_repeat,
+            is_stream: record.repeat.is_stream(),
+            resumable: record.repeat == RepeatRule::ResumableStream,
+            once: !record.repeat.may_repeat(),
+        };
+        let detail = format!(
+            "server={} sends={} waited_ms={} left_ms={}",
+            dispatch.id,
+            record.sends,
+            now.since(record.arrived).as_millis(),
+            left.as_millis(),
+        );
+        note(effects, "request_sent", &record.request.attempt, &detail);
+        self.servers.count_send(now, server);
+        effects.push(GatewayEffect::Dispatch(dispatch));
+    }
+
+    fn release_grant(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        first_event: Option<Duration>,
+        adapter_missing: bool,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let release = GrantRelease {
+            server: self.servers.get(server).record.id.clone(),
+            key: self.grant_key(number),
+            first_event,
+            adapter_missing,
+        };
+        self.return_grant(now, server, release, effects);
+    }
+
+    /// Returns the grant of a request, if it has one.
+    fn drop_grant(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        first_event: Option<Duration>,
+        adapter_missing: bool,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let has_grant = self
+            .requests
+            .get_mut(&number)
+            .is_some_and(|record| std::mem::take(&mut record.has_grant));
+        if has_grant {
+            self.release_grant(now, number, server, first_event, adapter_missing, effects);
+        }
+    }
+
+    pub(super) fn answer_started(&mut self, number: RequestNumber) {
+        if let Some(record) = self.requests.get_mut(&number) {
+            record.started = true;
+        }
+    }
+
+    pub(super) fn attempt_ended(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        end: AttemptEnd,
+        sight: AttemptSight,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let RequestPhase::Sent(server) = record.phase else {
+            return;
+        };
+        record.phase = RequestPhase::Choosing;
+        let detail = format!(
+            "server={} end={end:?} first_ms={:?}",
+            self.servers.get(server).record.id,
+            sight.first_event.map(|time| time.as_millis()),
+        );
+        note(effects, "attempt_ended", &record.request.attempt, &detail);
+        let fingerprint = record.fingerprint;
+        if let Some(load) = sight.load {
+            self.servers.report_load(now, server, load);
+        }
+        let outcome = server_outcome(end);
+        self.servers.count_end(now, server, outcome);
+        self.note_breakdown(now, server, end, fingerprint);
+        let missing = matches!(end, AttemptEnd::Rejected { misdirected: true });
+        self.drop_grant(now, number, server, sight.first_event, missing, effects);
+        self.decide_repeat(now, number, server, end, effects);
+    }
+
+    fn note_breakdown(
+        &mut self,
+        now: ClockTime,
+        server: GatewayServerKey,
+        end: AttemptEnd,
+        fingerprint: u64,
+    ) {
+        let service = &self.servers.get(server).record.service;
+        let cold_time = self
+            .config()
+            .and_then(|config| config.service(service))
+            .map_or(Duration::ZERO, |service| service.cold_time);
+        match end {
+            AttemptEnd::NotConnected => {
+                self.servers.suspect_restart(now, server, cold_time);
+                if self.suspects.server_down(now, server) {
+                    self.share_suspects(now);
+                }
+            }
+            AttemptEnd::Broken | AttemptEnd::Interrupted => {
+                self.suspects.connection_broke(now, server, fingerprint);
+            }
+            _ => {}
+        }
+    }
+
+    fn decide_repeat(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        end: AttemptEnd,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let may_go_on = record.sends < MAX_SENDS;
+        match end {
+            AttemptEnd::Completed { .. } => {
+                self.requests.remove(&number);
+                return;
+            }
+            AttemptEnd::NotConnected | AttemptEnd::Rejected { .. } if may_go_on => {}
+            AttemptEnd::NotConnected | AttemptEnd::Rejected { .. } => {
+                self.refuse(now, number, ErrorKind::NoServer, effects);
+                return;
+            }
+            AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::Failed => {
+                record.runs += 1;
+                let may_repeat =
+                    record.repeat.may_repeat() && record.runs < record.max_attempts && may_go_on;
+                if !may_repeat {
+                    self.refuse(now, number, ErrorKind::ServerLost, effects);
+                    return;
+                }
+            }
+            AttemptEnd::Interrupted => {
+                record.runs += 1;
+                let may_resume = record.repeat == RepeatRule::ResumableStream
+                    && record.runs < record.max_attempts.max(2)
+                    && may_go_on;
+                if !may_resume {
+                    self.refuse(now, number, ErrorKind::AnswerBroken, effects);
+                    return;
+                }
+            }
+        }
+        record.hold_until = record.hold_until.max(now.after(LOOK_AGAIN));
+        self.try_elsewhere(now, number, server, effects);
+    }
+
+    /// Ends a request without a server's answer.
+    fn refuse(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        kind: ErrorKind,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.remove(&number) else {
+            return;
+        };
+        self.stats.refusals += 1;
+        let is_sent = matches!(record.phase, RequestPhase::Sent(_));
+        let may_have_run = record.runs > 0 || is_sent;
+        let kind = match kind {
+            // Only a request that ran nowhere may be called so.
+            ErrorKind::NoServer | ErrorKind::DeadlineExceeded if !may_have_run => {
+                ErrorKind::NoServer
+            }
+            ErrorKind::NoServer => ErrorKind::ServerLost,
+            kind => kind,
+        };
+        if !may_have_run
+            && let Some(team) = &record.team
+            && let Some(bucket) = self.team_buckets.get_mut(team)
+        {
+            bucket.give_back(record.cost);
+        }
+        let detail = format!(
+            "kind={kind:?} route={} service={} sends={} runs={} held_ms={}",
+            record.route,
+            record.service,
+            record.sends,
+            record.runs,
+            now.since(record.arrived).as_millis(),
+        );
+        note(effects, "request_refused", &record.request.attempt, &detail);
+        effects.push(GatewayEffect::Refuse(GatewayRefusal {
+            request: number,
+            kind,
+            retry_after: (kind == ErrorKind::NoServer).then_some(REFUSED_RETRY),
+        }));
+        self.close_attempt(now, number, &record, effects);
+    }
+
+    fn close_attempt(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        record: &RequestRecord,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let server = match record.phase {
+            RequestPhase::Sent(server) => {
+                self.servers.count_end(now, server, ServerOutcome::Neutral);
+                server
+            }
+            RequestPhase::Placing(server) => server,
+            RequestPhase::Choosing | RequestPhase::Asking(_) => return,
+        };
+        if record.has_grant {
+            self.release_grant(now, number, server, None, false, effects);
+        }
+    }
+
+    pub(super) fn deadline_passed(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.refuse(now, number, ErrorKind::DeadlineExceeded, effects);
+    }
+
+    pub(super) fn caller_gone(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(record) = self.requests.remove(&number) {
+            note(effects, "caller_gone", &record.request.attempt, "");
+            self.close_attempt(now, number, &record, effects);
+        }
+    }
+
+    /// Refuses requests that wait although the configuration no longer allows them.
+    pub(super) fn refuse_withdrawn(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        let Some(routes) = &self.routes else { return };
+        let withdrawn: Vec<(RequestNumber, ErrorKind)> = self
+            .requests
+            .iter()
+            .filter(|(_, record)| !matches!(record.phase, RequestPhase::Sent(_)))
+            .filter_map(|(number, record)| {
+                let request = &record.request;
+                let Some(route) = routes.route(&request.host, &request.path) else {
+                    return Some((*number, ErrorKind::UnknownRoute));
+                };
+                let has_team = request.key.is_some_and(|key| routes.team(&key).is_some());
+                let needs_team = !route.public && !routes.config().teams.is_empty();
+                (needs_team && !has_team).then_some((*number, ErrorKind::KeyWithdrawn))
+            })
+            .collect();
+        for (number, kind) in withdrawn {
+            self.refuse(now, number, kind, effects);
+        }
+    }
+}
+
+fn server_outcome(end: AttemptEnd) -> ServerOutcome {
+    match end {
+        AttemptEnd::NotConnected => ServerOutcome::Refused,
+        AttemptEnd::Rejected { .. } => ServerOutcome::Neutral,
+        AttemptEnd::Completed { success: true } => ServerOutcome::Answered,
+        AttemptEnd::Completed { success: false }
+        | AttemptEnd::Broken
+        | AttemptEnd::Silent
+        | AttemptEnd::Failed
+        | AttemptEnd::Interrupted => ServerOutcome::Failed,
+    }
+}
+
+/// What a request counts against its team's limit.
+fn request_cost(request: &GatewayRequest, team: Option<&TeamRule>) -> f64 {
+    match team {
+        Some(team) if team.unit == QuotaUnit::Tokens => match request.tokens {
+            Some((prompt, output)) => (prompt + output) as f64,
+            None => team.plain_tokens,
+        },
+        _ => 1.0,
+    }
+}
+
+/// The same for requests that would do the same work.
+fn fingerprint(request: &GatewayRequest, team: Option<&TeamRule>) -> u64 {
+    let team = team.map_or("", |team| team.name.as_str());
+    twox_hash::XxHash3_64::oneshot_with_seed(request.content_hash, team.as_bytes())
+}
--- /dev/null
+++ b/lib/src/gateway/store.rs
@@ -0,0 +1,266 @@
+//! Which instance reads the platform's store, and when; and what its contents change.
+//!
+//! A few instances watch the store; all others learn from them. An instance whose peers cannot
+//! vouch for a recent contact reads by itself.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::{
+    GatewayReducer,
+    board::BoardPage,
+    catalog::{PublishedChange, PublishedItem},
+    event::{GatewayEffect, StoreFault, StoreRead},
+    members::MemberPhase,
+    note,
+    routes::RouteIndex,
+};
+use crate::{clock::ClockTime, rendezvous};
+
+/// Instances that watch the store at the same time.
+const STORE_READERS: usize = 3;
+/// How long a watch waits for a change; also bounds how long a lost reader goes unnoticed.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Age of the board at which an instance reads by itself.
+const STALE_BOARD: Duration = Duration::from_millis(3_200);
+/// First delay after a failed read; it doubles up to the longest.
+const MIN_BACKOFF: Duration = Duration::from_millis(150);
+const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
+/// A store that was away for this long may have dropped entries of servers that still live.
+const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
+/// Time for such servers to register again.
+const REGISTER_TIME: Duration = Duration::from_millis(2_300);
+/// Pause between whole reads meanwhile.
+const REGISTER_POLL: Duration = Duration::from_millis(700);
+
+/// Progress of an instance's own reading.
+#[derive(Debug, Default)]
+pub(super) struct StoreReader {
+    reading: bool,
+    failures: u32,
+    next_read: ClockTime,
+    needs_whole: bool,
+    lost_since: Option<ClockTime>,
+    /// Removals are not believed until then.
+    settling_until: Option<ClockTime>,
+}
+
+impl StoreReader {
+    /// Lets the next read start at once.
+    pub(super) fn hurry(&mut self, now: ClockTime) {
+        self.next_read = now;
+        self.failures = 0;
+    }
+}
+
+impl GatewayReducer {
+    /// Time since the board was known to be the newest.
+    pub(super) fn board_age(&self, now: ClockTime) -> Duration {
+        self.board_confirmed
+            .map_or(Duration::from_secs(3_600), |time| now.since(time))
+    }
+
+    /// Takes a peer's word on how recent the board is.
+    pub(super) fn confirm_board(&mut self, now: ClockTime, age: Duration) {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let confirmed = ClockTime::from_micros(now.as_micros().saturating_sub(micros));
+        if now.as_micros() >= micros {
+            self.board_confirmed = self.board_confirmed.max(Some(confirmed));
+        }
+    }
+
+    fn is_store_reader(&self, now: ClockTime) -> bool {
+        let own = &self.plan.instance;
+        let weight = |name: &str| rendezvous::weight("store-reader", name);
+        let better = self
+            .members
+            .alive(now)
+            .filter(|record| record.phase != MemberPhase::Leaving)
+            .filter(|record| weight(&record.name) > weight(own))
+            .count();
+        better < STORE_READERS
+    }
+
+    pub(super) fn read_store(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        if self.store.reading || now < self.store.next_read {
+            return;
+        }
+        let is_needed = self.board.revision() == 0 || self.board_age(now) > STALE_BOARD;
+        if !is_needed && !self.is_store_reader(now) {
+            return;
+        }
+        let whole = self.board.revision() == 0
+            || self.store.needs_whole
+            || self.store.settling_until.is_some();
+        self.store.reading = true;
+        let read = if whole {
+            StoreRead::Whole
+        } else {
+            StoreRead::Watch {
+                after: self.board.revision(),
+                wait: WATCH_WAIT,
+            }
+        };
+        effects.push(GatewayEffect::ReadStore(read));
+    }
+
+    pub(super) fn store_answered(
+        &mut self,
+        now: ClockTime,
+        answer: Result<BoardPage, StoreFault>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.store.reading = false;
+        match answer {
+            Ok(page) => self.store_page(now, page, effects),
+            Err(StoreFault::HistoryGone) => {
+                note(effects, "store_history_gone", "", "");
+                self.store.needs_whole = true;
+                self.store.next_read = now;
+            }
+            Err(StoreFault::Unavailable) => self.store_lost(now, effects),
+        }
+        self.read_store(now, effects);
+    }
+
+    fn store_lost(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        if self.store.lost_since.is_none() {
+            self.store.lost_since = Some(now);
+            let detail = format!("board_age_ms={}", self.board_age(now).as_millis());
+            note(effects, "store_lost", "", &detail);
+        }
+        self.store.failures += 1;
+        let backoff = MIN_BACKOFF * 2_u32.saturating_pow((self.store.failures - 1).min(8));
+        self.store.next_read = now.after(backoff.min(MAX_BACKOFF));
+    }
+
+    fn store_page(
+        &mut self,
+        now: ClockTime,
+        mut page: BoardPage,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.store.failures = 0;
+        self.store.next_read = now;
+        if let Some(since) = self.store.lost_since.take() {
+            let outage = now.since(since);
+            let detail = format!("outage_ms={}", outage.as_millis());
+            note(effects, "store_regained", "", &detail);
+            if outage >= OUTAGE_TIME && self.board.revision() > 0 {
+                self.store.settling_until = Some(now.after(REGISTER_TIME));
+            }
+        }
+        if page.whole {
+            self.store.needs_whole = false;
+        }
+        if let Some(until) = self.store.settling_until {
+            if now < until {
+                page.whole = false;
+                page.revision = 0;
+                page.changes.retain(|change| change.item.is_some());
+                self.store.next_read = now.after(REGISTER_POLL);
+            } else if page.whole {
+                self.store.settling_until = None;
+            }
+        }
+        self.board_confirmed = Some(now);
+        self.apply_page(now, page, effects);
+    }
+
+    /// Takes in publications from the store or a peer.
+    pub(super) fn apply_page(
+        &mut self,
+        now: ClockTime,
+        page: BoardPage,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let revision = self.board.revision();
+        let fresh = self.board.apply(page);
+        for change in &fresh {
+            self.apply_change(now, change, effects);
+        }
+        if !fresh.is_empty() {
+            self.sync_desks(now, effects);
+        }
+        if self.board.revision() > revision && !fresh.is_empty() {
+            self.spread_rumor(now, effects);
+        }
+    }
+
+    fn apply_change(
+        &mut self,
+        now: ClockTime,
+        change: &PublishedChange,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match &change.item {
+            Some(PublishedItem::Config(config)) => {
+                let detail = format!("version={} revision={}", config.version, change.revision);
+                note(effects, "config_applied", "", &detail);
+                self.routes = Some(RouteIndex::new(config.clone()));
+                if !self.leaving {
+                    self.members.own_mut().phase = MemberPhase::Ready;
+                }
+                self.refuse_withdrawn(now, effects);
+            }
+            Some(PublishedItem::Evacuation(data_centre)) => {
+                note(effects, "data_centre_out", "", data_centre);
+                self.servers
+                    .set_evacuated(now, data_centre, true, Duration::ZERO);
+            }
+            Some(PublishedItem::AdapterVersion {
+                model,
+                adapter,
+                version,
+            }) => {
+                let known = self
+                    .adapter_versions
+                    .entry((model.clone(), adapter.clone()))
+                    .or_default();
+                *known = (*known).max(*version);
+            }
+            Some(PublishedItem::Server(record)) => {
+                let models = record.models.clone();
+                let (key, is_new) = self.servers.publish(now, record.clone());
+                if is_new {
+                    let detail = format!("server={} started={}", record.id, record.started);
+                    note(effects, "server_listed", "", &detail);
+                    effects.push(GatewayEffect::ForgetServer(record.id.clone()));
+                    if self.suspects.server_down(now, key) {
+                        self.share_suspects(now);
+                    }
+                }
+                self.server_published(now, key, is_new, &models);
+            }
+            None => self.apply_removal(now, &change.key, effects),
+        }
+    }
+
+    fn apply_removal(&mut self, now: ClockTime, key: &SmolStr, effects: &mut Vec<GatewayEffect>) {
+        let Some(name) = key.rsplit('/').next() else {
+            return;
+        };
+        let data_centre = SmolStr::new(name);
+        let cold_time = self
+            .config()
+            .and_then(|config| {
+                config
+                    .services
+                    .iter()
+                    .map(|service| service.cold_time)
+                    .max()
+            })
+            .unwrap_or_default();
+        self.servers
+            .set_evacuated(now, &data_centre, false, cold_time);
+        if let Some(server) = self.servers.key(name) {
+            note(effects, "server_withdrawn", "", name);
+            self.servers.withdraw(name);
+            effects.push(GatewayEffect::ForgetServer(name.into()));
+            if self.suspects.server_down(now, server) {
+                self.share_suspects(now);
+            }
+        }
+    }
+}
--- a/lib/src/key.rs
+++ b/lib/src/key.rs
@@ -17,11 +17,16 @@
 
 /// SHA-256 digest of a key.
 #[serde_as]
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyDigest(#[serde_as(as = "Hex")] [u8; 32]);
 
 impl KeyDigest {
+    /// Digest of a clear key in any format.
+    pub fn of(clear: &[u8]) -> KeyDigest {
+        KeyDigest(Sha256::digest(clear).into())
+    }
+
     /// Compares in constant time.
     pub fn matches(&self, other: &KeyDigest) -> bool {
         self.0.ct_eq(&other.0).into()
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod envelope;
 pub mod error;
 pub mod event;
+pub mod gateway;
 pub mod idempotency;
 pub mod key;
 pub mod limits;
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -1,13 +1,17 @@
 //! Settings of one instance: what it cannot learn from the platform's configuration.
 
+mod gateway;
 mod reader;
 
 use std::{net::SocketAddr, time::Duration};
 
 use smol_str::SmolStr;
 
-pub use self::reader::SettingsFault;
 use self::reader::{FaultList, ObjectReader};
+pub use self::{
+    gateway::{GatewayListen, GatewaySettings},
+    reader::SettingsFault,
+};
 
 const LEAST_KEY_BYTES: usize = 16;
 const DIGEST_BYTES: usize = 32;
@@ -115,6 +119,31 @@
     pub drain_timeout: Duration,
 }
 
+/// Settings of a process, in one of its roles.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProcessSettings {
+    /// An instance that follows a log of patches and a list of instances.
+    Instance(Box<InstanceSettings>),
+    /// A gateway, which follows a platform's store.
+    Gateway(Box<GatewaySettings>),
+}
+
+impl ProcessSettings {
+    /// Reads and checks settings; `role` in them tells which they are.
+    pub fn parse(text: &str) -> Result<ProcessSettings, Vec<SettingsFault>> {
+        let mut faults = FaultList::new(text);
+        let is_gateway = faults
+            .parse()
+            .is_some_and(|object| object.get("role").is_some());
+        if is_gateway {
+            let settings = GatewaySettings::parse(text)?;
+            return Ok(ProcessSettings::Gateway(Box::new(settings)));
+        }
+        let settings = InstanceSettings::parse(text)?;
+        Ok(ProcessSettings::Instance(Box::new(settings)))
+    }
+}
+
 impl InstanceSettings {
     /// Reads and checks settings; returns all faults at once.
     pub fn parse(text: &str) -> Result<InstanceSettings, Vec<SettingsFault>> {
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -307,6 +307,27 @@
         }
     }
 
+    /// An optional number that is not negative.
+    pub(super) fn number(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        faults: &mut FaultList<'_>,
+    ) -> f64 {
+        let Some(value) = self.value(name) else {
+            return default;
+        };
+        let number = value
+            .as_number_lit()
+            .and_then(|number| number.value.parse::<f64>().ok())
+            .filter(|number| number.is_finite() && *number >= 0.0);
+        if number.is_none() {
+            let hint = "write a number of 0 or more";
+            self.wrong(name, value, "not such a number", hint, faults);
+        }
+        number.unwrap_or(default)
+    }
+
     /// A list of strings.
     pub(super) fn texts(
         &mut self,
