gateway: borrowed allowance, loads by cost, places kept until a report decides

Change: places change by reports alone, peers lend allowance, servers are compared by expected first event with the price of a load, reads of the store are spaced.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -87,6 +87,7 @@
             peers: settings.listen.peers,
             first_peers: settings.first_peers.clone(),
             least_population: settings.data_centres.len() * EXPECTED_PER_DATA_CENTRE,
+            first_start: settings.first_start,
             bounds: settings.bounds,
         });
         let core = Arc::new(GatewayCore {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -24,7 +24,7 @@
 const PEER_PATH: &str = "/v1/gateway/peer";
 /// Longest message, in bytes: a configuration of the platform's longest value with all servers.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
-/// Time for an answer about a grant; the request goes to another server after it.
+/// Time for an answer that a request waits for; it goes on without it after that.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for any other answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -44,7 +44,7 @@
     message: &PeerCall,
 ) -> Result<PeerAnswer, PeerFault> {
     let timeout = match message {
-        PeerCall::Grant(_) => GRANT_TIMEOUT,
+        PeerCall::Grant(_) | PeerCall::Borrow { .. } => GRANT_TIMEOUT,
         _ => CALL_TIMEOUT,
     };
     let request = encode(peer, message).ok_or(PeerFault::Silent)?;
--- a/lib/src/gateway/allowance.rs
+++ b/lib/src/gateway/allowance.rs
@@ -22,6 +22,9 @@
 /// have used the rest within the same window.
 const START_PART: f64 = 0.35;
 
+/// Part of a bucket that is not lent.
+const KEPT_PART: f64 = 0.25;
+
 /// This instance's part of a team's limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamBucket {
@@ -56,18 +59,37 @@
 }
 
 impl TeamBucket {
-    /// The bucket of a process that has just started.
-    pub fn new(now: ClockTime, shape: BucketShape) -> TeamBucket {
+    /// The bucket of a process that has just started; full only where no earlier process can have
+    /// used it.
+    pub fn new(now: ClockTime, shape: BucketShape, first_start: bool) -> TeamBucket {
+        let part = if first_start { 1.0 } else { START_PART };
         TeamBucket {
-            level: shape.size * START_PART,
+            level: shape.size * part,
             updated: now,
         }
     }
 
+    /// Lends up to `wanted` to another instance; keeps `KEPT_PART` of the bucket.
+    pub fn lend(&mut self, now: ClockTime, shape: BucketShape, wanted: f64) -> f64 {
+        self.refill(now, shape);
+        let lent = (self.level - shape.size * KEPT_PART).clamp(0.0, wanted.max(0.0));
+        self.level -= lent;
+        lent
+    }
+
+    /// What is missing for `cost`.
+    pub fn missing(&mut self, now: ClockTime, shape: BucketShape, cost: f64) -> f64 {
+        self.refill(now, shape);
+        (cost - self.level).max(0.0)
+    }
+
     fn refill(&mut self, now: ClockTime, shape: BucketShape) {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = now;
-        self.level = (self.level + elapsed * shape.rate).min(shape.size);
+        // What was borrowed may lie above the size; it only stops the refill.
+        if self.level < shape.size {
+            self.level = (self.level + elapsed * shape.rate).min(shape.size);
+        }
     }
 
     /// Takes `cost`, or says how long until it would be there.
--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -29,6 +29,13 @@
 const RECENT_ADAPTERS: usize = 32;
 /// Adapters that may be on their way to a server at the same time.
 const MAX_COMING: usize = 4;
+/// Growth of the expected time of loads when one was not done in time, its decay with each request
+/// that was served, and its bound.
+const STRETCH_GROWTH: f64 = 1.25;
+const STRETCH_DECAY: f64 = 0.9;
+const MAX_STRETCH: f64 = 4.0;
+/// Time after which an adapter that was not in place in time is expected.
+const LATE_LOAD_WAIT: Duration = Duration::from_millis(120);
 /// Part of a server's memory that requests may fill.
 const MEMORY_PART: f64 = 0.9;
 /// Prompt tokens that a server reads in a millisecond, until it has been measured.
@@ -218,6 +225,10 @@
     models: Vec<SmolStr>,
     places: Vec<AdapterPlace>,
     recent: VecDeque<(SmolStr, SmolStr)>,
+    /// Adapters dropped so recently that a report may still list them.
+    dropped: Vec<(SmolStr, SmolStr, ClockTime)>,
+    /// Factor on the time of loads, which grows while many are on their way over all servers.
+    load_stretch: f64,
     grants: BTreeMap<GrantKey, GrantRecord>,
     parts: PartCache,
     read_until: ClockTime,
@@ -236,6 +247,8 @@
             models: Vec::new(),
             places: Vec::new(),
             recent: VecDeque::new(),
+            dropped: Vec::new(),
+            load_stretch: 1.0,
             grants: BTreeMap::new(),
             parts: PartCache::new(rule.cache_tokens),
             read_until: now,
@@ -283,6 +296,25 @@
             .collect()
     }
 
+    /// Adapters that made way lately and come back fast.
+    pub fn recent_holdings(&self) -> Vec<HeldModel> {
+        self.models
+            .iter()
+            .map(|model| HeldModel {
+                name: model.clone(),
+                adapters: self
+                    .recent
+                    .iter()
+                    .filter(|(held_model, _)| held_model == model)
+                    .map(|(_, adapter)| HeldAdapter {
+                        name: adapter.clone(),
+                        version: 0,
+                    })
+                    .collect(),
+            })
+            .collect()
+    }
+
     /// Decides on a request that wants to be sent to the server.
     pub fn ask(&mut self, now: ClockTime, rule: &EngineRule, ask: &GrantAsk) -> GrantReply {
         self.expire(now);
@@ -399,7 +431,7 @@
         let load_time = if was_recent {
             RECENT_LOAD_TIME
         } else {
-            ADAPTER_LOAD_TIME
+            ADAPTER_LOAD_TIME.mul_f64(self.load_stretch)
         };
         let ready_at = now.after(load_time + ORDER_TIME);
         self.places.push(AdapterPlace {
@@ -441,6 +473,8 @@
             adapter: place.adapter.clone(),
         };
         self.queue.push_back((place.model.clone(), action));
+        self.dropped
+            .push((place.model.clone(), place.adapter.clone(), now));
         self.remember_recent(place.model, place.adapter);
         Ok(())
     }
@@ -492,10 +526,9 @@
         if release.adapter_missing
             && let Some(adapter) = &grant.adapter
         {
-            self.places.retain(|place| {
-                !place.is_for(&grant.model, adapter) || now.since(place.changed) < PLACE_RECHECK
-            });
-            self.right.refresh(now);
+            self.load_late(now, &grant.model, adapter);
+        } else if release.first_event.is_some() {
+            self.load_stretch = 1.0 + (self.load_stretch - 1.0) * STRETCH_DECAY;
         }
         if let Some(first) = release.first_event
             && grant.undisturbed
@@ -506,6 +539,17 @@
         }
     }
 
+    /// The server lacks an adapter that should be in place by now.
+    ///
+    /// It may still be on its way, so that its place is kept until a report says otherwise.
+    fn load_late(&mut self, now: ClockTime, model: &str, adapter: &str) {
+        self.load_stretch = (self.load_stretch * STRETCH_GROWTH).min(MAX_STRETCH);
+        if let Some(place) = self.place(model, adapter) {
+            place.ready_at = now.after(LATE_LOAD_WAIT);
+        }
+        self.right.refresh(now);
+    }
+
     /// The next order to give, if one may be given now.
     ///
     /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
@@ -563,13 +607,19 @@
                     self.right.refresh(now);
                 }
             }
-            ServerOrderOutcome::Conflict
-            | ServerOrderOutcome::Lost
-            | ServerOrderOutcome::Refused => {
+            ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused => {
                 self.undo(&model, &action);
                 self.drop_queue();
                 self.right.unsettle(now);
             }
+            ServerOrderOutcome::Lost => {
+                // A load may have been accepted, so that its place stays taken.
+                if matches!(action, OrderAction::UnloadAdapter { .. }) {
+                    self.undo(&model, &action);
+                }
+                self.drop_queue();
+                self.right.unsettle(now);
+            }
         }
     }
 
@@ -588,9 +638,30 @@
         }
     }
 
-    fn undo(&mut self, model: &str, action: &OrderAction) {
-        if let OrderAction::LoadAdapter { adapter, .. } = action {
-            self.places.retain(|place| !place.is_for(model, adapter));
+    /// Takes back what was assumed of an order that was not carried out.
+    fn undo(&mut self, model: &SmolStr, action: &OrderAction) {
+        match action {
+            OrderAction::LoadModel => {}
+            OrderAction::LoadAdapter { adapter, .. } => {
+                self.places.retain(|place| !place.is_for(model, adapter));
+            }
+            OrderAction::UnloadAdapter { adapter } => {
+                self.dropped
+                    .retain(|(held_model, held, _)| held_model != model || held != adapter);
+                if self.place(model, adapter).is_none() {
+                    self.places.push(AdapterPlace {
+                        model: model.clone(),
+                        adapter: adapter.clone(),
+                        version: 0,
+                        phase: PlacePhase::Ready,
+                        ready_at: ClockTime::ZERO,
+                        // The next report decides.
+                        changed: ClockTime::ZERO,
+                        used: ClockTime::ZERO,
+                        pins: 0,
+                    });
+                }
+            }
         }
     }
 
@@ -605,9 +676,8 @@
         self.right.observe(now, report);
         let Some(report) = report else { return };
         self.reported = true;
-        if self.ordered.is_some() || !self.queue.is_empty() {
-            return;
-        }
+        self.dropped
+            .retain(|(_, _, time)| now.since(*time) < PLACE_RECHECK);
         self.adopt_models(now, &report.models);
         for (model, adapter) in &report.coming {
             self.adopt_adapter(now, model, adapter, now.after(ADAPTER_LOAD_TIME));
@@ -664,6 +734,13 @@
         adapter: &HeldAdapter,
         ready_at: ClockTime,
     ) {
+        let is_dropped = self
+            .dropped
+            .iter()
+            .any(|(held_model, held, _)| held_model == model && *held == adapter.name);
+        if is_dropped {
+            return;
+        }
         if let Some(place) = self.place(model, &adapter.name) {
             if now.since(place.changed) >= PLACE_RECHECK {
                 place.version = adapter.version;
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -14,25 +14,34 @@
     members::{MemberPhase, MemberRecord, ServerClaim},
     message::PeerCall,
     note,
+    requests::RequestRecord,
     servers::{ColdShare, GatewayServerKey},
 };
 use crate::{clock::ClockTime, rendezvous};
 
-/// Expected time of a load from the weight store, for choosing a server.
-const LOAD_COST_MS: f64 = 265.0;
-/// Part of that for the servers that probably held the adapter lately.
-const HOME_LOAD_COST_MS: f64 = 130.0;
-/// Servers that an adapter returns to first.
-const HOME_SERVERS: usize = 2;
+/// Expected time of a load from the weight store, in milliseconds.
+const LOAD_MS: f64 = 260.0;
+/// Expected time of a load of an adapter that the server held lately, in milliseconds.
+const RECENT_LOAD_MS: f64 = 35.0;
+/// Prompt tokens that a server reads in a millisecond, for choosing.
+const READ_RATE: f64 = 33.0;
+/// Weight of a millisecond until the first event while the objective is far.
+const EARLY_WEIGHT: f64 = 0.2;
+/// Additional weight of a millisecond in the last part of the objective and beyond.
+const LATE_WEIGHT: f64 = 1.5;
+/// Part of the objective that is not late in this sense.
+const EARLY_PART: f64 = 0.5;
+/// Cost of a load from the weight store beyond its time.
+const STORE_LOAD_COST: f64 = 150.0;
 /// Preference for servers that come early in an adapter's order, for each place.
-const RANK_COST_MS: f64 = 30.0;
-/// Preference among holders for the one that has probably read the shared parts, for each place.
-const PART_COST_MS: f64 = 70.0;
+const RANK_COST: f64 = 10.0;
+/// Cost of sending a prompt token to another data centre.
+const CROSSING_COST: f64 = 0.004;
 /// Cost of a server that fails every request.
-const FAILURE_COST_MS: f64 = 3_000.0;
+const FAILURE_COST: f64 = 3_000.0;
 /// Cost of a server that nobody schedules.
-const UNSCHEDULED_COST_MS: f64 = 150.0;
-/// How long a claim of an instance that has just started counts less than an older one.
+const UNSCHEDULED_COST: f64 = 150.0;
+/// Requests that this instance has at most at a server that nobody schedules.
 const DIRECT_GRANT_LIMIT: u32 = 24;
 
 /// Who schedules a model server, as this instance knows.
@@ -45,6 +54,7 @@
     /// When the server would begin with another prompt.
     pub(super) read_until: ClockTime,
     models: Vec<HeldModel>,
+    recent: Vec<HeldModel>,
 }
 
 impl OwnerView {
@@ -55,6 +65,7 @@
             active: claim.active,
             read_until: now.after(Duration::from_millis(u64::from(claim.backlog_ms))),
             models: claim.models.clone(),
+            recent: claim.recent.clone(),
         }
     }
 
@@ -65,6 +76,42 @@
     }
 }
 
+/// Whether a server has an adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlaceView {
+    /// It is in place, or will soon be.
+    Held,
+    /// It made way lately and comes back fast.
+    Recent,
+    /// It must come from the weight store.
+    Missing,
+}
+
+/// A model server as a request sees it.
+struct EngineView {
+    place: PlaceView,
+    /// Whether its scheduler may order.
+    active: bool,
+    /// Whether it has a scheduler.
+    scheduled: bool,
+    backlog: Duration,
+}
+
+fn place_of(
+    models: &[HeldModel],
+    recent: &[HeldModel],
+    wanted: &ModelName,
+    version: u64,
+) -> PlaceView {
+    if holds(models, wanted, version) {
+        PlaceView::Held
+    } else if holds(recent, wanted, 0) {
+        PlaceView::Recent
+    } else {
+        PlaceView::Missing
+    }
+}
+
 fn holds(models: &[HeldModel], wanted: &ModelName, version: u64) -> bool {
     let Some(model) = models.iter().find(|model| model.name == wanted.model) else {
         return false;
@@ -379,7 +426,7 @@
         let mut best: Option<(f64, EngineChoice)> = None;
         for (position, key) in candidates.iter().enumerate() {
             let ranks = (by_adapter[position], by_parts[position]);
-            if let Some((cost, choice)) = self.engine_cost(now, *key, &wanted, version, ranks)
+            if let Some((cost, choice)) = self.engine_cost(now, *key, record, version, ranks)
                 && best.is_none_or(|(least, _)| cost < least)
             {
                 best = Some((cost, choice));
@@ -404,39 +451,77 @@
         &self,
         now: ClockTime,
         key: GatewayServerKey,
-        wanted: &ModelName,
+        record: &RequestRecord,
         version: u64,
         (adapter_rank, part_rank): (usize, usize),
     ) -> Option<(f64, EngineChoice)> {
+        let wanted = record.request.model.as_ref()?;
         let server = self.servers.get(key);
-        let id = &server.record.id;
-        let failure = server.failure_share(now) * FAILURE_COST_MS;
-        let (held, active, backlog, choice) = if let Some(desk) = self.desks.get(&key) {
-            let held = holds(&desk.holdings(), wanted, version);
-            let active = desk.right().is_active();
-            (held, active, desk.backlog(now), EngineChoice::Ask(key))
-        } else if let Some(view) = self.owners.get(id) {
-            let held = holds(&view.models, wanted, version);
-            let backlog = view.read_until.since(now);
-            (held, view.active, backlog, EngineChoice::Ask(key))
-        } else {
-            let held = holds(&server.record.models, wanted, version);
-            if !held || server.in_flight >= DIRECT_GRANT_LIMIT {
-                return None;
+        let view = self.engine_view(now, key, wanted, version);
+        let tokens = record.request.tokens.map_or(0, |(prompt, _)| prompt);
+        let shared: u64 = match record.request.parts.split_last() {
+            Some((_, shared)) if part_rank == 0 => {
+                shared.iter().map(|part| u64::from(part.tokens)).sum()
             }
-            return Some((UNSCHEDULED_COST_MS + failure, EngineChoice::Direct(key)));
+            _ => 0,
         };
-        if !held && !active {
-            return None;
+        let read_ms = tokens.saturating_sub(shared) as f64 / READ_RATE;
+        let mut cost = server.failure_share(now) * FAILURE_COST;
+        let load_ms = match view.place {
+            PlaceView::Held => 0.0,
+            PlaceView::Recent if view.active => RECENT_LOAD_MS,
+            PlaceView::Missing if view.active => {
+                cost += STORE_LOAD_COST;
+                LOAD_MS
+            }
+            PlaceView::Recent | PlaceView::Missing => return None,
+        };
+        if view.place != PlaceView::Held {
+            cost += adapter_rank as f64 * RANK_COST;
+        }
+        if server.record.data_centre != self.plan.data_centre {
+            cost += tokens as f64 * CROSSING_COST;
         }
-        let placing = if held {
-            part_rank as f64 * PART_COST_MS
-        } else if adapter_rank < HOME_SERVERS {
-            HOME_LOAD_COST_MS + adapter_rank as f64 * RANK_COST_MS
+        let first_ms = (view.backlog.as_secs_f64() * 1_000.0).max(load_ms) + read_ms;
+        let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_PART;
+        cost += first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
+        if view.scheduled {
+            return Some((cost, EngineChoice::Ask(key)));
+        }
+        (server.in_flight < DIRECT_GRANT_LIMIT)
+            .then_some((cost + UNSCHEDULED_COST, EngineChoice::Direct(key)))
+    }
+
+    fn engine_view(
+        &self,
+        now: ClockTime,
+        key: GatewayServerKey,
+        wanted: &ModelName,
+        version: u64,
+    ) -> EngineView {
+        let record = &self.servers.get(key).record;
+        if let Some(desk) = self.desks.get(&key) {
+            EngineView {
+                place: place_of(&desk.holdings(), &desk.recent_holdings(), wanted, version),
+                active: desk.right().is_active(),
+                scheduled: true,
+                backlog: desk.backlog(now),
+            }
+        } else if let Some(view) = self.owners.get(&record.id) {
+            EngineView {
+                place: place_of(&view.models, &view.recent, wanted, version),
+                active: view.active,
+                scheduled: true,
+                backlog: view.read_until.since(now),
+            }
         } else {
-            LOAD_COST_MS + adapter_rank as f64 * RANK_COST_MS
-        };
-        Some((backlog.as_secs_f64() * 1_000.0 + placing + failure, choice))
+            EngineView {
+                place: place_of(&record.models, &[], wanted, version),
+                active: false,
+                scheduled: false,
+                backlog: Duration::ZERO,
+            }
+        }
     }
 
     /// Asks the scheduler of `server` for a grant; the answer comes back as a reply.
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -20,6 +20,8 @@
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Members that were alive this recently may still act, and count when limits are divided.
 const POPULATION_MEMORY: Duration = Duration::from_secs(20);
+/// A process that has just started may not know all members for this long.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
 /// Members silent for longer are forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Peers that each gossip round talks to.
@@ -52,6 +54,8 @@
     pub backlog_ms: u32,
     /// What the server holds.
     pub models: Vec<HeldModel>,
+    /// Adapters that made way lately and come back fast.
+    pub recent: Vec<HeldModel>,
 }
 
 /// What an instance says of itself.
@@ -182,7 +186,7 @@
             .filter(|member| now.since(member.heard) < POPULATION_MEMORY)
             .count();
         let known = recent + 1;
-        if now.since(ClockTime::ZERO) < POPULATION_MEMORY {
+        if self.last_heard.is_none() || now.since(ClockTime::ZERO) < SETTLING_TIME {
             known.max(self.least_population)
         } else {
             known
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use smol_str::SmolStr;
 
 use super::{
     board::BoardPage,
@@ -40,6 +41,13 @@
     Grant(GrantAsk),
     /// Tells that requests have ended.
     Releases(Vec<GrantRelease>),
+    /// Asks for a part of a team's allowance.
+    Borrow {
+        /// The team.
+        team: SmolStr,
+        /// Units wanted.
+        wanted: f64,
+    },
 }
 
 /// A peer's answer.
@@ -53,6 +61,8 @@
     Grant(GrantReply),
     /// To [`PeerCall::Releases`].
     Noted,
+    /// To [`PeerCall::Borrow`]: units that the sender no longer has.
+    Lent(f64),
 }
 
 /// Why a call to a peer failed.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod servers;
 mod store;
 mod suspects;
+mod teams;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -85,6 +86,8 @@
     pub first_peers: Vec<SocketAddr>,
     /// Instances to assume while the members are not known yet.
     pub least_population: usize,
+    /// Whether no earlier process can have used up any allowance.
+    pub first_start: bool,
     /// Fleet-wide bounds.
     pub bounds: FleetBounds,
 }
@@ -103,6 +106,7 @@
     Gossip,
     Board,
     Grant(RequestNumber, GatewayServerKey),
+    Borrow(RequestNumber),
     Releases,
 }
 
@@ -134,6 +138,8 @@
     store: StoreReader,
     requests: BTreeMap<RequestNumber, RequestRecord>,
     team_buckets: BTreeMap<SmolStr, TeamBucket>,
+    /// Until when peers are not asked for a team's allowance.
+    borrow_pauses: BTreeMap<SmolStr, ClockTime>,
     retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     desks: BTreeMap<GatewayServerKey, ServerDesk>,
     owners: BTreeMap<SmolStr, OwnerView>,
@@ -180,6 +186,7 @@
             store: StoreReader::default(),
             requests: BTreeMap::new(),
             team_buckets: BTreeMap::new(),
+            borrow_pauses: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             desks: BTreeMap::new(),
             owners: BTreeMap::new(),
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -62,6 +62,7 @@
                 active: desk.right().is_active(),
                 backlog_ms: u32::try_from(desk.backlog(now).as_millis()).unwrap_or(u32::MAX),
                 models: desk.holdings(),
+                recent: desk.recent_holdings(),
             })
             .collect();
         self.members.own_mut().claims = claims;
@@ -103,6 +104,9 @@
                 }
                 PeerAnswer::Noted
             }
+            PeerCall::Borrow { team, wanted } => {
+                PeerAnswer::Lent(self.lend_quota(now, &team, wanted))
+            }
         };
         effects.push(GatewayEffect::AnswerPeer { call, answer });
     }
@@ -191,6 +195,10 @@
             (CallPurpose::Grant(request, server), _) => {
                 self.grant_answered(now, request, server, None, effects);
             }
+            (CallPurpose::Borrow(request), Ok(PeerAnswer::Lent(lent))) => {
+                self.quota_lent(now, request, lent, effects);
+            }
+            (CallPurpose::Borrow(request), _) => self.quota_lent(now, request, 0.0, effects),
             _ => {}
         }
     }
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -1,6 +1,6 @@
 //! A caller's request: admission, choice of servers, repeats and its one final answer.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use smol_str::SmolStr;
 
@@ -8,7 +8,6 @@
 
 use super::{
     GatewayReducer, TimerKind,
-    allowance::{BucketShape, TeamBucket},
     catalog::{QuotaUnit, RepeatRule, RouteRule, TeamRule},
     desk::{DeclineReason, GrantRelease, GrantReply},
     engines::EngineChoice,
@@ -46,6 +45,8 @@
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestPhase {
+    /// Waits for its team's allowance.
+    Admitting,
     /// Looks for a server, or waits to look again.
     Choosing,
     /// Waits for a grant.
@@ -63,16 +64,18 @@
     pub(super) service: SmolStr,
     route: SmolStr,
     repeat: RepeatRule,
-    objective: Duration,
+    pub(super) objective: Duration,
     max_attempts: u32,
     priority: u8,
-    team: Option<SmolStr>,
-    cost: f64,
+    pub(super) team: Option<SmolStr>,
+    pub(super) cost: f64,
     arrived: ClockTime,
     /// When it gets its final answer at the latest.
     pub(super) ends_at: ClockTime,
     hold_until: ClockTime,
-    phase: RequestPhase,
+    pub(super) phase: RequestPhase,
+    /// Peers that can still be asked for allowance.
+    pub(super) lenders: Vec<SocketAddr>,
     has_grant: bool,
     /// Servers not to try again.
     pub(super) excluded: Vec<GatewayServerKey>,
@@ -97,7 +100,7 @@
             Ok(record) => {
                 self.set_timer(record.ends_at, TimerKind::Deadline(number));
                 self.requests.insert(number, record);
-                self.continue_request(now, number, effects);
+                self.take_quota(now, number, effects);
             }
             Err((kind, retry_after, attempt, detail)) => {
                 self.stats.refusals += 1;
@@ -150,16 +153,6 @@
             return Err(refuse(ErrorKind::NoServer, Some(REFUSED_RETRY), detail));
         }
         let cost = request_cost(&request, team.as_ref());
-        if let Some(team) = &team
-            && let Err(wait) = self.take_quota(now, team, cost)
-        {
-            let detail = format!(
-                "team={} cost={cost} wait_ms={}",
-                team.name,
-                wait.as_millis()
-            );
-            return Err(refuse(ErrorKind::RateExceeded, Some(wait), detail));
-        }
         Ok(self.new_record(now, request, &route, team.as_ref(), cost, fingerprint))
     }
 
@@ -192,7 +185,8 @@
             arrived: now,
             ends_at: now.after(time),
             hold_until: now.after(route.objective.mul_f64(HOLD_PART)),
-            phase: RequestPhase::Choosing,
+            phase: RequestPhase::Admitting,
+            lenders: Vec::new(),
             has_grant: false,
             excluded: Vec::new(),
             sends: 0,
@@ -203,25 +197,6 @@
         }
     }
 
-    fn take_quota(&mut self, now: ClockTime, team: &TeamRule, cost: f64) -> Result<(), Duration> {
-        if team.rate <= 0.0 {
-            return Ok(());
-        }
-        let shape = self.team_shape(now, team);
-        self.team_buckets
-            .entry(team.name.clone())
-            .or_insert_with(|| TeamBucket::new(now, shape))
-            .take(now, shape, cost)
-    }
-
-    fn team_shape(&self, now: ClockTime, team: &TeamRule) -> BucketShape {
-        let mut bounds = self.plan.bounds.quota;
-        if team.unit == QuotaUnit::Requests {
-            bounds.slack = bounds.slack.min(team.burst);
-        }
-        BucketShape::of_team(team.rate, team.burst, &bounds, self.population(now))
-    }
-
     /// Goes on with a request that waits to be sent.
     pub(super) fn continue_request(
         &mut self,
@@ -248,7 +223,7 @@
                 None => self.look_again(now, number, effects),
             },
             RequestPhase::Placing(server) => self.send(now, number, server, effects),
-            RequestPhase::Asking(_) | RequestPhase::Sent(_) => {}
+            RequestPhase::Admitting | RequestPhase::Asking(_) | RequestPhase::Sent(_) => {}
         }
     }
 
@@ -464,9 +439,12 @@
             resumable: record.repeat == RepeatRule::ResumableStream,
             once: !record.repeat.may_repeat(),
         };
+        let adapter = record.request.model.as_ref();
+        let adapter = adapter.and_then(|model| model.adapter.as_deref());
         let detail = format!(
-            "server={} sends={} waited_ms={} left_ms={}",
+            "server={} adapter={} sends={} waited_ms={} left_ms={}",
             dispatch.id,
+            adapter.unwrap_or("-"),
             record.sends,
             now.since(record.arrived).as_millis(),
             left.as_millis(),
@@ -625,11 +603,23 @@
     }
 
     /// Ends a request without a server's answer.
-    fn refuse(
+    pub(super) fn refuse(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        kind: ErrorKind,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.refuse_until(now, number, kind, None, effects);
+    }
+
+    /// Ends a request without a server's answer, and says when it is worth coming back.
+    pub(super) fn refuse_until(
         &mut self,
         now: ClockTime,
         number: RequestNumber,
         kind: ErrorKind,
+        retry_after: Option<Duration>,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(record) = self.requests.remove(&number) else {
@@ -647,6 +637,7 @@
             kind => kind,
         };
         if !may_have_run
+            && record.phase != RequestPhase::Admitting
             && let Some(team) = &record.team
             && let Some(bucket) = self.team_buckets.get_mut(team)
         {
@@ -664,7 +655,7 @@
         effects.push(GatewayEffect::Refuse(GatewayRefusal {
             request: number,
             kind,
-            retry_after: (kind == ErrorKind::NoServer).then_some(REFUSED_RETRY),
+            retry_after: retry_after.or((kind == ErrorKind::NoServer).then_some(REFUSED_RETRY)),
         }));
         self.close_attempt(now, number, &record, effects);
     }
@@ -682,7 +673,7 @@
                 server
             }
             RequestPhase::Placing(server) => server,
-            RequestPhase::Choosing | RequestPhase::Asking(_) => return,
+            RequestPhase::Admitting | RequestPhase::Choosing | RequestPhase::Asking(_) => return,
         };
         if record.has_grant {
             self.release_grant(now, number, server, None, false, effects);
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -21,9 +21,11 @@
 /// Instances that watch the store at the same time.
 const STORE_READERS: usize = 3;
 /// How long a watch waits for a change; also bounds how long a lost reader goes unnoticed.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_millis(900);
+/// Shortest time between two reads; what changes meanwhile comes with the next one.
+const READ_GAP: Duration = Duration::from_millis(450);
 /// Age of the board at which an instance reads by itself.
-const STALE_BOARD: Duration = Duration::from_millis(3_200);
+const STALE_BOARD: Duration = Duration::from_millis(1_700);
 /// First delay after a failed read; it doubles up to the longest.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
@@ -142,7 +144,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.store.failures = 0;
-        self.store.next_read = now;
+        self.store.next_read = now.after(READ_GAP);
         if let Some(since) = self.store.lost_since.take() {
             let outage = now.since(since);
             let detail = format!("outage_ms={}", outage.as_millis());
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -43,6 +43,9 @@
     pub store: SocketAddr,
     /// Peers that may already run.
     pub first_peers: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that no earlier process has used up
+    /// any allowance.
+    pub first_start: bool,
     /// Fleet-wide bounds.
     pub bounds: FleetBounds,
     /// How long a planned stop may take.
@@ -80,6 +83,7 @@
     let listen = read_listen(root.object("listen", faults), faults);
     let store = root.address("store", faults);
     let first_peers = read_first_peers(&mut root, faults);
+    let first_start = root.boolean("first_start", false, faults);
     let bounds = read_bounds(root.optional_object("bounds", faults), faults);
     let grace = read_seconds(&mut root, "grace_s", 8.0, faults);
     let telemetry = read_telemetry(root.optional_object("telemetry", faults), faults);
@@ -91,6 +95,7 @@
         listen: listen?,
         store: store?,
         first_peers,
+        first_start,
         bounds,
         grace,
         telemetry,
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -307,6 +307,23 @@
         }
     }
 
+    /// An optional truth value.
+    pub(super) fn boolean(
+        &mut self,
+        name: &'static str,
+        default: bool,
+        faults: &mut FaultList<'_>,
+    ) -> bool {
+        let Some(value) = self.value(name) else {
+            return default;
+        };
+        let truth = value.as_boolean_lit().map(|literal| literal.value);
+        if truth.is_none() {
+            self.wrong(name, value, "not true or false", "write true or false", faults);
+        }
+        truth.unwrap_or(default)
+    }
+
     /// An optional number that is not negative.
     pub(super) fn number(
         &mut self,
