gateway: bound the loads on their way by whether they are in time

Cause: beyond about eight loads in flight the weight store slows down, so that adapters came a second late, an unload of one still on its way changed nothing, and a server was overfilled (LIMIT). Change: each instance bounds its loads in flight by an additive increase and a cut on each late one; only adapters that a request ran on or a report lists make way.

--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -34,6 +34,8 @@
 const STRETCH_GROWTH: f64 = 1.25;
 const STRETCH_DECAY: f64 = 0.9;
 const MAX_STRETCH: f64 = 4.0;
+/// Time after which a place that nobody has used is looked up in a report.
+const CONFIRM_TIME: Duration = Duration::from_millis(800);
 /// Time after which an adapter that was not in place in time is expected.
 const LATE_LOAD_WAIT: Duration = Duration::from_millis(120);
 /// Part of a server's memory that requests may fill.
@@ -93,6 +95,8 @@
     NoModel,
     /// All places hold adapters in use.
     NoPlace,
+    /// Enough adapters are on their way.
+    LoadsBusy,
     /// Slots or memory are used up.
     Full,
 }
@@ -182,6 +186,15 @@
     Lost,
 }
 
+/// Whether an adapter was in place when it was expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadSignal {
+    /// It was.
+    InTime,
+    /// It was not; too many may be on their way.
+    Late,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlacePhase {
     Ready,
@@ -199,6 +212,8 @@
     changed: ClockTime,
     used: ClockTime,
     pins: u32,
+    /// Whether the server is known to have it: a request ran on it, or a report lists it.
+    confirmed: bool,
 }
 
 impl AdapterPlace {
@@ -215,6 +230,8 @@
     unread: u64,
     /// Whether nothing was read ahead of it and nothing had to be loaded.
     undisturbed: bool,
+    /// Whether the adapter had to be loaded for it.
+    placed: bool,
     expires: ClockTime,
 }
 
@@ -316,9 +333,17 @@
     }
 
     /// Decides on a request that wants to be sent to the server.
-    pub fn ask(&mut self, now: ClockTime, rule: &EngineRule, ask: &GrantAsk) -> GrantReply {
+    ///
+    /// `may_load` says whether another adapter may be brought from the weight store.
+    pub fn ask(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        ask: &GrantAsk,
+        may_load: bool,
+    ) -> GrantReply {
         self.expire(now);
-        match self.admit(now, rule, ask) {
+        match self.admit(now, rule, ask, may_load) {
             Ok(wait) => {
                 let unread = self.parts.unread(ask);
                 let busy_until = self.read_until.max(now);
@@ -334,6 +359,7 @@
                         tokens: ask.prompt_tokens + ask.output_tokens,
                         unread,
                         undisturbed,
+                        placed: !wait.is_zero(),
                         expires: now.after(ask.lifetime),
                     },
                 );
@@ -354,6 +380,7 @@
         now: ClockTime,
         rule: &EngineRule,
         ask: &GrantAsk,
+        may_load: bool,
     ) -> Result<Duration, DeclineReason> {
         if !self.models.contains(&ask.model) {
             return Err(DeclineReason::NoModel);
@@ -369,7 +396,7 @@
         let Some(adapter) = &ask.adapter else {
             return Ok(Duration::ZERO);
         };
-        let ready_at = self.place_adapter(now, rule, &ask.model, adapter, ask.version)?;
+        let ready_at = self.place_adapter(now, rule, ask, adapter, may_load)?;
         if let Some(place) = self.place(&ask.model, adapter) {
             place.pins += 1;
             place.used = now;
@@ -388,10 +415,11 @@
         &mut self,
         now: ClockTime,
         rule: &EngineRule,
-        model: &SmolStr,
+        ask: &GrantAsk,
         adapter: &SmolStr,
-        version: u64,
+        may_load: bool,
     ) -> Result<ClockTime, DeclineReason> {
+        let (model, version) = (&ask.model, ask.version);
         let is_active = self.right.is_active();
         if let Some(place) = self.place(model, adapter) {
             if place.phase == PlacePhase::Unloading {
@@ -407,6 +435,7 @@
                 return Err(DeclineReason::NoPlace);
             }
             place.version = version;
+            place.confirmed = false;
             place.changed = now;
             place.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_TIME);
             let ready_at = place.ready_at;
@@ -416,13 +445,8 @@
         if !is_active {
             return Err(DeclineReason::NoRight);
         }
-        let coming = self
-            .places
-            .iter()
-            .filter(|place| place.ready_at > now)
-            .count();
-        if coming >= MAX_COMING {
-            return Err(DeclineReason::NoPlace);
+        if !may_load || self.coming() >= MAX_COMING {
+            return Err(DeclineReason::LoadsBusy);
         }
         if self.places.len() >= rule.adapter_slots {
             self.evict(now)?;
@@ -443,6 +467,7 @@
             changed: now,
             used: now,
             pins: 0,
+            confirmed: false,
         });
         self.push_load(model, adapter, version);
         Ok(ready_at)
@@ -463,7 +488,10 @@
             .iter()
             .enumerate()
             .filter(|(_, place)| {
-                place.pins == 0 && place.phase == PlacePhase::Ready && place.ready_at <= now
+                place.pins == 0
+                    && place.phase == PlacePhase::Ready
+                    && place.ready_at <= now
+                    && place.confirmed
             })
             .min_by_key(|(_, place)| place.used)
             .map(|(position, _)| position)
@@ -518,17 +546,27 @@
         Some(grant)
     }
 
-    /// Takes a grant back.
-    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) {
-        let Some(grant) = self.end_grant(&release.key) else {
-            return;
-        };
+    /// Adapters that are on their way, as far as it is known.
+    pub fn coming(&self) -> usize {
+        self.places.iter().filter(|place| !place.confirmed).count()
+    }
+
+    /// Takes a grant back; tells whether an adapter loaded for it was in place in time.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> Option<LoadSignal> {
+        let grant = self.end_grant(&release.key)?;
         if release.adapter_missing
             && let Some(adapter) = &grant.adapter
         {
             self.load_late(now, &grant.model, adapter);
-        } else if release.first_event.is_some() {
+            return Some(LoadSignal::Late);
+        }
+        if release.first_event.is_some() {
             self.load_stretch = 1.0 + (self.load_stretch - 1.0) * STRETCH_DECAY;
+            if let Some(adapter) = &grant.adapter
+                && let Some(place) = self.place(&grant.model, adapter)
+            {
+                place.confirmed = true;
+            }
         }
         if let Some(first) = release.first_event
             && grant.undisturbed
@@ -537,6 +575,7 @@
             let rate = grant.unread as f64 / (first.as_secs_f64() * 1_000.0).max(1.0);
             self.read_rate += (rate - self.read_rate) * READ_RATE_WEIGHT;
         }
+        (grant.placed && release.first_event.is_some()).then_some(LoadSignal::InTime)
     }
 
     /// The server lacks an adapter that should be in place by now.
@@ -550,6 +589,16 @@
         self.right.refresh(now);
     }
 
+    /// Has a report read if an adapter should have been in place for a while and nobody used it.
+    pub fn check_places(&mut self, now: ClockTime) {
+        let is_doubtful = |place: &AdapterPlace| {
+            !place.confirmed && now.since(place.ready_at) >= CONFIRM_TIME
+        };
+        if self.places.iter().any(is_doubtful) {
+            self.right.refresh(now);
+        }
+    }
+
     /// The next order to give, if one may be given now.
     ///
     /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
@@ -634,6 +683,7 @@
                 changed: now,
                 used: now,
                 pins: 0,
+                confirmed: true,
             });
         }
     }
@@ -659,6 +709,7 @@
                         changed: ClockTime::ZERO,
                         used: ClockTime::ZERO,
                         pins: 0,
+                        confirmed: true,
                     });
                 }
             }
@@ -742,6 +793,7 @@
             return;
         }
         if let Some(place) = self.place(model, &adapter.name) {
+            place.confirmed = place.confirmed || ready_at <= now;
             if now.since(place.changed) >= PLACE_RECHECK {
                 place.version = adapter.version;
             }
@@ -756,6 +808,7 @@
             changed: now,
             used: now,
             pins: 0,
+            confirmed: ready_at <= now,
         });
     }
 }
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -8,7 +8,7 @@
     CallPurpose, GatewayReducer, JOIN_TIME,
     catalog::{EngineRule, HeldModel, ServerReport},
     desk::{
-        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, ServerDesk, ServerOrderOutcome,
+        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, LoadSignal, ServerDesk, ServerOrderOutcome,
     },
     event::{GatewayEffect, ModelName, RequestNumber},
     members::{MemberPhase, MemberRecord, ServerClaim},
@@ -41,6 +41,13 @@
 const FAILURE_COST: f64 = 3_000.0;
 /// Cost of a server that nobody schedules.
 const UNSCHEDULED_COST: f64 = 150.0;
+/// Adapters that an instance has on their way at first; the number grows with each one that is in
+/// place in time and shrinks with each that is not, since the weight store slows down under many.
+pub(super) const FIRST_LOAD_WINDOW: f64 = 2.0;
+const LOAD_WINDOW_STEP: f64 = 0.1;
+const LOAD_WINDOW_CUT: f64 = 0.7;
+const MIN_LOAD_WINDOW: f64 = 1.0;
+const MAX_LOAD_WINDOW: f64 = 8.0;
 /// Requests that this instance has at most at a server that nobody schedules.
 const DIRECT_GRANT_LIMIT: u32 = 24;
 
@@ -266,6 +273,7 @@
         };
         let record = &self.servers.get(key).record;
         let (id, address) = (record.id.clone(), record.address);
+        desk.check_places(now);
         if desk.right_mut().begin_reading(now) {
             effects.push(GatewayEffect::ReadReport {
                 server: key,
@@ -365,10 +373,12 @@
         let Some(rule) = self.engine_rule(key) else {
             return declined;
         };
+        let coming: usize = self.desks.values().map(ServerDesk::coming).sum();
+        let may_load = (coming as f64) < self.load_window;
         let Some(desk) = self.desks.get_mut(&key) else {
             return declined;
         };
-        let reply = desk.ask(now, &rule, ask);
+        let reply = desk.ask(now, &rule, ask, may_load);
         self.pump_desk(now, key, effects);
         reply
     }
@@ -383,7 +393,16 @@
             return;
         };
         if let Some(desk) = self.desks.get_mut(&key) {
-            desk.release(now, release);
+            match desk.release(now, release) {
+                Some(LoadSignal::InTime) => {
+                    self.load_window = (self.load_window + LOAD_WINDOW_STEP).min(MAX_LOAD_WINDOW);
+                }
+                Some(LoadSignal::Late) => {
+                    self.load_window =
+                        (self.load_window * LOAD_WINDOW_CUT).max(MIN_LOAD_WINDOW);
+                }
+                None => {}
+            }
             self.pump_desk(now, key, effects);
         }
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -143,6 +143,8 @@
     retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     desks: BTreeMap<GatewayServerKey, ServerDesk>,
     owners: BTreeMap<SmolStr, OwnerView>,
+    /// Adapters that may be on their way to servers scheduled here.
+    load_window: f64,
     releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
     suspects: SuspectList,
     has_quorum: bool,
@@ -190,6 +192,7 @@
             retry_budgets: BTreeMap::new(),
             desks: BTreeMap::new(),
             owners: BTreeMap::new(),
+            load_window: engines::FIRST_LOAD_WINDOW,
             releases: BTreeMap::new(),
             suspects: SuspectList::default(),
             has_quorum: true,
