gateway: loads in turns, confirmed by successes alone; fencing tokens passed on

Change: only successes confirm a place; weights are ordered again only when a report says that nothing is under way; claims carry the largest token. Loads from the weight store take turns and wait up to 300 ms; weights that a server has no copy of are loaded where holders are few or busy.

--- a/lib/src/gateway/catalog.rs
+++ b/lib/src/gateway/catalog.rs
@@ -242,6 +242,8 @@
     pub busy: bool,
     /// Base models and adapters in place.
     pub models: Vec<HeldModel>,
+    /// Base models that the server can load without the weight store.
+    pub at_hand: Vec<SmolStr>,
     /// Adapters on their way, as (model, adapter).
     pub coming: Vec<(SmolStr, HeldAdapter)>,
 }
--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    catalog::{EngineRule, HeldAdapter, HeldModel, ServerReport},
+    catalog::{EngineRule, HeldAdapter, HeldModel, ModelRule, ServerReport},
     prompt::{PartCache, PromptPart},
     right::OrderRight,
 };
@@ -44,6 +44,10 @@
 const FIRST_READ_RATE: f64 = 30.0;
 /// Weight of the newest measurement of the reading rate.
 const READ_RATE_WEIGHT: f64 = 0.1;
+/// Pause between looks at a server that loads a base model.
+const MODEL_RECHECK: Duration = Duration::from_millis(1_000);
+/// Longest time for which a load from the weight store waits for its turn.
+const LOAD_QUEUE_TIME: Duration = Duration::from_millis(300);
 /// Time for another report after an unload that waits for its runs.
 const PLACE_RECHECK: Duration = Duration::from_millis(600);
 
@@ -186,6 +190,32 @@
     Lost,
 }
 
+/// Turns of an instance's loads from the weight store, which slows down under many at once.
+#[derive(Debug, Default)]
+pub struct LoadLanes {
+    /// When each lane is free.
+    free_at: Vec<ClockTime>,
+}
+
+impl LoadLanes {
+    /// Sets the number of lanes.
+    pub fn resize(&mut self, lanes: usize) {
+        self.free_at.sort_unstable();
+        self.free_at.resize(lanes.max(1), ClockTime::ZERO);
+    }
+
+    /// Takes the next turn for a load; `None` when it is too far off.
+    fn reserve(&mut self, now: ClockTime, load_time: Duration) -> Option<ClockTime> {
+        let lane = self.free_at.iter_mut().min()?;
+        let start = (*lane).max(now);
+        if start.since(now) > LOAD_QUEUE_TIME {
+            return None;
+        }
+        *lane = start.after(load_time);
+        Some(start)
+    }
+}
+
 /// Whether an adapter was in place when it was expected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadSignal {
@@ -222,6 +252,21 @@
     }
 }
 
+/// An order that waits to be given.
+#[derive(Clone, Debug)]
+struct QueuedOrder {
+    not_before: ClockTime,
+    model: SmolStr,
+    action: OrderAction,
+}
+
+/// What a report says about base models.
+#[derive(Clone, Debug)]
+struct WeightsReport {
+    busy: bool,
+    at_hand: Vec<SmolStr>,
+}
+
 #[derive(Clone, Debug)]
 struct GrantRecord {
     model: SmolStr,
@@ -250,10 +295,13 @@
     parts: PartCache,
     read_until: ClockTime,
     read_rate: f64,
-    queue: VecDeque<(SmolStr, OrderAction)>,
+    queue: VecDeque<QueuedOrder>,
     ordered: Option<(SmolStr, OrderAction)>,
+    /// Largest fencing token of an order that was accepted, here or by an earlier scheduler.
+    last_fence: u64,
     model_loading_until: ClockTime,
-    reported: bool,
+    /// What the last report said about the base models, if there was one.
+    weights: Option<WeightsReport>,
 }
 
 impl ServerDesk {
@@ -272,8 +320,9 @@
             read_rate: FIRST_READ_RATE,
             queue: VecDeque::new(),
             ordered: None,
+            last_fence: 0,
             model_loading_until: now,
-            reported: false,
+            weights: None,
         };
         desk.adopt_models(now, models);
         desk
@@ -334,16 +383,16 @@
 
     /// Decides on a request that wants to be sent to the server.
     ///
-    /// `may_load` says whether another adapter may be brought from the weight store.
+    /// `lanes` are those of the instance for loads from the weight store.
     pub fn ask(
         &mut self,
         now: ClockTime,
         rule: &EngineRule,
         ask: &GrantAsk,
-        may_load: bool,
+        lanes: &mut LoadLanes,
     ) -> GrantReply {
         self.expire(now);
-        match self.admit(now, rule, ask, may_load) {
+        match self.admit(now, rule, ask, lanes) {
             Ok(wait) => {
                 let unread = self.parts.unread(ask);
                 let busy_until = self.read_until.max(now);
@@ -380,7 +429,7 @@
         now: ClockTime,
         rule: &EngineRule,
         ask: &GrantAsk,
-        may_load: bool,
+        lanes: &mut LoadLanes,
     ) -> Result<Duration, DeclineReason> {
         if !self.models.contains(&ask.model) {
             return Err(DeclineReason::NoModel);
@@ -396,7 +445,7 @@
         let Some(adapter) = &ask.adapter else {
             return Ok(Duration::ZERO);
         };
-        let ready_at = self.place_adapter(now, rule, ask, adapter, may_load)?;
+        let ready_at = self.place_adapter(now, rule, ask, adapter, lanes)?;
         if let Some(place) = self.place(&ask.model, adapter) {
             place.pins += 1;
             place.used = now;
@@ -417,7 +466,7 @@
         rule: &EngineRule,
         ask: &GrantAsk,
         adapter: &SmolStr,
-        may_load: bool,
+        lanes: &mut LoadLanes,
     ) -> Result<ClockTime, DeclineReason> {
         let (model, version) = (&ask.model, ask.version);
         let is_active = self.right.is_active();
@@ -439,25 +488,34 @@
             place.changed = now;
             place.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_TIME);
             let ready_at = place.ready_at;
-            self.push_load(model, adapter, version);
+            self.push_load(now, model, adapter, version);
             return Ok(ready_at);
         }
         if !is_active {
             return Err(DeclineReason::NoRight);
         }
-        if !may_load || self.coming() >= MAX_COMING {
+        if self.coming() >= MAX_COMING {
             return Err(DeclineReason::LoadsBusy);
         }
-        if self.places.len() >= rule.adapter_slots {
-            self.evict(now)?;
-        }
-        let was_recent = self.forget_recent(model, adapter);
-        let load_time = if was_recent {
+        let is_recent = self.is_recent(model, adapter);
+        let load_time = if is_recent {
             RECENT_LOAD_TIME
         } else {
             ADAPTER_LOAD_TIME.mul_f64(self.load_stretch)
         };
-        let ready_at = now.after(load_time + ORDER_TIME);
+        // An adapter that is close at hand does not burden the weight store.
+        let start = if is_recent {
+            now
+        } else {
+            lanes
+                .reserve(now, load_time)
+                .ok_or(DeclineReason::LoadsBusy)?
+        };
+        if self.places.len() >= rule.adapter_slots {
+            self.evict(now, start)?;
+        }
+        self.forget_recent(model, adapter);
+        let ready_at = start.after(load_time + ORDER_TIME);
         self.places.push(AdapterPlace {
             model: model.clone(),
             adapter: adapter.clone(),
@@ -469,20 +527,30 @@
             pins: 0,
             confirmed: false,
         });
-        self.push_load(model, adapter, version);
+        self.push_load(start, model, adapter, version);
         Ok(ready_at)
     }
 
-    fn push_load(&mut self, model: &SmolStr, adapter: &SmolStr, version: u64) {
+    fn push_load(
+        &mut self,
+        not_before: ClockTime,
+        model: &SmolStr,
+        adapter: &SmolStr,
+        version: u64,
+    ) {
         let action = OrderAction::LoadAdapter {
             adapter: adapter.clone(),
             version,
         };
-        self.queue.push_back((model.clone(), action));
+        self.queue.push_back(QueuedOrder {
+            not_before,
+            model: model.clone(),
+            action,
+        });
     }
 
     /// Makes the least recently used adapter that nobody uses leave its place.
-    fn evict(&mut self, now: ClockTime) -> Result<(), DeclineReason> {
+    fn evict(&mut self, now: ClockTime, not_before: ClockTime) -> Result<(), DeclineReason> {
         let victim = self
             .places
             .iter()
@@ -500,7 +568,11 @@
         let action = OrderAction::UnloadAdapter {
             adapter: place.adapter.clone(),
         };
-        self.queue.push_back((place.model.clone(), action));
+        self.queue.push_back(QueuedOrder {
+            not_before,
+            model: place.model.clone(),
+            action,
+        });
         self.dropped
             .push((place.model.clone(), place.adapter.clone(), now));
         self.remember_recent(place.model, place.adapter);
@@ -514,14 +586,15 @@
         }
     }
 
-    fn forget_recent(&mut self, model: &str, adapter: &str) -> bool {
-        let position = self
-            .recent
-            .iter()
-            .position(|(held_model, held)| held_model == model && held == adapter);
-        position
-            .and_then(|position| self.recent.remove(position))
-            .is_some()
+    fn is_recent(&self, model: &str, adapter: &str) -> bool {
+        let is_it =
+            |(held_model, held): &(SmolStr, SmolStr)| held_model == model && held == adapter;
+        self.recent.iter().any(is_it)
+    }
+
+    fn forget_recent(&mut self, model: &str, adapter: &str) {
+        self.recent
+            .retain(|(held_model, held)| held_model != model || held != adapter);
     }
 
     fn expire(&mut self, now: ClockTime) {
@@ -591,51 +664,92 @@
 
     /// Has a report read if an adapter should have been in place for a while and nobody used it.
     pub fn check_places(&mut self, now: ClockTime) {
-        let is_doubtful = |place: &AdapterPlace| {
-            !place.confirmed && now.since(place.ready_at) >= CONFIRM_TIME
-        };
+        let is_doubtful =
+            |place: &AdapterPlace| !place.confirmed && now.since(place.ready_at) >= CONFIRM_TIME;
         if self.places.iter().any(is_doubtful) {
             self.right.refresh(now);
         }
+        self.check_model(now);
     }
 
     /// The next order to give, if one may be given now.
     ///
     /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
-    pub fn next_order(
-        &mut self,
-        now: ClockTime,
-        rule: &EngineRule,
-        holder_bits: u16,
-    ) -> Option<ServerOrder> {
+    pub fn next_order(&mut self, now: ClockTime, holder_bits: u16) -> Option<ServerOrder> {
         if self.ordered.is_some() {
             return None;
         }
         let expected = self.right.expected()?;
-        if self.queue.is_empty() {
-            self.want_model(now, rule);
+        if self.queue.front()?.not_before > now {
+            return None;
         }
-        let (model, action) = self.queue.pop_front()?;
+        let QueuedOrder { model, action, .. } = self.queue.pop_front()?;
         self.ordered = Some((model.clone(), action.clone()));
+        let fence = ((expected + 1) << 16 | u64::from(holder_bits)).max(self.last_fence + 1);
+        self.last_fence = fence;
         Some(ServerOrder {
             action,
             model,
             expected,
-            fence: (expected + 1) << 16 | u64::from(holder_bits),
+            fence,
         })
     }
 
-    /// Has a base model loaded on a server that has none.
-    fn want_model(&mut self, now: ClockTime, rule: &EngineRule) {
-        if !self.models.is_empty() || !self.reported || now < self.model_loading_until {
+    /// When the next order may be given.
+    pub fn next_order_at(&self) -> Option<ClockTime> {
+        self.queue.front().map(|order| order.not_before)
+    }
+
+    /// Largest fencing token used so far.
+    pub fn last_fence(&self) -> u64 {
+        self.last_fence
+    }
+
+    /// Takes in the largest fencing token that an earlier scheduler used.
+    pub fn raise_fence(&mut self, fence: u64) {
+        self.last_fence = self.last_fence.max(fence);
+    }
+
+    /// Whether the server holds a base model.
+    pub fn has_model(&self) -> bool {
+        !self.models.is_empty()
+    }
+
+    /// Has a base model loaded on a server that has none: always where the server has a copy, and
+    /// from the weight store if `from_store`.
+    pub fn want_model(&mut self, now: ClockTime, rule: &EngineRule, from_store: bool) {
+        let Some(weights) = &self.weights else { return };
+        if !self.models.is_empty()
+            || weights.busy
+            || now < self.model_loading_until
+            || self.ordered.is_some()
+            || !self.queue.is_empty()
+        {
             return;
         }
-        let Some(model) = rule.models.first() else {
+        let at_hand = |model: &&ModelRule| weights.at_hand.contains(&model.name);
+        let Some(model) = rule
+            .models
+            .iter()
+            .find(at_hand)
+            .or(rule.models.first().filter(|_| from_store))
+        else {
             return;
         };
-        self.model_loading_until = now.after(model.load_time * 2);
-        self.queue
-            .push_back((model.name.clone(), OrderAction::LoadModel));
+        self.model_loading_until = now.after(model.load_time.max(MODEL_RECHECK));
+        self.weights = None;
+        self.queue.push_back(QueuedOrder {
+            not_before: now,
+            model: model.name.clone(),
+            action: OrderAction::LoadModel,
+        });
+    }
+
+    /// Looks whether a base model that was ordered has arrived.
+    fn check_model(&mut self, now: ClockTime) {
+        if self.models.is_empty() && self.weights.is_none() && now >= self.model_loading_until {
+            self.right.refresh(now);
+        }
     }
 
     /// Takes in how the order ended that was given last.
@@ -644,7 +758,11 @@
             return;
         };
         match outcome {
-            ServerOrderOutcome::Done => self.right.accept(),
+            // The server says so too if the adapter was there already.
+            ServerOrderOutcome::Done if matches!(action, OrderAction::UnloadAdapter { .. }) => {
+                self.right.accept();
+            }
+            ServerOrderOutcome::Done => self.right.refresh(now),
             ServerOrderOutcome::Accepted => {
                 self.right.accept();
                 if matches!(action, OrderAction::UnloadAdapter { .. }) {
@@ -652,8 +770,6 @@
                     self.drop_queue();
                     self.keep_unloading(now, model, action);
                     self.right.refresh(now);
-                } else if action == OrderAction::LoadModel {
-                    self.right.refresh(now);
                 }
             }
             ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused => {
@@ -717,8 +833,9 @@
     }
 
     fn drop_queue(&mut self) {
-        for (model, action) in std::mem::take(&mut self.queue) {
-            self.undo(&model, &action);
+        // The newest first, so that a place is given back before what should have taken it.
+        for order in std::mem::take(&mut self.queue).into_iter().rev() {
+            self.undo(&order.model, &order.action);
         }
     }
 
@@ -726,7 +843,14 @@
     pub fn observe(&mut self, now: ClockTime, report: Option<&ServerReport>) {
         self.right.observe(now, report);
         let Some(report) = report else { return };
-        self.reported = true;
+        self.weights = Some(WeightsReport {
+            busy: report.busy,
+            at_hand: report.at_hand.clone(),
+        });
+        if report.busy {
+            self.weights = None;
+            self.model_loading_until = now.after(MODEL_RECHECK);
+        }
         self.dropped
             .retain(|(_, _, time)| now.since(*time) < PLACE_RECHECK);
         self.adopt_models(now, &report.models);
@@ -734,7 +858,7 @@
             self.adopt_adapter(now, model, adapter, now.after(ADAPTER_LOAD_TIME));
         }
         let unloading = |place: &AdapterPlace| place.phase == PlacePhase::Unloading;
-        if self.models.is_empty() || self.places.iter().any(unloading) {
+        if self.places.iter().any(unloading) {
             self.right.refresh(now);
         }
     }
@@ -746,6 +870,9 @@
         self.parts.clear();
         self.places.clear();
         self.models.clear();
+        self.dropped.clear();
+        self.last_fence = 0;
+        self.weights = None;
         self.model_loading_until = now;
         self.adopt_models(now, models);
         self.right.suspend(now);
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -5,10 +5,11 @@
 use smol_str::SmolStr;
 
 use super::{
-    CallPurpose, GatewayReducer, JOIN_TIME,
+    CallPurpose, GatewayReducer, JOIN_TIME, TimerKind,
     catalog::{EngineRule, HeldModel, ServerReport},
     desk::{
-        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, LoadSignal, ServerDesk, ServerOrderOutcome,
+        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, LoadSignal, ServerDesk,
+        ServerOrderOutcome,
     },
     event::{GatewayEffect, ModelName, RequestNumber},
     members::{MemberPhase, MemberRecord, ServerClaim},
@@ -48,6 +49,10 @@
 const LOAD_WINDOW_CUT: f64 = 0.7;
 const MIN_LOAD_WINDOW: f64 = 1.0;
 const MAX_LOAD_WINDOW: f64 = 8.0;
+/// Part of a service's servers that hold a base model in any case.
+const LEAST_HOLDERS: f64 = 0.6;
+/// Mean backlog of the holders from which on another one is worth a load from the weight store.
+const BUSY_BACKLOG_MS: f64 = 120.0;
 /// Requests that this instance has at most at a server that nobody schedules.
 const DIRECT_GRANT_LIMIT: u32 = 24;
 
@@ -215,7 +220,12 @@
             return;
         }
         let models = self.servers.get(key).record.models.clone();
-        let desk = ServerDesk::new(now, self.plan.bounds.order_lease, rule, &models);
+        let mut desk = ServerDesk::new(now, self.plan.bounds.order_lease, rule, &models);
+        if let Some((started, fence)) = self.fences.get(id)
+            && *started == self.servers.get(key).record.started
+        {
+            desk.raise_fence(*fence);
+        }
         self.desks.insert(key, desk);
         note(effects, "desk_claimed", "", &format!("server={id}"));
     }
@@ -268,11 +278,13 @@
         let Some(rule) = self.engine_rule(key) else {
             return;
         };
+        let from_store = self.needs_model(now, key);
         let Some(desk) = self.desks.get_mut(&key) else {
             return;
         };
         let record = &self.servers.get(key).record;
         let (id, address) = (record.id.clone(), record.address);
+        desk.want_model(now, &rule, from_store);
         desk.check_places(now);
         if desk.right_mut().begin_reading(now) {
             effects.push(GatewayEffect::ReadReport {
@@ -282,7 +294,7 @@
             });
         }
         let holder_bits = rendezvous::weight("holder", &self.plan.instance) as u16;
-        if let Some(order) = desk.next_order(now, &rule, holder_bits) {
+        if let Some(order) = desk.next_order(now, holder_bits) {
             self.stats.orders += 1;
             let detail = format!(
                 "server={id} action={:?} expected={}",
@@ -295,7 +307,46 @@
                 address,
                 order,
             });
+        } else if let Some(time) = desk.next_order_at()
+            && time > now
+        {
+            self.set_timer(time, TimerKind::Order(key));
+        }
+    }
+
+    pub(super) fn order_due(
+        &mut self,
+        now: ClockTime,
+        key: GatewayServerKey,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.pump_desk(now, key, effects);
+    }
+
+    /// Whether the service is short of servers that hold a base model, so that a load from the
+    /// weight store is worth its price.
+    fn needs_model(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        if self.desks.get(&key).is_none_or(ServerDesk::has_model) {
+            return false;
+        }
+        let service = &self.servers.get(key).record.service;
+        let (mut all, mut holders, mut backlog_ms) = (0_usize, 0_usize, 0.0);
+        for (other, server) in self.servers.in_service(service) {
+            all += 1;
+            let (holds_model, backlog) = if let Some(desk) = self.desks.get(&other) {
+                (desk.has_model(), desk.backlog(now))
+            } else if let Some(view) = self.owners.get(&server.record.id) {
+                (!view.models.is_empty(), view.read_until.since(now))
+            } else {
+                (!server.record.models.is_empty(), Duration::ZERO)
+            };
+            if holds_model {
+                holders += 1;
+                backlog_ms += backlog.as_secs_f64() * 1_000.0;
+            }
         }
+        (holders as f64) < all as f64 * LEAST_HOLDERS
+            || backlog_ms > holders as f64 * BUSY_BACKLOG_MS
     }
 
     pub(super) fn report_read(
@@ -373,12 +424,11 @@
         let Some(rule) = self.engine_rule(key) else {
             return declined;
         };
-        let coming: usize = self.desks.values().map(ServerDesk::coming).sum();
-        let may_load = (coming as f64) < self.load_window;
+        self.load_lanes.resize(self.load_window as usize);
         let Some(desk) = self.desks.get_mut(&key) else {
             return declined;
         };
-        let reply = desk.ask(now, &rule, ask, may_load);
+        let reply = desk.ask(now, &rule, ask, &mut self.load_lanes);
         self.pump_desk(now, key, effects);
         reply
     }
@@ -398,8 +448,7 @@
                     self.load_window = (self.load_window + LOAD_WINDOW_STEP).min(MAX_LOAD_WINDOW);
                 }
                 Some(LoadSignal::Late) => {
-                    self.load_window =
-                        (self.load_window * LOAD_WINDOW_CUT).max(MIN_LOAD_WINDOW);
+                    self.load_window = (self.load_window * LOAD_WINDOW_CUT).max(MIN_LOAD_WINDOW);
                 }
                 None => {}
             }
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -48,8 +48,12 @@
 pub struct ServerClaim {
     /// The server's id.
     pub server: SmolStr,
+    /// Start of the server's process, in Unix milliseconds.
+    pub started: u64,
     /// Whether the claimant may give orders already.
     pub active: bool,
+    /// Largest fencing token that it used.
+    pub fence: u64,
     /// Time until the server would begin with a new prompt, in milliseconds.
     pub backlog_ms: u32,
     /// What the server holds.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 use self::{
     allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
     board::PublishedBoard,
-    desk::{GrantRelease, ServerDesk},
+    desk::{GrantRelease, LoadLanes, ServerDesk},
     engines::OwnerView,
     event::{DecisionNote, GatewayEffect, GatewayEvent, RequestNumber},
     members::{GossipTable, MemberPhase, MemberRecord},
@@ -100,6 +100,7 @@
     Gossip,
     Deadline(RequestNumber),
     Continue(RequestNumber),
+    Order(GatewayServerKey),
 }
 
 /// What a call to a peer was for.
@@ -147,6 +148,9 @@
     owners: BTreeMap<SmolStr, OwnerView>,
     /// Adapters that may be on their way to servers scheduled here.
     load_window: f64,
+    load_lanes: LoadLanes,
+    /// Largest fencing tokens heard of, with the start of the server's process.
+    fences: BTreeMap<SmolStr, (u64, u64)>,
     releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
     suspects: SuspectList,
     has_quorum: bool,
@@ -195,6 +199,8 @@
             desks: BTreeMap::new(),
             owners: BTreeMap::new(),
             load_window: engines::FIRST_LOAD_WINDOW,
+            load_lanes: LoadLanes::default(),
+            fences: BTreeMap::new(),
             releases: BTreeMap::new(),
             suspects: SuspectList::default(),
             has_quorum: true,
@@ -263,6 +269,7 @@
                 }
                 TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
                 TimerKind::Continue(request) => self.continue_request(now, request, effects),
+                TimerKind::Order(server) => self.order_due(now, server, effects),
             }
         }
     }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -59,7 +59,9 @@
             .iter()
             .map(|(key, desk)| ServerClaim {
                 server: self.servers.get(*key).record.id.clone(),
+                started: self.servers.get(*key).record.started,
                 active: desk.right().is_active(),
+                fence: desk.last_fence(),
                 backlog_ms: u32::try_from(desk.backlog(now).as_millis()).unwrap_or(u32::MAX),
                 models: desk.holdings(),
                 recent: desk.recent_holdings(),
@@ -135,6 +137,8 @@
         let mut owners = std::collections::BTreeMap::new();
         for record in self.members.alive(now) {
             for claim in &record.claims {
+                let known = self.fences.entry(claim.server.clone()).or_default();
+                *known = (*known).max((claim.started, claim.fence));
                 let view = OwnerView::new(now, record, claim);
                 let known: Option<&OwnerView> = owners.get(&claim.server);
                 if known.is_none_or(|known| view.goes_before(known, &claim.server)) {
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -36,6 +36,8 @@
 const CALL_PART: f64 = 0.75;
 /// Servers that may reject one request unrun, or be out of reach, before it is refused.
 const MAX_SENDS: u32 = 5;
+/// Servers tried in one go before a request waits a little.
+const MAX_ASKS: usize = 4;
 /// Part of the time left that an attempt may use while the request could go elsewhere.
 const PATIENCE_PART: f64 = 0.5;
 /// An attempt is given up after this many objectives, if the request could go elsewhere.
@@ -230,7 +232,12 @@
         };
         match record.phase {
             RequestPhase::Choosing if record.request.model.is_some() && self.is_engine(number) => {
-                match self.choose_engine(now, number) {
+                let choice = if record.excluded.len() < MAX_ASKS {
+                    self.choose_engine(now, number)
+                } else {
+                    None
+                };
+                match choice {
                     Some(EngineChoice::Ask(server)) => {
                         self.set_phase(number, RequestPhase::Asking(server));
                         self.ask_grant(now, number, server, effects);
@@ -547,7 +554,13 @@
         self.servers.count_end(now, server, outcome);
         self.note_breakdown(now, server, end, fingerprint);
         let missing = matches!(end, AttemptEnd::Rejected { misdirected: true });
-        self.drop_grant(now, number, server, sight.first_event, missing, effects);
+        // Other answers say nothing about reading prompts or the adapter.
+        let ran = matches!(
+            end,
+            AttemptEnd::Completed { success: true } | AttemptEnd::Interrupted
+        );
+        let first_event = sight.first_event.filter(|_| ran);
+        self.drop_grant(now, number, server, first_event, missing, effects);
         self.decide_repeat(now, number, server, end, effects);
     }
 
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -319,7 +319,13 @@
         };
         let truth = value.as_boolean_lit().map(|literal| literal.value);
         if truth.is_none() {
-            self.wrong(name, value, "not true or false", "write true or false", faults);
+            self.wrong(
+                name,
+                value,
+                "not true or false",
+                "write true or false",
+                faults,
+            );
         }
         truth.unwrap_or(default)
     }
