gateway: fencing tokens from the count of orders alone; loads in flight by server

Change: the token is the count with the holder's bits, above it only after an accepted order that was not counted. Loads in flight are bounded for each server scheduled, and requests wait longer for a server.

--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -44,6 +44,8 @@
 const FIRST_READ_RATE: f64 = 30.0;
 /// Weight of the newest measurement of the reading rate.
 const READ_RATE_WEIGHT: f64 = 0.1;
+/// Low bits of a fencing token, which tell instances apart at the same count.
+const FENCE_HOLDER_BITS: u32 = 16;
 /// Pause between looks at a server that loads a base model.
 const MODEL_RECHECK: Duration = Duration::from_millis(1_000);
 /// Longest time for which a load from the weight store waits for its turn.
@@ -299,6 +301,7 @@
     ordered: Option<(SmolStr, OrderAction)>,
     /// Largest fencing token of an order that was accepted, here or by an earlier scheduler.
     last_fence: u64,
+    ordered_fence: u64,
     model_loading_until: ClockTime,
     /// What the last report said about the base models, if there was one.
     weights: Option<WeightsReport>,
@@ -321,6 +324,7 @@
             queue: VecDeque::new(),
             ordered: None,
             last_fence: 0,
+            ordered_fence: 0,
             model_loading_until: now,
             weights: None,
         };
@@ -685,8 +689,8 @@
         }
         let QueuedOrder { model, action, .. } = self.queue.pop_front()?;
         self.ordered = Some((model.clone(), action.clone()));
-        let fence = ((expected + 1) << 16 | u64::from(holder_bits)).max(self.last_fence + 1);
-        self.last_fence = fence;
+        let fence = self.fence(expected, holder_bits);
+        self.ordered_fence = fence;
         Some(ServerOrder {
             action,
             model,
@@ -695,12 +699,26 @@
         })
     }
 
+    /// The count alone gives the token, so that it survives the loss of all instances; it is above
+    /// that only after an order that was accepted without being counted.
+    fn fence(&self, expected: u64, holder_bits: u16) -> u64 {
+        let token = |count: u64| count << FENCE_HOLDER_BITS | u64::from(holder_bits);
+        let counted = token(expected + 1);
+        if counted >= self.last_fence {
+            counted
+        } else if self.last_fence == token(self.last_fence >> FENCE_HOLDER_BITS) {
+            self.last_fence
+        } else {
+            token((self.last_fence >> FENCE_HOLDER_BITS) + 1)
+        }
+    }
+
     /// When the next order may be given.
     pub fn next_order_at(&self) -> Option<ClockTime> {
         self.queue.front().map(|order| order.not_before)
     }
 
-    /// Largest fencing token used so far.
+    /// Largest fencing token of an accepted order.
     pub fn last_fence(&self) -> u64 {
         self.last_fence
     }
@@ -757,6 +775,12 @@
         let Some((model, action)) = self.ordered.take() else {
             return;
         };
+        if !matches!(
+            outcome,
+            ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused
+        ) {
+            self.last_fence = self.last_fence.max(self.ordered_fence);
+        }
         match outcome {
             // The server says so too if the adapter was there already.
             ServerOrderOutcome::Done if matches!(action, OrderAction::UnloadAdapter { .. }) => {
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -42,13 +42,14 @@
 const FAILURE_COST: f64 = 3_000.0;
 /// Cost of a server that nobody schedules.
 const UNSCHEDULED_COST: f64 = 150.0;
-/// Adapters that an instance has on their way at first; the number grows with each one that is in
-/// place in time and shrinks with each that is not, since the weight store slows down under many.
-pub(super) const FIRST_LOAD_WINDOW: f64 = 2.0;
-const LOAD_WINDOW_STEP: f64 = 0.1;
-const LOAD_WINDOW_CUT: f64 = 0.7;
-const MIN_LOAD_WINDOW: f64 = 1.0;
-const MAX_LOAD_WINDOW: f64 = 8.0;
+/// Adapters on their way at first, for each server scheduled here; the number grows with each one
+/// that is in place in time and shrinks with each that is not, since the weight store slows down
+/// under many.
+pub(super) const FIRST_LOAD_WINDOW: f64 = 1.0;
+const LOAD_WINDOW_STEP: f64 = 0.03;
+const LOAD_WINDOW_CUT: f64 = 0.75;
+const MIN_LOAD_WINDOW: f64 = 0.4;
+const MAX_LOAD_WINDOW: f64 = 2.0;
 /// Part of a service's servers that hold a base model in any case.
 const LEAST_HOLDERS: f64 = 0.6;
 /// Mean backlog of the holders from which on another one is worth a load from the weight store.
@@ -424,7 +425,8 @@
         let Some(rule) = self.engine_rule(key) else {
             return declined;
         };
-        self.load_lanes.resize(self.load_window as usize);
+        let lanes = (self.load_window * self.desks.len() as f64).round();
+        self.load_lanes.resize(lanes as usize);
         let Some(desk) = self.desks.get_mut(&key) else {
             return declined;
         };
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -52,7 +52,7 @@
     pub started: u64,
     /// Whether the claimant may give orders already.
     pub active: bool,
-    /// Largest fencing token that it used.
+    /// Largest fencing token of an order that the server accepted.
     pub fence: u64,
     /// Time until the server would begin with a new prompt, in milliseconds.
     pub backlog_ms: u32,
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -25,8 +25,12 @@
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// Pause before a request that found no server looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Longest such pause, as a multiple of the first.
+const MAX_LOOK_PAUSE: u32 = 4;
 /// Part of the objective for which a request waits for a server before it is refused.
 const HOLD_PART: f64 = 0.5;
+/// Part of its time for which a request waits for a server at least.
+const HOLD_TIME_PART: f64 = 0.35;
 /// When a refused caller may come back if nothing better is known.
 const REFUSED_RETRY: Duration = Duration::from_millis(400);
 /// A caller refused by a leaving instance finds another one at once.
@@ -80,6 +84,8 @@
     /// When it gets its final answer at the latest.
     pub(super) ends_at: ClockTime,
     hold_until: ClockTime,
+    /// Times that it found no server.
+    looks: u32,
     pub(super) phase: RequestPhase,
     /// Peers that can still be asked for allowance.
     pub(super) lenders: Vec<SocketAddr>,
@@ -207,7 +213,13 @@
             cost,
             arrived: now,
             ends_at: now.after(time),
-            hold_until: now.after(route.objective.mul_f64(HOLD_PART)),
+            hold_until: now.after(
+                route
+                    .objective
+                    .mul_f64(HOLD_PART)
+                    .max(time.mul_f64(HOLD_TIME_PART)),
+            ),
+            looks: 0,
             phase: RequestPhase::Admitting,
             lenders: Vec::new(),
             has_grant: false,
@@ -324,7 +336,9 @@
         }
         // Servers that declined may have room by then.
         record.excluded.clear();
-        self.set_timer(now.after(LOOK_AGAIN), TimerKind::Continue(number));
+        record.looks += 1;
+        let pause = LOOK_AGAIN * record.looks.min(MAX_LOOK_PAUSE);
+        self.set_timer(now.after(pause), TimerKind::Continue(number));
     }
 
     /// A scheduler answered, or did not.
