gateway: an adapter's load takes a place when its turn comes

Cause: the victim of a load that waited for its turn could be asked for again meanwhile; it was ordered once more and then dropped, and requests met 421 for a second. Orders that were due waited behind later ones. Change: a waiting load reserves a turn alone; its victim is chosen when it is ordered. Uses of an adapter follow from the grants. Orders leave in the order in which they became due.

--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -24,7 +24,7 @@
 /// Time of a load of an adapter that the server held lately.
 const RECENT_LOAD_TIME: Duration = Duration::from_millis(25);
 /// Time for an order to reach the server.
-const ORDER_TIME: Duration = Duration::from_millis(8);
+const ORDER_TIME: Duration = Duration::from_millis(12);
 /// Adapters that a server keeps close at hand after they made way.
 const RECENT_ADAPTERS: usize = 32;
 /// Adapters that may be on their way to a server at the same time.
@@ -229,7 +229,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlacePhase {
+    /// Its load waits for its turn.
+    Reserved {
+        start: ClockTime,
+        load_time: Duration,
+    },
+    /// It was ordered, or is there.
     Ready,
+    /// It goes when its runs have ended.
     Unloading,
 }
 
@@ -243,7 +250,6 @@
     ready_at: ClockTime,
     changed: ClockTime,
     used: ClockTime,
-    pins: u32,
     /// Whether the server is known to have it: a request ran on it, or a report lists it.
     confirmed: bool,
 }
@@ -254,14 +260,6 @@
     }
 }
 
-/// An order that waits to be given.
-#[derive(Clone, Debug)]
-struct QueuedOrder {
-    not_before: ClockTime,
-    model: SmolStr,
-    action: OrderAction,
-}
-
 /// What a report says about base models.
 #[derive(Clone, Debug)]
 struct WeightsReport {
@@ -297,7 +295,7 @@
     parts: PartCache,
     read_until: ClockTime,
     read_rate: f64,
-    queue: VecDeque<QueuedOrder>,
+    queue: VecDeque<(SmolStr, OrderAction)>,
     ordered: Option<(SmolStr, OrderAction)>,
     /// Largest fencing token of an order that was accepted, here or by an earlier scheduler.
     last_fence: u64,
@@ -451,7 +449,6 @@
         };
         let ready_at = self.place_adapter(now, rule, ask, adapter, lanes)?;
         if let Some(place) = self.place(&ask.model, adapter) {
-            place.pins += 1;
             place.used = now;
         }
         Ok(ready_at.since(now))
@@ -474,6 +471,7 @@
     ) -> Result<ClockTime, DeclineReason> {
         let (model, version) = (&ask.model, ask.version);
         let is_active = self.right.is_active();
+        let is_in_use = self.is_in_use(model, adapter);
         if let Some(place) = self.place(model, adapter) {
             if place.phase == PlacePhase::Unloading {
                 return Err(DeclineReason::NoPlace);
@@ -484,7 +482,7 @@
             if !is_active {
                 return Err(DeclineReason::NoRight);
             }
-            if place.pins > 0 {
+            if is_in_use {
                 return Err(DeclineReason::NoPlace);
             }
             place.version = version;
@@ -492,7 +490,7 @@
             place.changed = now;
             place.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_TIME);
             let ready_at = place.ready_at;
-            self.push_load(now, model, adapter, version);
+            self.push_load(model, adapter, version);
             return Ok(ready_at);
         }
         if !is_active {
@@ -508,6 +506,11 @@
             ADAPTER_LOAD_TIME.mul_f64(self.load_stretch)
         };
         // An adapter that is close at hand does not burden the weight store.
+        if self.taken() + self.reserved() >= rule.adapter_slots
+            && self.victims(now).count() <= self.reserved()
+        {
+            return Err(DeclineReason::NoPlace);
+        }
         let start = if is_recent {
             now
         } else {
@@ -515,56 +518,78 @@
                 .reserve(now, load_time)
                 .ok_or(DeclineReason::LoadsBusy)?
         };
-        if self.places.len() >= rule.adapter_slots {
-            self.evict(now, start)?;
-        }
         self.forget_recent(model, adapter);
         let ready_at = start.after(load_time + ORDER_TIME);
         self.places.push(AdapterPlace {
             model: model.clone(),
             adapter: adapter.clone(),
-            version: version.max(1),
-            phase: PlacePhase::Ready,
+            version,
+            phase: PlacePhase::Reserved { start, load_time },
             ready_at,
             changed: now,
             used: now,
-            pins: 0,
             confirmed: false,
         });
-        self.push_load(start, model, adapter, version);
+        self.start_loads(now, rule);
         Ok(ready_at)
     }
 
-    fn push_load(
-        &mut self,
-        not_before: ClockTime,
-        model: &SmolStr,
-        adapter: &SmolStr,
-        version: u64,
-    ) {
+    /// Places that the server has given or will give to adapters.
+    fn taken(&self) -> usize {
+        self.places
+            .iter()
+            .filter(|place| !matches!(place.phase, PlacePhase::Reserved { .. }))
+            .count()
+    }
+
+    fn reserved(&self) -> usize {
+        self.places.len() - self.taken()
+    }
+
+    /// Orders the loads whose turn has come, and makes room for them.
+    fn start_loads(&mut self, now: ClockTime, rule: &EngineRule) {
+        let is_due = |place: &AdapterPlace| matches!(place.phase, PlacePhase::Reserved { start, .. } if start <= now);
+        while self.places.iter().any(is_due) {
+            if self.taken() >= rule.adapter_slots && self.evict(now).is_err() {
+                return;
+            }
+            let Some(place) = self.places.iter_mut().find(|place| is_due(place)) else {
+                return;
+            };
+            if let PlacePhase::Reserved { load_time, .. } = place.phase {
+                place.ready_at = now.after(load_time + ORDER_TIME);
+            }
+            place.phase = PlacePhase::Ready;
+            place.changed = now;
+            let (model, adapter) = (place.model.clone(), place.adapter.clone());
+            let version = place.version;
+            place.version = version.max(1);
+            self.push_load(&model, &adapter, version);
+        }
+    }
+
+    fn push_load(&mut self, model: &SmolStr, adapter: &SmolStr, version: u64) {
         let action = OrderAction::LoadAdapter {
             adapter: adapter.clone(),
             version,
         };
-        self.queue.push_back(QueuedOrder {
-            not_before,
-            model: model.clone(),
-            action,
-        });
+        self.queue.push_back((model.clone(), action));
+    }
+
+    /// Adapters that nobody uses and that are known to be in place.
+    fn victims(&self, now: ClockTime) -> impl Iterator<Item = (usize, &AdapterPlace)> {
+        self.places.iter().enumerate().filter(move |(_, place)| {
+            place.phase == PlacePhase::Ready
+                && place.ready_at <= now
+                && place.confirmed
+                && !self.is_in_use(&place.model, &place.adapter)
+        })
     }
 
     /// Makes the least recently used adapter that nobody uses leave its place.
-    fn evict(&mut self, now: ClockTime, not_before: ClockTime) -> Result<(), DeclineReason> {
+    fn evict(&mut self, now: ClockTime) -> Result<(), DeclineReason> {
         let victim = self
-            .places
-            .iter()
-            .enumerate()
-            .filter(|(_, place)| {
-                place.pins == 0
-                    && place.phase == PlacePhase::Ready
-                    && place.ready_at <= now
-                    && place.confirmed
-            })
+            .victims(now)
             .min_by_key(|(_, place)| place.used)
             .map(|(position, _)| position)
             .ok_or(DeclineReason::NoPlace)?;
@@ -572,11 +597,7 @@
         let action = OrderAction::UnloadAdapter {
             adapter: place.adapter.clone(),
         };
-        self.queue.push_back(QueuedOrder {
-            not_before,
-            model: place.model.clone(),
-            action,
-        });
+        self.queue.push_back((place.model.clone(), action));
         self.dropped
             .push((place.model.clone(), place.adapter.clone(), now));
         self.remember_recent(place.model, place.adapter);
@@ -602,25 +623,14 @@
     }
 
     fn expire(&mut self, now: ClockTime) {
-        let expired: Vec<GrantKey> = self
-            .grants
-            .iter()
-            .filter(|(_, grant)| grant.expires <= now)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in expired {
-            self.end_grant(&key);
-        }
+        self.grants.retain(|_, grant| grant.expires > now);
     }
 
-    fn end_grant(&mut self, key: &GrantKey) -> Option<GrantRecord> {
-        let grant = self.grants.remove(key)?;
-        if let Some(adapter) = &grant.adapter
-            && let Some(place) = self.place(&grant.model, adapter)
-        {
-            place.pins = place.pins.saturating_sub(1);
-        }
-        Some(grant)
+    /// Whether a request was granted on the adapter and has not ended.
+    fn is_in_use(&self, model: &str, adapter: &str) -> bool {
+        self.grants
+            .values()
+            .any(|grant| grant.model == model && grant.adapter.as_deref() == Some(adapter))
     }
 
     /// Adapters that are on their way, as far as it is known.
@@ -630,7 +640,7 @@
 
     /// Takes a grant back; tells whether an adapter loaded for it was in place in time.
     pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> Option<LoadSignal> {
-        let grant = self.end_grant(&release.key)?;
+        let grant = self.grants.remove(&release.key)?;
         if release.adapter_missing
             && let Some(adapter) = &grant.adapter
         {
@@ -679,15 +689,18 @@
     /// The next order to give, if one may be given now.
     ///
     /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
-    pub fn next_order(&mut self, now: ClockTime, holder_bits: u16) -> Option<ServerOrder> {
+    pub fn next_order(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        holder_bits: u16,
+    ) -> Option<ServerOrder> {
         if self.ordered.is_some() {
             return None;
         }
         let expected = self.right.expected()?;
-        if self.queue.front()?.not_before > now {
-            return None;
-        }
-        let QueuedOrder { model, action, .. } = self.queue.pop_front()?;
+        self.start_loads(now, rule);
+        let (model, action) = self.queue.pop_front()?;
         self.ordered = Some((model.clone(), action.clone()));
         let fence = self.fence(expected, holder_bits);
         self.ordered_fence = fence;
@@ -713,9 +726,13 @@
         }
     }
 
-    /// When the next order may be given.
-    pub fn next_order_at(&self) -> Option<ClockTime> {
-        self.queue.front().map(|order| order.not_before)
+    /// When the next load has its turn.
+    pub fn next_load_at(&self) -> Option<ClockTime> {
+        let start = |place: &AdapterPlace| match place.phase {
+            PlacePhase::Reserved { start, .. } => Some(start),
+            PlacePhase::Ready | PlacePhase::Unloading => None,
+        };
+        self.places.iter().filter_map(start).min()
     }
 
     /// Largest fencing token of an accepted order.
@@ -756,11 +773,8 @@
         };
         self.model_loading_until = now.after(model.load_time.max(MODEL_RECHECK));
         self.weights = None;
-        self.queue.push_back(QueuedOrder {
-            not_before: now,
-            model: model.name.clone(),
-            action: OrderAction::LoadModel,
-        });
+        let order = (model.name.clone(), OrderAction::LoadModel);
+        self.queue.push_back(order);
     }
 
     /// Looks whether a base model that was ordered has arrived.
@@ -822,7 +836,6 @@
                 ready_at: now,
                 changed: now,
                 used: now,
-                pins: 0,
                 confirmed: true,
             });
         }
@@ -848,7 +861,6 @@
                         // The next report decides.
                         changed: ClockTime::ZERO,
                         used: ClockTime::ZERO,
-                        pins: 0,
                         confirmed: true,
                     });
                 }
@@ -858,8 +870,8 @@
 
     fn drop_queue(&mut self) {
         // The newest first, so that a place is given back before what should have taken it.
-        for order in std::mem::take(&mut self.queue).into_iter().rev() {
-            self.undo(&order.model, &order.action);
+        for (model, action) in std::mem::take(&mut self.queue).into_iter().rev() {
+            self.undo(&model, &action);
         }
     }
 
@@ -919,8 +931,10 @@
                         .iter()
                         .any(|adapter| adapter.name == place.adapter)
             });
-            // A report may be older than the newest order.
-            listed || now.since(place.changed) < PLACE_RECHECK
+            // A report may be older than the newest order, and a load takes its time.
+            matches!(place.phase, PlacePhase::Reserved { .. })
+                || listed
+                || now.since(place.changed.max(place.ready_at)) < PLACE_RECHECK
         });
         for model in models {
             for adapter in &model.adapters {
@@ -958,7 +972,6 @@
             ready_at,
             changed: now,
             used: now,
-            pins: 0,
             confirmed: ready_at <= now,
         });
     }
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -47,8 +47,8 @@
 /// under many.
 pub(super) const FIRST_LOAD_WINDOW: f64 = 1.0;
 const LOAD_WINDOW_STEP: f64 = 0.03;
-const LOAD_WINDOW_CUT: f64 = 0.75;
-const MIN_LOAD_WINDOW: f64 = 0.4;
+const LOAD_WINDOW_CUT: f64 = 0.85;
+const MIN_LOAD_WINDOW: f64 = 0.5;
 const MAX_LOAD_WINDOW: f64 = 2.0;
 /// Part of a service's servers that hold a base model in any case.
 const LEAST_HOLDERS: f64 = 0.6;
@@ -295,7 +295,7 @@
             });
         }
         let holder_bits = rendezvous::weight("holder", &self.plan.instance) as u16;
-        if let Some(order) = desk.next_order(now, holder_bits) {
+        if let Some(order) = desk.next_order(now, &rule, holder_bits) {
             self.stats.orders += 1;
             let detail = format!(
                 "server={id} action={:?} expected={}",
@@ -308,7 +308,7 @@
                 address,
                 order,
             });
-        } else if let Some(time) = desk.next_order_at()
+        } else if let Some(time) = desk.next_load_at()
             && time > now
         {
             self.set_timer(time, TimerKind::Order(key));
