gateway: parts of limits on few holders, lean gossip

Cause: at 80 instances a team's limit fell into parts smaller than a request, so that the largest were starved, and gossip carried every claim in every message (0.4 GB between data centres in a minute). Change: at most twelve instances hold parts of a team's limit, others borrow; claims travel while they are new; larger fleets gossip within the data centre, half of the rounds beyond; limits are lent by the least loan.

--- a/lib/src/gateway/allowance.rs
+++ b/lib/src/gateway/allowance.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamBucket {
     level: f64,
+    size: f64,
     updated: ClockTime,
 }
 
@@ -42,6 +43,12 @@
 }
 
 impl BucketShape {
+    /// An instance that holds no part of the limit and borrows all.
+    pub const EMPTY: BucketShape = BucketShape {
+        rate: 0.0,
+        size: 0.0,
+    };
+
     /// The part of one among `population` instances of a limit of `rate` and `burst`.
     ///
     /// Over a window the bucket gives `rate * window + size`, which is `1 / population` of the
@@ -65,6 +72,7 @@
         let part = if first_start { 1.0 } else { START_PART };
         TeamBucket {
             level: shape.size * part,
+            size: shape.size,
             updated: now,
         }
     }
@@ -86,24 +94,25 @@
     fn refill(&mut self, now: ClockTime, shape: BucketShape) {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = now;
+        if shape.size == 0.0 && self.size > 0.0 {
+            // Another instance holds this part now.
+            self.level = 0.0;
+        }
+        self.size = shape.size;
         // What was borrowed may lie above the size; it only stops the refill.
         if self.level < shape.size {
             self.level = (self.level + elapsed * shape.rate).min(shape.size);
         }
     }
 
-    /// Takes `cost`, or says how long until it would be there.
-    pub fn take(&mut self, now: ClockTime, shape: BucketShape, cost: f64) -> Result<(), Duration> {
+    /// Takes `cost`, if it is there.
+    pub fn take(&mut self, now: ClockTime, shape: BucketShape, cost: f64) -> bool {
         self.refill(now, shape);
-        if cost <= self.level {
+        let is_there = cost <= self.level;
+        if is_there {
             self.level -= cost;
-            return Ok(());
-        }
-        let missing = cost - self.level;
-        if shape.rate <= 0.0 {
-            return Err(Duration::MAX);
         }
-        Err(Duration::from_secs_f64((missing / shape.rate).min(3_600.0)))
+        is_there
     }
 
     /// Gives back what a request that never ran had taken.
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -76,7 +76,7 @@
             name: record.name.clone(),
             peer: record.peers,
             active: claim.active,
-            read_until: now.after(Duration::from_millis(u64::from(claim.backlog_ms))),
+            read_until: now,
             models: claim.models.clone(),
             recent: claim.recent.clone(),
         }
@@ -607,7 +607,7 @@
         };
         if self.desks.contains_key(&server) {
             let reply = self.grant_asked(now, &ask, effects);
-            self.grant_answered(now, number, server, Some(reply), effects);
+            self.grant_answered(now, number, server, Some(&reply), effects);
             return;
         }
         let Some(peer) = self.owners.get(&ask.server).map(|view| view.peer) else {
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -4,7 +4,7 @@
 //! back. A record is alive while its heartbeat grows; nobody but its owner raises it. The cost of
 //! an instance does not depend on the size of the fleet: fan-out and records a message are fixed.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -13,11 +13,13 @@
 use smol_str::SmolStr;
 
 use super::catalog::HeldModel;
-use crate::clock::ClockTime;
+use crate::{clock::ClockTime, rendezvous};
 
 /// A member whose heartbeat stands still for this long is taken as gone; below the three seconds
 /// within which the address answers must forget it.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Added to that for each member: a message carries a part of a large fleet's records.
+const TIMEOUT_PER_MEMBER: Duration = Duration::from_millis(10);
 /// Members that were alive this recently may still act, and count when limits are divided.
 const POPULATION_MEMORY: Duration = Duration::from_secs(20);
 /// A process that has just started may not know all members for this long.
@@ -27,7 +29,13 @@
 /// Peers that each gossip round talks to.
 const GOSSIP_FANOUT: usize = 2;
 /// Records that one message holds at most.
-const RECORDS_PER_MESSAGE: usize = 40;
+const RECORDS_PER_MESSAGE: usize = 24;
+/// Claims are repeated for this long after a change, until everybody should know them.
+const CLAIMS_REPEATED: Duration = Duration::from_secs(4);
+/// In a fleet larger than this, most rounds stay within the own data centre.
+const SMALL_FLEET: usize = 12;
+/// One round in this many also goes to another data centre there.
+const FAR_ROUNDS: u64 = 2;
 /// One round in this many also tries a peer that seems gone, so that a healed partition is found.
 const PROBE_ROUNDS: u64 = 4;
 
@@ -54,8 +62,6 @@
     pub active: bool,
     /// Largest fencing token of an order that the server accepted.
     pub fence: u64,
-    /// Time until the server would begin with a new prompt, in milliseconds.
-    pub backlog_ms: u32,
     /// What the server holds.
     pub models: Vec<HeldModel>,
     /// Adapters that made way lately and come back fast.
@@ -79,8 +85,10 @@
     pub callers: SocketAddr,
     /// Where it takes messages of peers.
     pub peers: SocketAddr,
-    /// Model servers that it schedules.
-    pub claims: Vec<ServerClaim>,
+    /// Grows when the claims change.
+    pub claims_revision: u64,
+    /// Model servers that it schedules; left out of messages while they have not changed lately.
+    pub claims: Option<Arc<Vec<ServerClaim>>>,
     /// Requests that were running when their server broke down, by fingerprint, with the count.
     pub suspects: Vec<(u64, u32)>,
 }
@@ -100,13 +108,30 @@
 struct MemberState {
     record: MemberRecord,
     heard: ClockTime,
+    /// When its claims were last seen to change.
+    claimed: ClockTime,
     /// Its host answered that nobody listens.
     refused: bool,
 }
 
 impl MemberState {
-    fn is_alive(&self, now: ClockTime) -> bool {
-        !self.refused && now.since(self.heard) < MEMBER_TIMEOUT
+    fn is_alive(&self, now: ClockTime, timeout: Duration) -> bool {
+        !self.refused && now.since(self.heard) < timeout
+    }
+}
+
+impl MemberState {
+    /// Takes in a newer record, whose claims may have been left out.
+    fn take(&mut self, now: ClockTime, mut record: MemberRecord) {
+        let known = (self.record.life, self.record.claims_revision);
+        if (record.life, record.claims_revision) == known {
+            if record.claims.is_none() {
+                record.claims = self.record.claims.take();
+            }
+        } else {
+            self.claimed = now;
+        }
+        self.record = record;
     }
 }
 
@@ -123,6 +148,7 @@
 #[derive(Debug)]
 pub struct GossipTable {
     own: MemberRecord,
+    own_claimed: ClockTime,
     others: BTreeMap<SmolStr, MemberState>,
     first_peers: Vec<SocketAddr>,
     least_population: usize,
@@ -144,6 +170,7 @@
             .collect();
         GossipTable {
             own,
+            own_claimed: ClockTime::ZERO,
             others: BTreeMap::new(),
             first_peers,
             least_population,
@@ -168,28 +195,31 @@
         self.last_heard.is_some()
     }
 
+    /// Heartbeats take longer to reach everybody in a larger fleet.
+    fn timeout(&self) -> Duration {
+        MEMBER_TIMEOUT + TIMEOUT_PER_MEMBER * u32::try_from(self.others.len()).unwrap_or(0)
+    }
+
     /// Members alive, without the own instance.
     pub fn alive(&self, now: ClockTime) -> impl Iterator<Item = &MemberRecord> {
+        let timeout = self.timeout();
         self.others
             .values()
-            .filter(move |member| member.is_alive(now))
+            .filter(move |member| member.is_alive(now, timeout))
             .map(|member| &member.record)
     }
 
     /// A member that is alive.
     pub fn member(&self, now: ClockTime, name: &str) -> Option<&MemberRecord> {
         let member = self.others.get(name)?;
-        member.is_alive(now).then_some(&member.record)
+        member
+            .is_alive(now, self.timeout())
+            .then_some(&member.record)
     }
 
     /// Instances that may act now, here or out of sight; limits are divided by this.
     pub fn population(&self, now: ClockTime) -> usize {
-        let recent = self
-            .others
-            .values()
-            .filter(|member| now.since(member.heard) < POPULATION_MEMORY)
-            .count();
-        let known = recent + 1;
+        let known = self.recent(now).count() + 1;
         if self.last_heard.is_none() || now.since(ClockTime::ZERO) < SETTLING_TIME {
             known.max(self.least_population)
         } else {
@@ -197,6 +227,39 @@
         }
     }
 
+    fn recent(&self, now: ClockTime) -> impl Iterator<Item = &MemberState> {
+        self.others
+            .values()
+            .filter(move |member| now.since(member.heard) < POPULATION_MEMORY)
+    }
+
+    /// Whether the own instance is among the `count` that hold parts of `key`.
+    ///
+    /// Instances out of contact count for a while, so that a partition does not make new holders.
+    pub fn is_holder(&self, now: ClockTime, key: &str, count: usize) -> bool {
+        let own = rendezvous::weight(key, &self.own.name);
+        let better = self
+            .recent(now)
+            .filter(|member| rendezvous::weight(key, &member.record.name) > own)
+            .count();
+        better < count
+    }
+
+    /// Where holders of parts of `key` take messages.
+    pub fn holders(&self, now: ClockTime, key: &str, count: usize) -> Vec<SocketAddr> {
+        let mut members: Vec<(u64, &MemberState)> = self
+            .recent(now)
+            .map(|member| (rendezvous::weight(key, &member.record.name), member))
+            .collect();
+        members.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        members.truncate(count);
+        members
+            .into_iter()
+            .filter(|(_, member)| member.is_alive(now, self.timeout()))
+            .map(|(_, member)| member.record.peers)
+            .collect()
+    }
+
     /// Whether most of the instances that may still run are in contact, the own one included.
     ///
     /// Instances that were alive lately count as running, unless their host says otherwise.
@@ -222,8 +285,9 @@
     /// Members that came or went since the last call.
     pub fn changes(&mut self, now: ClockTime) -> Vec<MemberChange> {
         let mut changes = Vec::new();
+        let timeout = self.timeout();
         for (name, member) in &self.others {
-            let alive = member.is_alive(now);
+            let alive = member.is_alive(now, timeout);
             if self.last_alive.get(name).copied().unwrap_or(false) != alive {
                 changes.push(MemberChange {
                     name: name.clone(),
@@ -244,16 +308,29 @@
         self.own.heartbeat += 1;
         self.rounds += 1;
         let mut targets = Vec::new();
-        let mut alive: Vec<SocketAddr> = self.alive(now).map(|record| record.peers).collect();
-        while targets.len() < GOSSIP_FANOUT && !alive.is_empty() {
-            targets.push(alive.swap_remove(random.random_range(0..alive.len())));
-        }
+        let is_small = self.others.len() < SMALL_FLEET;
+        let own = &self.own.data_centre;
+        let near: Vec<SocketAddr> = self
+            .alive(now)
+            .filter(|record| is_small || record.data_centre == *own)
+            .map(|record| record.peers)
+            .collect();
+        let far: Vec<SocketAddr> = self
+            .alive(now)
+            .filter(|record| !is_small && record.data_centre != *own)
+            .map(|record| record.peers)
+            .collect();
+        let far_count = usize::from(self.rounds.is_multiple_of(FAR_ROUNDS));
+        let near_count = if is_small { GOSSIP_FANOUT } else { 1 };
+        pick(near, near_count, random, &mut targets);
+        pick(far, far_count, random, &mut targets);
         let probe = targets.is_empty() || self.rounds.is_multiple_of(PROBE_ROUNDS);
         if probe {
+            let timeout = self.timeout();
             let silent = self
                 .others
                 .values()
-                .filter(|member| !member.is_alive(now))
+                .filter(|member| !member.is_alive(now, timeout))
                 .map(|member| member.record.peers);
             let mut missing: Vec<SocketAddr> = silent.chain(self.unknown_first_peers()).collect();
             if !missing.is_empty() {
@@ -273,19 +350,30 @@
     }
 
     /// Records to send: the own one and those of members alive, the freshest first.
-    pub fn records(&self, now: ClockTime) -> Vec<AgedRecord> {
+    ///
+    /// Claims that have not changed lately are left out unless the receiver asked for `whole`
+    /// records.
+    pub fn records(&self, now: ClockTime, whole: bool) -> Vec<AgedRecord> {
+        let timeout = self.timeout();
         let mut members: Vec<&MemberState> = self
             .others
             .values()
-            .filter(|member| member.is_alive(now))
+            .filter(|member| member.is_alive(now, timeout))
             .collect();
         members.sort_by_key(|member| now.since(member.heard));
+        let strip = |record: &MemberRecord, claimed: ClockTime| {
+            let mut record = record.clone();
+            if !whole && now.since(claimed) >= CLAIMS_REPEATED {
+                record.claims = None;
+            }
+            record
+        };
         let own = AgedRecord {
-            record: self.own.clone(),
+            record: strip(&self.own, self.own_claimed),
             age: Duration::ZERO,
         };
         let others = members.into_iter().map(|member| AgedRecord {
-            record: member.record.clone(),
+            record: strip(&member.record, member.claimed),
             age: now.since(member.heard),
         });
         [own]
@@ -295,6 +383,20 @@
             .collect()
     }
 
+    /// Whether the claims of a member alive are not known.
+    pub fn lacks_claims(&self, now: ClockTime) -> bool {
+        self.alive(now).any(|record| record.claims.is_none())
+    }
+
+    /// Changes the own claims.
+    pub fn set_claims(&mut self, now: ClockTime, claims: Vec<ServerClaim>) {
+        if self.own.claims.as_deref() != Some(&claims) {
+            self.own.claims = Some(Arc::new(claims));
+            self.own.claims_revision += 1;
+            self.own_claimed = now;
+        }
+    }
+
     /// Takes in the records of a peer.
     pub fn merge(&mut self, now: ClockTime, records: Vec<AgedRecord>) {
         self.last_heard = Some(now);
@@ -321,8 +423,10 @@
                 let known = (member.record.life, member.record.heartbeat);
                 if (record.life, record.heartbeat) > known {
                     member.heard = heard.max(member.heard);
-                    member.record = record;
                     member.refused = false;
+                    member.take(now, record);
+                } else if record.life == known.0 && member.record.claims.is_none() {
+                    member.record.claims = record.claims;
                 }
             }
             None => {
@@ -332,6 +436,7 @@
                     MemberState {
                         record,
                         heard,
+                        claimed: now,
                         refused: false,
                     },
                 );
@@ -360,3 +465,15 @@
         }
     }
 }
+
+/// Picks `count` of `addresses` at random.
+fn pick(
+    mut addresses: Vec<SocketAddr>,
+    count: usize,
+    random: &mut ChaCha8Rng,
+    targets: &mut Vec<SocketAddr>,
+) {
+    for _ in 0..count.min(addresses.len()) {
+        targets.push(addresses.swap_remove(random.random_range(0..addresses.len())));
+    }
+}
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -18,6 +18,8 @@
 pub struct GossipMessage {
     /// Records of members alive.
     pub records: Vec<AgedRecord>,
+    /// Whether the sender lacks the claims of a member.
+    pub wants_claims: bool,
     /// Revision up to which the sender's board is complete.
     pub revision: u64,
     /// Revision of the newest change on the sender's board.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -174,7 +174,8 @@
             data_centre: plan.data_centre.clone(),
             callers: plan.callers,
             peers: plan.peers,
-            claims: Vec::new(),
+            claims_revision: 0,
+            claims: Some(Arc::default()),
             suspects: Vec::new(),
         };
         let members = GossipTable::new(own, plan.first_peers.clone(), plan.least_population);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -39,7 +39,7 @@
         self.refresh_own_record(now);
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
-            let message = PeerCall::Gossip(self.gossip_message(now));
+            let message = PeerCall::Gossip(self.gossip_message(now, false));
             self.call_peer(peer, message, CallPurpose::Gossip, effects);
         }
     }
@@ -62,12 +62,11 @@
                 started: self.servers.get(*key).record.started,
                 active: desk.right().is_active(),
                 fence: desk.last_fence(),
-                backlog_ms: u32::try_from(desk.backlog(now).as_millis()).unwrap_or(u32::MAX),
                 models: desk.holdings(),
                 recent: desk.recent_holdings(),
             })
             .collect();
-        self.members.own_mut().claims = claims;
+        self.members.set_claims(now, claims);
         self.share_suspects(now);
     }
 
@@ -75,9 +74,10 @@
         self.members.own_mut().suspects = self.suspects.counts(now);
     }
 
-    fn gossip_message(&self, now: ClockTime) -> GossipMessage {
+    fn gossip_message(&self, now: ClockTime, whole: bool) -> GossipMessage {
         GossipMessage {
-            records: self.members.records(now),
+            records: self.members.records(now, whole),
+            wants_claims: self.members.lacks_claims(now),
             revision: self.board.revision(),
             changed: self.board.changed(),
             board_age: self.board_age(now),
@@ -94,7 +94,7 @@
         let answer = match message {
             PeerCall::Gossip(message) => {
                 let sender = message.records.first().map(|aged| aged.record.peers);
-                let answer = PeerAnswer::Gossip(self.gossip_message(now));
+                let answer = PeerAnswer::Gossip(self.gossip_message(now, message.wants_claims));
                 self.take_gossip(now, sender, message, effects);
                 answer
             }
@@ -136,7 +136,7 @@
     fn view_claims(&mut self, now: ClockTime) {
         let mut owners = std::collections::BTreeMap::new();
         for record in self.members.alive(now) {
-            for claim in &record.claims {
+            for claim in record.claims.iter().flat_map(|claims| claims.iter()) {
                 let known = self.fences.entry(claim.server.clone()).or_default();
                 *known = (*known).max((claim.started, claim.fence));
                 let view = OwnerView::new(now, record, claim);
@@ -194,7 +194,7 @@
                 self.apply_page(now, page, effects);
             }
             (CallPurpose::Grant(request, server), Ok(PeerAnswer::Grant(reply))) => {
-                self.grant_answered(now, request, server, Some(reply), effects);
+                self.grant_answered(now, request, server, Some(&reply), effects);
             }
             (CallPurpose::Grant(request, server), _) => {
                 self.grant_answered(now, request, server, None, effects);
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -347,7 +347,7 @@
         now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
-        reply: Option<GrantReply>,
+        reply: Option<&GrantReply>,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let is_asking = self
@@ -355,7 +355,7 @@
             .get(&number)
             .is_some_and(|record| record.phase == RequestPhase::Asking(server));
         match reply {
-            Some(GrantReply::Granted { wait, backlog }) => {
+            Some(&GrantReply::Granted { wait, backlog }) => {
                 self.note_backlog(now, server, backlog);
                 if !is_asking {
                     self.release_grant(now, number, server, None, false, effects);
@@ -372,7 +372,7 @@
                     self.set_timer(now.after(wait), TimerKind::Continue(number));
                 }
             }
-            Some(GrantReply::Declined { reason, backlog }) => {
+            Some(&GrantReply::Declined { reason, backlog }) => {
                 self.note_backlog(now, server, backlog);
                 if is_asking {
                     self.grant_declined(now, number, server, reason, effects);
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -20,7 +20,14 @@
 use crate::{clock::ClockTime, error::ErrorKind};
 
 /// Peers that one request asks at most.
-const MAX_LENDERS: usize = 3;
+const MAX_LENDERS: usize = 4;
+/// Instances that hold parts of one team's limit: few enough that each part carries several
+/// requests, and enough that the loss of some leaves most of the limit.
+const MAX_HOLDERS: usize = 12;
+/// Least that is borrowed, in units of the limit, as a multiple of a request without token counts.
+const LEAST_LOAN: f64 = 5.0;
+/// Longest time after which a refused caller is told to come back.
+const MAX_WAIT: Duration = Duration::from_secs(60);
 /// Peers are not asked again for this long after all of them had too little.
 const BORROW_PAUSE: Duration = Duration::from_millis(250);
 
@@ -30,12 +37,26 @@
         config.teams.iter().find(|team| team.name == name).cloned()
     }
 
+    /// Parts into which limits are divided.
+    fn parts(&self, now: ClockTime) -> usize {
+        self.population(now).min(MAX_HOLDERS)
+    }
+
     fn team_shape(&self, now: ClockTime, team: &TeamRule) -> BucketShape {
+        if !self.members.is_holder(now, &team.name, MAX_HOLDERS) {
+            return BucketShape::EMPTY;
+        }
         let mut bounds = self.plan.bounds.quota;
         if team.unit == QuotaUnit::Requests {
             bounds.slack = bounds.slack.min(team.burst);
         }
-        BucketShape::of_team(team.rate, team.burst, &bounds, self.population(now))
+        BucketShape::of_team(team.rate, team.burst, &bounds, self.parts(now))
+    }
+
+    /// Time until a part of the limit gains `missing`.
+    fn wait_for(&self, now: ClockTime, team: &TeamRule, missing: f64) -> Duration {
+        let seconds = missing * self.parts(now) as f64 / team.rate.max(1e-9);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
     fn team_bucket(&mut self, now: ClockTime, team: &TeamRule) -> (&mut TeamBucket, BucketShape) {
@@ -65,21 +86,22 @@
             return;
         };
         let (bucket, shape) = self.team_bucket(now, &team);
-        match bucket.take(now, shape, cost) {
-            Ok(()) => self.admitted(now, number, effects),
-            Err(wait) => {
-                let is_paused = self
-                    .borrow_pauses
-                    .get(&team.name)
-                    .is_some_and(|until| now < *until);
-                if is_paused {
-                    let kind = ErrorKind::RateExceeded;
-                    self.refuse_until(now, number, kind, Some(wait), effects);
-                } else {
-                    self.choose_lenders(now, number);
-                    self.borrow_next(now, number, &team, effects);
-                }
-            }
+        if bucket.take(now, shape, cost) {
+            self.admitted(now, number, effects);
+            return;
+        }
+        let missing = bucket.missing(now, shape, cost);
+        let is_paused = self
+            .borrow_pauses
+            .get(&team.name)
+            .is_some_and(|until| now < *until);
+        if is_paused {
+            let wait = self.wait_for(now, &team, missing);
+            let kind = ErrorKind::RateExceeded;
+            self.refuse_until(now, number, kind, Some(wait), effects);
+        } else {
+            self.choose_lenders(now, number, &team);
+            self.borrow_next(now, number, &team, effects);
         }
     }
 
@@ -95,8 +117,8 @@
         self.continue_request(now, number, effects);
     }
 
-    fn choose_lenders(&mut self, now: ClockTime, number: RequestNumber) {
-        let mut peers: Vec<_> = self.members.alive(now).map(|record| record.peers).collect();
+    fn choose_lenders(&mut self, now: ClockTime, number: RequestNumber, team: &TeamRule) {
+        let mut peers = self.members.holders(now, &team.name, MAX_HOLDERS);
         let mut lenders = Vec::new();
         while lenders.len() < MAX_LENDERS && !peers.is_empty() {
             lenders.push(peers.swap_remove(self.random.random_range(0..peers.len())));
@@ -120,7 +142,7 @@
         let (bucket, shape) = self.team_bucket(now, team);
         let wanted = bucket.missing(now, shape, cost);
         let Some(lender) = lender else {
-            let wait = Duration::from_secs_f64((wanted / shape.rate.max(1e-9)).min(3_600.0));
+            let wait = self.wait_for(now, team, wanted);
             let until = now.after(BORROW_PAUSE);
             self.borrow_pauses.insert(team.name.clone(), until);
             let kind = ErrorKind::RateExceeded;
@@ -129,7 +151,7 @@
         };
         let message = PeerCall::Borrow {
             team: team.name.clone(),
-            wanted,
+            wanted: wanted.max(team.plain_tokens * LEAST_LOAN),
         };
         self.call_peer(lender, message, CallPurpose::Borrow(number), effects);
     }
@@ -155,7 +177,7 @@
         if !is_waiting {
             return;
         }
-        if bucket.take(now, shape, cost).is_ok() {
+        if bucket.take(now, shape, cost) {
             self.admitted(now, number, effects);
         } else {
             self.borrow_next(now, number, &team, effects);
