gateway: what a fleet in virtual time found: stale orders, quorum of a new process, places given back

At 84 instances some were missing from the views of others. Change: the queue goes with the right; the ordered unload is undone last; a new process assumes the least fleet; the reducer itself notices a pause from the gap between events; gossip carries half of the records at random.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -21,11 +21,7 @@
     settings::GatewaySettings,
 };
 
-use super::{
-    clock::{BootClock, PauseDetector},
-    links::LinkPool,
-    logs, orders, peers, store,
-};
+use super::{clock::BootClock, links::LinkPool, logs, orders, peers, store};
 
 /// Connections that may be idle with one server.
 const SERVER_IDLE_LINKS: usize = 16;
@@ -222,22 +218,16 @@
     }
 
     async fn run_timers(self: Arc<GatewayCore>) {
-        let mut pauses = PauseDetector::new();
         loop {
             let wake = self.lock().wake;
             let now = self.clock.now();
             let delay = wake.map_or(LONGEST_SLEEP, |wake| wake.since(now).min(LONGEST_SLEEP));
-            pauses.expect_after(delay);
             if !delay.is_zero() {
                 tokio::select! {
                     () = tokio::time::sleep(delay) => {}
                     () = self.wake_changed.notified() => {}
                 }
             }
-            if let Some(pause) = pauses.check() {
-                tracing::warn!(event = "paused", pause_ms = pause.as_millis() as u64);
-                self.tell(GatewayEvent::Paused);
-            }
             if wake.is_some_and(|wake| wake <= self.clock.now()) {
                 self.tell(GatewayEvent::Tick);
             }
--- a/lib/src/gateway/desk.rs
+++ b/lib/src/gateway/desk.rs
@@ -335,9 +335,16 @@
         &self.right
     }
 
-    /// The right to order, to be changed.
-    pub fn right_mut(&mut self) -> &mut OrderRight {
-        &mut self.right
+    /// Whether a report is due; the caller then reads one.
+    pub fn begin_reading(&mut self, now: ClockTime) -> bool {
+        self.right.begin_reading(now)
+    }
+
+    /// Gives the right up until it has been observed anew. Orders that wait were decided on what
+    /// may not hold any more.
+    pub fn suspend(&mut self, now: ClockTime) {
+        self.drop_queue();
+        self.right.suspend(now);
     }
 
     /// Time until the server would begin with another prompt.
@@ -817,16 +824,16 @@
                 }
             }
             ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused => {
-                self.undo(&model, &action);
                 self.drop_queue();
+                self.undo(&model, &action);
                 self.right.unsettle(now);
             }
             ServerOrderOutcome::Lost => {
+                self.drop_queue();
                 // A load may have been accepted, so that its place stays taken.
                 if matches!(action, OrderAction::UnloadAdapter { .. }) {
                     self.undo(&model, &action);
                 }
-                self.drop_queue();
                 self.right.unsettle(now);
             }
         }
@@ -857,19 +864,19 @@
             OrderAction::UnloadAdapter { adapter } => {
                 self.dropped
                     .retain(|(held_model, held, _)| held_model != model || held != adapter);
-                if self.place(model, adapter).is_none() {
-                    self.places.push(AdapterPlace {
-                        model: model.clone(),
-                        adapter: adapter.clone(),
-                        version: 0,
-                        phase: PlacePhase::Ready,
-                        ready_at: ClockTime::ZERO,
-                        // The next report decides.
-                        changed: ClockTime::ZERO,
-                        used: ClockTime::ZERO,
-                        confirmed: true,
-                    });
-                }
+                // A load that waits for its turn may have been asked for meanwhile.
+                self.places.retain(|place| !place.is_for(model, adapter));
+                self.places.push(AdapterPlace {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                    version: 0,
+                    phase: PlacePhase::Ready,
+                    ready_at: ClockTime::ZERO,
+                    // The next report decides.
+                    changed: ClockTime::ZERO,
+                    used: ClockTime::ZERO,
+                    confirmed: true,
+                });
             }
         }
     }
@@ -884,6 +891,9 @@
     /// Takes in a report of the server, or that there was none.
     pub fn observe(&mut self, now: ClockTime, report: Option<&ServerReport>) {
         self.right.observe(now, report);
+        if !self.right.is_active() {
+            self.drop_queue();
+        }
         let Some(report) = report else { return };
         self.weights = Some(WeightsReport {
             busy: report.busy,
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -261,7 +261,7 @@
         };
         note(effects, event, "", "");
         for desk in self.desks.values_mut() {
-            desk.right_mut().suspend(now);
+            desk.suspend(now);
         }
     }
 
@@ -293,7 +293,7 @@
         let (id, address) = (record.id.clone(), record.address);
         desk.want_model(now, &rule, from_store);
         desk.check_places(now);
-        if desk.right_mut().begin_reading(now) {
+        if desk.begin_reading(now) {
             effects.push(GatewayEffect::ReadReport {
                 server: key,
                 id: id.clone(),
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -146,8 +146,6 @@
         /// How.
         outcome: ServerOrderOutcome,
     },
-    /// The process stood still, as the system's clock shows.
-    Paused,
     /// The time asked for has come.
     Tick,
     /// The process was told to stop.
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::Rng;
+use rand::{Rng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -19,7 +19,9 @@
 /// within which the address answers must forget it.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Added to that for each member: a message carries a part of a large fleet's records.
-const TIMEOUT_PER_MEMBER: Duration = Duration::from_millis(10);
+const TIMEOUT_PER_MEMBER: Duration = Duration::from_millis(30);
+/// Longest such addition; a lost instance must leave the addresses within some seconds.
+const MAX_TIMEOUT_ADDITION: Duration = Duration::from_millis(2_500);
 /// Members that were alive this recently may still act, and count when limits are divided.
 const POPULATION_MEMORY: Duration = Duration::from_secs(20);
 /// A process that has just started may not know all members for this long.
@@ -29,7 +31,7 @@
 /// Peers that each gossip round talks to.
 const GOSSIP_FANOUT: usize = 2;
 /// Records that one message holds at most.
-const RECORDS_PER_MESSAGE: usize = 24;
+const RECORDS_PER_MESSAGE: usize = 32;
 /// Claims are repeated for this long after a change, until everybody should know them.
 const CLAIMS_REPEATED: Duration = Duration::from_secs(4);
 /// In a fleet larger than this, most rounds stay within the own data centre.
@@ -197,7 +199,8 @@
 
     /// Heartbeats take longer to reach everybody in a larger fleet.
     fn timeout(&self) -> Duration {
-        MEMBER_TIMEOUT + TIMEOUT_PER_MEMBER * u32::try_from(self.others.len()).unwrap_or(0)
+        let members = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
+        MEMBER_TIMEOUT + (TIMEOUT_PER_MEMBER.saturating_mul(members)).min(MAX_TIMEOUT_ADDITION)
     }
 
     /// Members alive, without the own instance.
@@ -266,7 +269,11 @@
     pub fn has_quorum(&self, now: ClockTime) -> bool {
         let recent =
             |member: &&MemberState| !member.refused && now.since(member.heard) < POPULATION_MEMORY;
-        let running = self.others.values().filter(recent).count() + 1;
+        let mut running = self.others.values().filter(recent).count() + 1;
+        if now.since(ClockTime::ZERO) < POPULATION_MEMORY {
+            // A new process does not know whom it cannot reach.
+            running = running.max(self.least_population / 2 + 1);
+        }
         let in_contact = self.alive(now).count() + 1;
         in_contact * 2 > running
     }
@@ -349,18 +356,22 @@
         })
     }
 
-    /// Records to send: the own one and those of members alive, the freshest first.
+    /// Records to send: the own one and those of members alive, some at random, then the freshest.
     ///
     /// Claims that have not changed lately are left out unless the receiver asked for `whole`
     /// records.
-    pub fn records(&self, now: ClockTime, whole: bool) -> Vec<AgedRecord> {
+    pub fn records(&self, now: ClockTime, whole: bool, random: &mut ChaCha8Rng) -> Vec<AgedRecord> {
         let timeout = self.timeout();
         let mut members: Vec<&MemberState> = self
             .others
             .values()
             .filter(|member| member.is_alive(now, timeout))
             .collect();
-        members.sort_by_key(|member| now.since(member.heard));
+        // Half of them at random, so that none is left to grow old.
+        members.shuffle(random);
+        let mut fresh = members.split_off(members.len().min(RECORDS_PER_MESSAGE / 2));
+        fresh.sort_by_key(|member| now.since(member.heard));
+        members.extend(fresh);
         let strip = |record: &MemberRecord, claimed: ClockTime| {
             let mut record = record.clone();
             if !whole && now.since(claimed) >= CLAIMS_REPEATED {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -51,6 +51,8 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 /// How often members are exchanged when nothing has changed.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// The process stood still when no event came for this long.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(700);
 /// A new process waits this long for peers before it takes servers over.
 const JOIN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -159,6 +161,7 @@
     calls: BTreeMap<u64, CallPurpose>,
     next_call: u64,
     last_rumor: ClockTime,
+    last_event: ClockTime,
     leaving_since: Option<ClockTime>,
     stats: GatewayStats,
 }
@@ -210,6 +213,7 @@
             calls: BTreeMap::new(),
             next_call: 1,
             last_rumor: ClockTime::ZERO,
+            last_event: ClockTime::ZERO,
             leaving_since: None,
             stats: GatewayStats::default(),
         }
@@ -222,6 +226,7 @@
         event: GatewayEvent,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        self.notice_pause(now, effects);
         match event {
             GatewayEvent::RequestArrived(request) => self.request_arrived(now, request, effects),
             GatewayEvent::CallerGone(request) => self.caller_gone(now, request, effects),
@@ -244,7 +249,6 @@
             GatewayEvent::OrderEnded { server, outcome } => {
                 self.order_ended(now, server, outcome, effects);
             }
-            GatewayEvent::Paused => self.paused(now, effects),
             GatewayEvent::Tick => self.wake = None,
             GatewayEvent::ShutdownRequested => self.shutdown_requested(now, effects),
         }
@@ -294,12 +298,20 @@
         }
     }
 
-    fn paused(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        note(effects, "process_paused", "", "");
+    /// Housekeeping is due all the time, so that a long gap between events means that the process
+    /// stood still.
+    fn notice_pause(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        let gap = now.since(self.last_event);
+        self.last_event = now;
+        if gap < PAUSE_THRESHOLD {
+            return;
+        }
+        let detail = format!("pause_ms={}", gap.as_millis());
+        note(effects, "process_paused", "", &detail);
         self.members.excuse_silence(now);
         // Other instances may have taken the servers over meanwhile.
         for desk in self.desks.values_mut() {
-            desk.right_mut().suspend(now);
+            desk.suspend(now);
         }
         self.board_confirmed = None;
         self.store.hurry(now);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -74,9 +74,9 @@
         self.members.own_mut().suspects = self.suspects.counts(now);
     }
 
-    fn gossip_message(&self, now: ClockTime, whole: bool) -> GossipMessage {
+    fn gossip_message(&mut self, now: ClockTime, whole: bool) -> GossipMessage {
         GossipMessage {
-            records: self.members.records(now, whole),
+            records: self.members.records(now, whole, &mut self.random),
             wants_claims: self.members.lacks_claims(now),
             revision: self.board.revision(),
             changed: self.board.changed(),
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -12,7 +12,13 @@
 };
 
 const LOAD_TIME: Duration = Duration::from_millis(250);
+/// An adapter that the server held before is close at hand.
+const RECENT_LOAD_TIME: Duration = Duration::from_millis(25);
 const MAX_COMING: usize = 4;
+/// Time that must pass between orders of two instances.
+pub(crate) const LEASE: Duration = Duration::from_millis(3_000);
+/// Orders that a failing test shows.
+const LOGGED_ORDERS: usize = 16;
 const REPORT_LAG: Duration = Duration::from_millis(200);
 
 /// The rule of a service of such servers.
@@ -41,12 +47,20 @@
     held: Vec<SmolStr>,
     coming: BTreeMap<SmolStr, ClockTime>,
     in_use: Vec<SmolStr>,
+    dropped: Vec<SmolStr>,
     last_fence: u64,
+    /// When the newest load of an adapter is done.
+    done_at: BTreeMap<SmolStr, ClockTime>,
     history: Vec<(ClockTime, ServerReport)>,
+    /// The newest orders, for a failing test to show.
+    pub(crate) log: Vec<String>,
     /// Set when an order asked for more than there is room for.
     pub(crate) overfilled: Option<String>,
     /// Set when an accepted order had a lower token than one before.
     pub(crate) lowered: Option<(u64, u64)>,
+    last_holder: Option<(SmolStr, ClockTime)>,
+    /// Set when an order was accepted within the lease time of another instance's.
+    pub(crate) took_turns: Option<(SmolStr, SmolStr, Duration)>,
     /// Set when an adapter was to be dropped while requests ran on it.
     pub(crate) dropped_in_use: Option<SmolStr>,
 }
@@ -61,10 +75,15 @@
             held: Vec::new(),
             coming: BTreeMap::new(),
             in_use: Vec::new(),
+            dropped: Vec::new(),
             last_fence: 0,
+            done_at: BTreeMap::new(),
             history: Vec::new(),
+            log: Vec::new(),
             overfilled: None,
             lowered: None,
+            last_holder: None,
+            took_turns: None,
             dropped_in_use: None,
         }
     }
@@ -114,6 +133,7 @@
             OrderAction::LoadAdapter { adapter, .. } => self.load(now, order, adapter),
             OrderAction::UnloadAdapter { adapter } => self.unload(order, adapter),
         };
+        self.history.push((now, self.report()));
         let accepted = matches!(
             outcome,
             ServerOrderOutcome::Done | ServerOrderOutcome::Accepted
@@ -127,6 +147,39 @@
         outcome
     }
 
+    /// Takes an order of the instance `holder`.
+    pub(crate) fn order_of(
+        &mut self,
+        now: ClockTime,
+        holder: &SmolStr,
+        order: &ServerOrder,
+    ) -> ServerOrderOutcome {
+        let was_sound = self.overfilled.is_none() && self.took_turns.is_none();
+        let outcome = self.order(now, order);
+        if was_sound {
+            let millis = now.as_micros() / 1_000;
+            self.log
+                .push(format!("{millis} {holder} {order:?} {outcome:?}"));
+            if self.log.len() > LOGGED_ORDERS {
+                self.log.remove(0);
+            }
+        }
+        let accepted = matches!(
+            outcome,
+            ServerOrderOutcome::Done | ServerOrderOutcome::Accepted
+        );
+        if accepted {
+            if let Some((last, time)) = &self.last_holder
+                && last != holder
+                && now.since(*time) < LEASE
+            {
+                self.took_turns = Some((last.clone(), holder.clone(), now.since(*time)));
+            }
+            self.last_holder = Some((holder.clone(), now));
+        }
+        outcome
+    }
+
     fn load(
         &mut self,
         now: ClockTime,
@@ -156,6 +209,7 @@
         }
         self.counted(order, ServerOrderOutcome::Done, |engine| {
             engine.held.retain(|held| held != adapter);
+            engine.dropped.push(adapter.clone());
         })
     }
 
@@ -203,12 +257,26 @@
         }
     }
 
-    /// The report of some time ago.
+    /// The report of a fixed time ago.
     pub(crate) fn lagging_report(&self, now: ClockTime) -> ServerReport {
-        self.history
+        let lag = u64::try_from(REPORT_LAG.as_micros()).unwrap_or(u64::MAX);
+        let sampled = ClockTime::from_micros(now.as_micros().saturating_sub(lag));
+        let mut report = self
+            .history
             .iter()
             .rev()
-            .find(|(time, _)| now.since(*time) >= REPORT_LAG)
-            .map_or_else(|| self.report(), |(_, report)| report.clone())
+            .find(|(time, _)| *time <= sampled)
+            .map_or_else(|| self.report(), |(_, report)| report.clone());
+        // Loads that were done by then.
+        let coming = std::mem::take(&mut report.coming);
+        for (model, adapter) in coming {
+            let done = self.done_at.get(&adapter.name);
+            if done.is_some_and(|time| *time <= sampled) {
+                report.models[0].adapters.push(adapter);
+            } else {
+                report.coming.push((model, adapter));
+            }
+        }
+        report
     }
 }
--- a/lib/tests/gateway/mod.rs
+++ b/lib/tests/gateway/mod.rs
@@ -2,3 +2,4 @@
 #![allow(dead_code)]
 
 pub(crate) mod engine;
+pub(crate) mod world;
--- /dev/null
+++ b/lib/tests/gateway/world.rs
@@ -0,0 +1,574 @@
+//! A small fleet of reducers with a store and model servers, in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::{SmolStr, format_smolstr};
+use wasabistall_lib::{
+    clock::ClockTime,
+    error::ErrorKind,
+    gateway::{
+        FleetBounds, GatewayPlan, GatewayReducer,
+        allowance::{ColdBounds, QuotaBounds, RetryBounds},
+        board::{BoardPage, PublishedBoard},
+        catalog::{
+            CallerBounds, PublishedChange, PublishedItem, QuotaUnit, RepeatRule, RouteRule,
+            RouteTarget, ServerRecord, ServiceRule, ServingConfig, TeamRule,
+        },
+        event::{
+            AttemptEnd, AttemptSight, GatewayEffect, GatewayEvent, GatewayRequest, ModelName,
+            ServerDispatch, StoreFault, StoreRead,
+        },
+        message::{PeerAnswer, PeerCall, PeerFault},
+    },
+    key::KeyDigest,
+};
+
+use super::engine::{EngineModel, LEASE, engine_rule};
+
+const HOP: Duration = Duration::from_millis(1);
+const SILENCE: Duration = Duration::from_millis(1_000);
+const RUN_TIME: Duration = Duration::from_millis(120);
+
+/// What happens at a time.
+enum WorldAction {
+    Event(usize, u64, GatewayEvent),
+    Deliver(usize, u64, u64, SocketAddr, PeerCall),
+    Watch(usize, u64, u64, ClockTime),
+    Order(
+        usize,
+        u64,
+        usize,
+        wasabistall_lib::gateway::desk::ServerOrder,
+    ),
+}
+
+/// One instance.
+pub(crate) struct WorldNode {
+    pub(crate) name: SmolStr,
+    address: SocketAddr,
+    reducer: Option<GatewayReducer>,
+    life: u64,
+    started: ClockTime,
+    frozen_until: ClockTime,
+    pub(crate) cut: bool,
+    pub(crate) store_cut: bool,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestEnd {
+    Served,
+    Refused(ErrorKind),
+}
+
+pub(crate) struct GatewayWorld {
+    pub(crate) now: ClockTime,
+    random: ChaCha8Rng,
+    pub(crate) nodes: Vec<WorldNode>,
+    pub(crate) engines: Vec<EngineModel>,
+    store: PublishedBoard,
+    revision: u64,
+    queue: BinaryHeap<std::cmp::Reverse<(ClockTime, u64)>>,
+    actions: BTreeMap<u64, WorldAction>,
+    next: u64,
+    pub(crate) lost_orders: f64,
+    pub(crate) ends: Vec<(ClockTime, u64, RequestEnd)>,
+    next_request: u64,
+    adapters: BTreeMap<u64, SmolStr>,
+    pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
+}
+
+/// Key of the only team.
+pub(crate) fn team_key() -> KeyDigest {
+    KeyDigest::of(b"team-key")
+}
+
+/// A configuration with one model route and one team.
+pub(crate) fn config(version: u64, team: Option<TeamRule>) -> ServingConfig {
+    ServingConfig {
+        version,
+        routes: vec![RouteRule {
+            name: "r-1".into(),
+            host: "host".into(),
+            prefix: "/chat/".into(),
+            targets: vec![RouteTarget {
+                service: "models".into(),
+                weight: 1.0,
+            }],
+            repeat: RepeatRule::Stream,
+            timeout: Duration::from_secs(5),
+            objective: Duration::from_secs(1),
+            max_attempts: 1,
+            priority: 1,
+            public: false,
+        }],
+        services: vec![ServiceRule {
+            name: "models".into(),
+            connection_limit: 300,
+            cold_time: Duration::ZERO,
+            cold_rate: 0.0,
+            engine: Some(engine_rule(3)),
+        }],
+        teams: team.into_iter().collect(),
+        bounds: CallerBounds {
+            header_bytes: 16_384,
+            body_bytes: 1_000_000,
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+/// A team with one key and a limit in tokens.
+pub(crate) fn team(rate: f64, burst: f64) -> TeamRule {
+    TeamRule {
+        name: "team".into(),
+        keys: vec![team_key()],
+        priority: None,
+        unit: QuotaUnit::Tokens,
+        plain_tokens: 100.0,
+        rate,
+        burst,
+    }
+}
+
+/// Bounds on quotas that the worlds use.
+pub(crate) const QUOTA: QuotaBounds = QuotaBounds {
+    window: Duration::from_secs(8),
+    overage: 0.25,
+    slack: 20_000.0,
+};
+
+impl GatewayWorld {
+    pub(crate) fn new(seed: u64, nodes: usize, engines: usize) -> GatewayWorld {
+        let address = |index: usize| {
+            SocketAddr::from((
+                Ipv4Addr::new(10, 0, (index / 200) as u8, (index % 200) as u8),
+                7_000,
+            ))
+        };
+        let mut world = GatewayWorld {
+            now: ClockTime::from_millis(1),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            nodes: (0..nodes)
+                .map(|index| WorldNode {
+                    name: format_smolstr!("n-{index}"),
+                    address: address(index),
+                    reducer: None,
+                    life: 0,
+                    started: ClockTime::ZERO,
+                    frozen_until: ClockTime::ZERO,
+                    cut: false,
+                    store_cut: false,
+                })
+                .collect(),
+            engines: (0..engines).map(|_| EngineModel::new(3)).collect(),
+            store: PublishedBoard::default(),
+            revision: 0,
+            queue: BinaryHeap::new(),
+            actions: BTreeMap::new(),
+            next: 0,
+            lost_orders: 0.0,
+            ends: Vec::new(),
+            next_request: 0,
+            adapters: BTreeMap::new(),
+            events: Vec::new(),
+        };
+        world.publish(
+            "op/config",
+            Some(PublishedItem::Config(Arc::new(config(
+                1,
+                Some(team(0.0, 0.0)),
+            )))),
+        );
+        for index in 0..engines {
+            world.publish_server(index);
+        }
+        for index in 0..nodes {
+            world.start(index);
+        }
+        world
+    }
+
+    pub(crate) fn publish(&mut self, key: &str, item: Option<PublishedItem>) {
+        self.revision += 1;
+        self.store.apply(BoardPage {
+            changes: vec![PublishedChange {
+                key: key.into(),
+                revision: self.revision,
+                item,
+            }],
+            whole: false,
+            revision: self.revision,
+        });
+    }
+
+    fn publish_server(&mut self, index: usize) {
+        let record = ServerRecord {
+            id: format_smolstr!("s-{index}"),
+            service: "models".into(),
+            address: SocketAddr::from((Ipv4Addr::new(10, 9, 0, index as u8), 80)),
+            data_centre: "dc-0".into(),
+            slots: 64,
+            draining: false,
+            cold_for: Duration::ZERO,
+            sequence: 0,
+            started: 1,
+            models: self.engines[index].report().models,
+        };
+        let key = format!("servers/s-{index}");
+        self.publish(&key, Some(PublishedItem::Server(record)));
+    }
+
+    pub(crate) fn start(&mut self, index: usize) {
+        let first_peers = self.nodes[..3.min(self.nodes.len())]
+            .iter()
+            .map(|node| node.address)
+            .collect();
+        let data_centre = format_smolstr!("dc-{}", index % 3);
+        let seed = self.random.random();
+        let first_start = self.now < ClockTime::from_millis(100);
+        let node = &mut self.nodes[index];
+        node.life += 1;
+        node.started = self.now;
+        node.reducer = Some(GatewayReducer::new(GatewayPlan {
+            instance: node.name.clone(),
+            life: node.life * 1_000,
+            seed,
+            data_centre,
+            callers: node.address,
+            peers: node.address,
+            first_peers,
+            least_population: 6,
+            first_start,
+            grace: Duration::from_secs(8),
+            bounds: FleetBounds {
+                quota: QUOTA,
+                retry: RetryBounds {
+                    window: Duration::from_secs(10),
+                    ratio: 0.2,
+                    slack: 50.0,
+                },
+                cold: ColdBounds {
+                    overage: 1.5,
+                    slack: 5.0,
+                },
+                order_lease: LEASE,
+            },
+        }));
+        let life = node.life;
+        self.push(
+            self.now,
+            WorldAction::Event(index, life, GatewayEvent::Tick),
+        );
+    }
+
+    pub(crate) fn shut_down(&mut self, index: usize) {
+        let life = self.nodes[index].life;
+        self.tell(index, life, GatewayEvent::ShutdownRequested);
+    }
+
+    pub(crate) fn kill(&mut self, index: usize) {
+        self.nodes[index].reducer = None;
+    }
+
+    pub(crate) fn freeze(&mut self, index: usize, time: Duration) {
+        self.nodes[index].frozen_until = self.now.after(time);
+    }
+
+    pub(crate) fn is_up(&self, index: usize) -> bool {
+        self.nodes[index].reducer.is_some()
+    }
+
+    pub(crate) fn reducer(&self, index: usize) -> &GatewayReducer {
+        self.nodes[index].reducer.as_ref().expect("node is up")
+    }
+
+    pub(crate) fn local_time(&self, index: usize) -> ClockTime {
+        ClockTime::from_micros(self.now.as_micros() - self.nodes[index].started.as_micros())
+    }
+
+    fn push(&mut self, time: ClockTime, action: WorldAction) {
+        self.next += 1;
+        self.actions.insert(self.next, action);
+        self.queue.push(std::cmp::Reverse((time, self.next)));
+    }
+
+    /// Runs for `time`.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while let Some(std::cmp::Reverse((due, number))) = self.queue.peek().copied() {
+            if due > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(due);
+            if let Some(action) = self.actions.remove(&number) {
+                self.act(action);
+            }
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, action: WorldAction) {
+        match action {
+            WorldAction::Event(index, life, event) => self.tell(index, life, event),
+            WorldAction::Deliver(index, from, call, peer, message) => {
+                let from_index = from as usize >> 32;
+                let from_life = from & 0xffff_ffff;
+                let answer = self.call(index, message);
+                let event = GatewayEvent::PeerAnswered { call, peer, answer };
+                self.push(
+                    self.now.after(HOP),
+                    WorldAction::Event(from_index, from_life, event),
+                );
+            }
+            WorldAction::Watch(index, life, after, until) => {
+                let page = self.store.page_after(after);
+                if page.changes.is_empty() && self.now < until {
+                    let next = self.now.after(Duration::from_millis(40));
+                    self.push(next, WorldAction::Watch(index, life, after, until));
+                } else {
+                    self.tell(index, life, GatewayEvent::StoreAnswered(Ok(page)));
+                }
+            }
+            WorldAction::Order(index, life, server, order) => {
+                let holder = self.nodes[index].name.clone();
+                let outcome = self.engines[server].order_of(self.now, &holder, &order);
+                let lost = self.random.random_bool(self.lost_orders);
+                let outcome = if lost {
+                    wasabistall_lib::gateway::desk::ServerOrderOutcome::Lost
+                } else {
+                    outcome
+                };
+                let key = self.server_key(index, server);
+                if let Some(server) = key {
+                    let event = GatewayEvent::OrderEnded { server, outcome };
+                    self.push(self.now.after(HOP), WorldAction::Event(index, life, event));
+                }
+            }
+        }
+    }
+
+    fn server_key(
+        &self,
+        _index: usize,
+        server: usize,
+    ) -> Option<wasabistall_lib::gateway::servers::GatewayServerKey> {
+        // Servers are published in order, so that every instance allocates the same keys.
+        Some(la_arena::Idx::from_raw(la_arena::RawIdx::from_u32(
+            u32::try_from(server).ok()?,
+        )))
+    }
+
+    fn tell(&mut self, index: usize, life: u64, event: GatewayEvent) {
+        let node = &self.nodes[index];
+        if node.life != life || node.reducer.is_none() {
+            return;
+        }
+        if self.now < node.frozen_until {
+            let thaw = node.frozen_until;
+            self.push(thaw, WorldAction::Event(index, life, event));
+            return;
+        }
+        let local = self.local_time(index);
+        let mut effects = Vec::new();
+        if let Some(reducer) = &mut self.nodes[index].reducer {
+            reducer.reduce(local, event, &mut effects);
+        }
+        for effect in effects {
+            self.perform(index, life, effect);
+        }
+    }
+
+    fn call(&mut self, index: usize, message: PeerCall) -> Result<PeerAnswer, PeerFault> {
+        if self.nodes[index].reducer.is_none() {
+            return Err(PeerFault::Refused);
+        }
+        if self.now < self.nodes[index].frozen_until {
+            return Err(PeerFault::Silent);
+        }
+        let life = self.nodes[index].life;
+        let local = self.local_time(index);
+        let mut effects = Vec::new();
+        if let Some(reducer) = &mut self.nodes[index].reducer {
+            let event = GatewayEvent::PeerCalled { call: 0, message };
+            reducer.reduce(local, event, &mut effects);
+        }
+        let mut answered = Err(PeerFault::Silent);
+        for effect in effects {
+            match effect {
+                GatewayEffect::AnswerPeer { answer, .. } => answered = Ok(answer),
+                effect => self.perform(index, life, effect),
+            }
+        }
+        answered
+    }
+
+    fn later(&mut self, delay: Duration, index: usize, life: u64, event: GatewayEvent) {
+        self.push(
+            self.now.after(delay),
+            WorldAction::Event(index, life, event),
+        );
+    }
+
+    fn perform(&mut self, index: usize, life: u64, effect: GatewayEffect) {
+        match effect {
+            GatewayEffect::WakeAt(time) => {
+                let world_time = ClockTime::from_micros(
+                    time.as_micros() + self.nodes[index].started.as_micros(),
+                );
+                let time = world_time.max(self.now);
+                self.push(time, WorldAction::Event(index, life, GatewayEvent::Tick));
+            }
+            GatewayEffect::CallPeer {
+                call,
+                peer,
+                message,
+            } => self.call_peer(index, life, call, peer, message),
+            GatewayEffect::ReadStore(read) => self.read_store(index, life, read),
+            GatewayEffect::ReadReport { server, id, .. } => {
+                let engine = engine_index(&id);
+                let now = self.now;
+                self.engines[engine].advance(now);
+                let report = Some(self.engines[engine].lagging_report(now));
+                let event = GatewayEvent::ReportRead { server, report };
+                self.later(HOP * 2, index, life, event);
+            }
+            GatewayEffect::Order { id, order, .. } => {
+                let engine = engine_index(&id);
+                let time = self.now.after(HOP);
+                self.push(time, WorldAction::Order(index, life, engine, order));
+            }
+            GatewayEffect::Dispatch(dispatch) => self.dispatch(index, life, &dispatch),
+            GatewayEffect::Refuse(refusal) => {
+                let end = RequestEnd::Refused(refusal.kind);
+                self.ends.push((self.now, refusal.request, end));
+            }
+            GatewayEffect::Note(note) => self.events.push((self.now, index, note.event)),
+            GatewayEffect::AnswerPeer { .. } | GatewayEffect::ForgetServer(_) => {}
+        }
+    }
+
+    fn call_peer(
+        &mut self,
+        index: usize,
+        life: u64,
+        call: u64,
+        peer: SocketAddr,
+        message: PeerCall,
+    ) {
+        let target = self.nodes.iter().position(|node| node.address == peer);
+        let is_cut = self.nodes[index].cut;
+        match target {
+            Some(target) if self.nodes[target].cut == is_cut => {
+                let from = (index as u64) << 32 | life;
+                let time = self.now.after(HOP);
+                self.push(
+                    time,
+                    WorldAction::Deliver(target, from, call, peer, message),
+                );
+            }
+            _ => {
+                let answer = Err(PeerFault::Silent);
+                let event = GatewayEvent::PeerAnswered { call, peer, answer };
+                self.later(SILENCE, index, life, event);
+            }
+        }
+    }
+
+    fn read_store(&mut self, index: usize, life: u64, read: StoreRead) {
+        if self.nodes[index].store_cut {
+            let event = GatewayEvent::StoreAnswered(Err(StoreFault::Unavailable));
+            self.later(SILENCE, index, life, event);
+            return;
+        }
+        match read {
+            StoreRead::Whole => {
+                let mut page = self.store.page_after(0);
+                page.whole = true;
+                let event = GatewayEvent::StoreAnswered(Ok(page));
+                self.later(HOP * 4, index, life, event);
+            }
+            StoreRead::Watch { after, wait } => {
+                let until = self.now.after(wait);
+                let time = self.now.after(HOP * 4);
+                self.push(time, WorldAction::Watch(index, life, after, until));
+            }
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, life: u64, dispatch: &ServerDispatch) {
+        let engine = engine_index(&dispatch.id);
+        let now = self.now;
+        self.engines[engine].advance(now);
+        let adapter = self.adapters.get(&dispatch.request).cloned();
+        let holds = adapter.is_some_and(|adapter| self.engines[engine].holds(&adapter));
+        let (end, first_event) = if holds {
+            self.ends.push((now, dispatch.request, RequestEnd::Served));
+            let first_event = Some(Duration::from_millis(40));
+            (AttemptEnd::Completed { success: true }, first_event)
+        } else {
+            (AttemptEnd::Rejected { misdirected: true }, None)
+        };
+        let event = GatewayEvent::AttemptEnded {
+            request: dispatch.request,
+            end,
+            sight: AttemptSight {
+                first_event,
+                load: None,
+            },
+        };
+        let delay = if holds { RUN_TIME } else { HOP * 2 };
+        self.later(delay, index, life, event);
+    }
+
+    /// Sends a request for an adapter to an instance.
+    pub(crate) fn request(&mut self, index: usize, adapter: &str, tokens: u64) -> u64 {
+        self.next_request += 1;
+        let number = self.next_request;
+        self.adapters.insert(number, adapter.into());
+        let request = GatewayRequest {
+            number,
+            attempt: format_smolstr!("{number:x}"),
+            host: "host".into(),
+            path: "/chat/x".into(),
+            key: Some(team_key()),
+            model: Some(ModelName {
+                model: "base".into(),
+                adapter: Some(adapter.into()),
+            }),
+            tokens: Some((tokens, 0)),
+            parts: Vec::new(),
+            deadline: Some(Duration::from_secs(5)),
+            content_hash: number,
+            resumes: false,
+        };
+        let life = self.nodes[index].life;
+        self.tell(index, life, GatewayEvent::RequestArrived(request));
+        number
+    }
+
+    pub(crate) fn random(&mut self) -> &mut ChaCha8Rng {
+        &mut self.random
+    }
+
+    /// Names of the members that an instance holds for alive.
+    pub(crate) fn members_of(&self, index: usize) -> BTreeSet<SmolStr> {
+        self.reducer(index)
+            .members(self.local_time(index))
+            .iter()
+            .map(|record| record.name.clone())
+            .collect()
+    }
+}
+
+fn engine_index(id: &str) -> usize {
+    id.trim_start_matches("s-").parse().unwrap_or(0)
+}
--- /dev/null
+++ b/lib/tests/gateway_fleet.rs
@@ -0,0 +1,251 @@
+//! Several instances together: membership, configuration, order rights and limits under faults.
+
+mod gateway;
+
+use std::{sync::Arc, time::Duration};
+
+use gateway::world::{GatewayWorld, QUOTA, RequestEnd, config, team};
+use rand::Rng;
+use wasabistall_lib::{
+    error::ErrorKind,
+    gateway::{catalog::PublishedItem, members::MemberPhase},
+};
+
+const fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn instances_find_each_other_through_three_addresses() {
+    let mut world = GatewayWorld::new(1, 9, 2);
+    world.run(secs(3));
+    for index in 0..9 {
+        assert_eq!(world.members_of(index).len(), 9, "instance {index}");
+    }
+}
+
+#[test]
+fn a_large_fleet_converges_too() {
+    let mut world = GatewayWorld::new(1, 84, 4);
+    world.run(secs(8));
+    let known: Vec<usize> = (0..84).map(|index| world.members_of(index).len()).collect();
+    assert_eq!(known, vec![84; 84]);
+}
+
+/// The address answers must forget an instance within three seconds and the time of contact.
+#[test]
+fn the_dead_leave_the_addresses_and_the_restarted_return() {
+    let mut world = GatewayWorld::new(2, 6, 2);
+    world.run(secs(4));
+    world.kill(4);
+    world.run(secs(4));
+    for index in [0, 1, 2, 3, 5] {
+        let addresses = world
+            .reducer(index)
+            .caller_addresses(world.local_time(index));
+        assert_eq!(addresses.len(), 5, "instance {index}");
+    }
+    world.start(4);
+    world.run(secs(3));
+    for index in 0..6 {
+        let addresses = world
+            .reducer(index)
+            .caller_addresses(world.local_time(index));
+        assert_eq!(addresses.len(), 6, "instance {index}");
+    }
+}
+
+#[test]
+fn a_leaving_instance_leaves_the_addresses_at_once() {
+    let mut world = GatewayWorld::new(3, 6, 2);
+    world.run(secs(4));
+    world.shut_down(2);
+    world.run(secs(1));
+    for index in [0, 1, 3, 4, 5] {
+        let local = world.local_time(index);
+        let phases: Vec<MemberPhase> = world
+            .reducer(index)
+            .members(local)
+            .iter()
+            .filter(|record| record.name == "n-2")
+            .map(|record| record.phase)
+            .collect();
+        assert_eq!(phases, [MemberPhase::Leaving], "instance {index}");
+        assert_eq!(world.reducer(index).caller_addresses(local).len(), 5);
+    }
+}
+
+/// A configuration is in force within two seconds where the store turns instances away.
+#[test]
+fn an_instance_without_the_store_learns_from_peers() {
+    let mut world = GatewayWorld::new(4, 6, 2);
+    world.run(secs(4));
+    for index in 0..5 {
+        world.nodes[index].store_cut = true;
+    }
+    world.run(secs(2));
+    let item = PublishedItem::Config(Arc::new(config(7, None)));
+    world.publish("op/config", Some(item));
+    world.run(secs(2));
+    let versions: Vec<u64> = (0..6)
+        .map(|index| world.reducer(index).config_version())
+        .collect();
+    assert_eq!(versions, [7; 6]);
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut world = GatewayWorld::new(5, 4, 2);
+    let newer = PublishedItem::Config(Arc::new(config(9, None)));
+    world.publish("op/config", Some(newer));
+    world.run(secs(4));
+    let older = PublishedItem::Config(Arc::new(config(3, None)));
+    world.publish("op/config", Some(older));
+    world.run(secs(4));
+    let versions: Vec<u64> = (0..4)
+        .map(|index| world.reducer(index).config_version())
+        .collect();
+    assert_eq!(versions, [9; 4]);
+}
+
+#[test]
+fn an_instance_without_a_configuration_refuses_as_not_run() {
+    let mut world = GatewayWorld::new(6, 1, 1);
+    world.nodes[0].store_cut = true;
+    world.start(0);
+    let request = world.request(0, "a1", 100);
+    let end = world.ends.iter().find(|(_, number, _)| *number == request);
+    let kind = end.map(|(_, _, end)| *end);
+    assert_eq!(kind, Some(RequestEnd::Refused(ErrorKind::NotReady)));
+}
+
+/// Kills, cuts, pauses and lost answers in any order: never do two instances order one server
+/// within the lease time, overfill it, or lower the token.
+#[test]
+fn orders_never_take_turns_within_the_lease() {
+    for seed in 0..60 {
+        let mut world = GatewayWorld::new(seed, 5, 4);
+        world.lost_orders = 0.02;
+        world.run(secs(5));
+        for _ in 0..120 {
+            fault(&mut world);
+            for _ in 0..4 {
+                let index = world.random().random_range(0..5);
+                let adapter = format!("a{}", world.random().random_range(0..20));
+                if world.is_up(index) {
+                    world.request(index, &adapter, 500);
+                }
+                let pause = world.random().random_range(10..90);
+                world.run(Duration::from_millis(pause));
+            }
+        }
+        for (index, engine) in world.engines.iter().enumerate() {
+            let log = engine.log.join("\n");
+            assert_eq!(
+                engine.took_turns, None,
+                "seed {seed}, server {index}\n{log}"
+            );
+            assert_eq!(
+                engine.overfilled, None,
+                "seed {seed}, server {index}\n{log}"
+            );
+            assert_eq!(engine.lowered, None, "seed {seed}, server {index}");
+        }
+    }
+}
+
+fn fault(world: &mut GatewayWorld) {
+    let index = world.random().random_range(0..5);
+    match world.random().random_range(0..40) {
+        0 => world.kill(index),
+        1 if !world.is_up(index) => world.start(index),
+        2 => {
+            let time = world.random().random_range(200..5_000);
+            world.freeze(index, Duration::from_millis(time));
+        }
+        3 => world.nodes[index].cut = true,
+        4..=6 => world.nodes[index].cut = false,
+        7 => {
+            for index in 0..5 {
+                world.kill(index);
+                world.start(index);
+            }
+        }
+        8..=10 => {
+            for index in 0..5 {
+                if !world.is_up(index) {
+                    world.start(index);
+                }
+            }
+        }
+        _ => {}
+    }
+}
+
+/// The whole fleet recovers its rights a few seconds after all processes were killed.
+#[test]
+fn adapters_load_again_after_all_were_killed() {
+    let mut world = GatewayWorld::new(7, 6, 3);
+    world.run(secs(6));
+    for index in 0..6 {
+        world.kill(index);
+        world.start(index);
+    }
+    world.run(secs(7));
+    let request = world.request(1, "a5", 500);
+    world.run(secs(1));
+    let end = world.ends.iter().find(|(_, number, _)| *number == request);
+    assert_eq!(end.map(|(_, _, end)| *end), Some(RequestEnd::Served));
+}
+
+/// Whatever arrives where, under cuts and restarts, a team gets no more in a window than the rule
+/// allows.
+#[test]
+fn a_team_stays_within_its_limit_under_faults() {
+    let (rate, burst) = (10_000.0, 10_000.0);
+    let bound = (rate * QUOTA.window.as_secs_f64() + burst) * (1.0 + QUOTA.overage) + QUOTA.slack;
+    for seed in 0..40 {
+        let mut world = GatewayWorld::new(seed, 6, 4);
+        let item = PublishedItem::Config(Arc::new(config(2, Some(team(rate, burst)))));
+        world.publish("op/config", Some(item));
+        world.run(secs(6));
+        let mut costs = std::collections::BTreeMap::new();
+        for step in 0..400 {
+            // One instance at a time is cut off or restarted, as on a bad day.
+            if step % 100 == 50 {
+                let index = world.random().random_range(0..6);
+                if world.random().random_bool(0.5) {
+                    world.nodes[index].cut = true;
+                } else {
+                    world.kill(index);
+                    world.start(index);
+                }
+            }
+            if step % 100 == 0 {
+                for node in &mut world.nodes {
+                    node.cut = false;
+                }
+            }
+            let index = world.random().random_range(0..6);
+            let adapter = format!("a{}", world.random().random_range(0..6));
+            let tokens = world.random().random_range(500..4_000);
+            costs.insert(world.request(index, &adapter, tokens), tokens as f64);
+            world.run(Duration::from_millis(50));
+        }
+        let served: Vec<(u64, f64)> = world
+            .ends
+            .iter()
+            .filter(|(_, _, end)| *end == RequestEnd::Served)
+            .map(|(time, number, _)| (time.as_micros(), costs[number]))
+            .collect();
+        let window = QUOTA.window.as_micros() as u64;
+        for (start, _) in &served {
+            let sum: f64 = served
+                .iter()
+                .filter(|(time, _)| time >= start && *time < start + window)
+                .map(|(_, cost)| cost)
+                .sum();
+            assert!(sum <= bound, "seed {seed}: {sum} of {bound}");
+        }
+    }
+}
