--- /dev/null
+++ b/lib/src/gateway/desk/mod.rs
@@ -0,0 +1,501 @@
+//! The scheduler of one model server: which adapters it holds, what it reads, who may send.
+//!
+//! One instance has a server's desk. Others ask it for a grant before they send a request there,
+//! so that adapters in use are known and prompts do not pile up at one server.
+
+mod grant;
+mod lanes;
+mod orders;
+mod report;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use smol_str::SmolStr;
+
+pub use self::{
+    grant::{DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply},
+    lanes::{LoadLanes, LoadSignal},
+    orders::{OrderAction, ServerOrder, ServerOrderOutcome},
+};
+use super::{
+    catalog::{EngineRule, HeldAdapter, HeldModel},
+    prompt::PartCache,
+    right::OrderRight,
+};
+use crate::clock::ClockTime;
+
+/// Time of an adapter's load from the weight store while few are on their way.
+const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time of a load of an adapter that the server held lately.
+const RECENT_LOAD_TIME: Duration = Duration::from_millis(25);
+/// Time for an order to reach the server.
+const ORDER_TIME: Duration = Duration::from_millis(12);
+/// Adapters that a server keeps close at hand after they made way.
+const RECENT_ADAPTERS: usize = 32;
+/// Adapters that may be on their way to a server at the same time.
+const MAX_COMING: usize = 4;
+/// Growth of the expected time of loads when one was not done in time, its decay with each request
+/// that was served, and its bound.
+const STRETCH_GROWTH: f64 = 1.25;
+const STRETCH_DECAY: f64 = 0.9;
+const MAX_STRETCH: f64 = 4.0;
+/// Time after which an adapter that was not in place in time is expected.
+const LATE_LOAD_WAIT: Duration = Duration::from_millis(120);
+/// Part of a server's memory that requests may fill.
+const MEMORY_PART: f64 = 0.9;
+/// Prompt tokens that a server reads in a millisecond, until it has been measured.
+const FIRST_READ_RATE: f64 = 30.0;
+/// Weight of the newest measurement of the reading rate.
+const READ_RATE_WEIGHT: f64 = 0.1;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlacePhase {
+    /// Its load waits for its turn.
+    Reserved {
+        start: ClockTime,
+        load_time: Duration,
+    },
+    /// It was ordered, or is there.
+    Ready,
+    /// It goes when its runs have ended.
+    Unloading,
+}
+
+#[derive(Clone, Debug)]
+struct AdapterPlace {
+    model: SmolStr,
+    adapter: SmolStr,
+    version: u64,
+    phase: PlacePhase,
+    /// When a load is done.
+    ready_at: ClockTime,
+    changed: ClockTime,
+    used: ClockTime,
+    /// Whether the server is known to have it: a request ran on it, or a report lists it.
+    confirmed: bool,
+}
+
+impl AdapterPlace {
+    fn is_for(&self, model: &str, adapter: &str) -> bool {
+        self.model == model && self.adapter == adapter
+    }
+}
+
+/// What a report says about base models.
+#[derive(Clone, Debug)]
+struct WeightsReport {
+    busy: bool,
+    at_hand: Vec<SmolStr>,
+}
+
+#[derive(Clone, Debug)]
+struct GrantRecord {
+    model: SmolStr,
+    adapter: Option<SmolStr>,
+    tokens: u64,
+    unread: u64,
+    /// Whether nothing was read ahead of it and nothing had to be loaded.
+    undisturbed: bool,
+    /// Whether the adapter had to be loaded for it.
+    placed: bool,
+    expires: ClockTime,
+}
+
+/// The scheduler of one model server.
+#[derive(Debug)]
+pub struct ServerDesk {
+    right: OrderRight,
+    models: Vec<SmolStr>,
+    places: Vec<AdapterPlace>,
+    recent: VecDeque<(SmolStr, SmolStr)>,
+    /// Adapters dropped so recently that a report may still list them.
+    dropped: Vec<(SmolStr, SmolStr, ClockTime)>,
+    /// Factor on the time of loads, which grows while many are on their way over all servers.
+    load_stretch: f64,
+    grants: BTreeMap<GrantKey, GrantRecord>,
+    parts: PartCache,
+    read_until: ClockTime,
+    read_rate: f64,
+    queue: VecDeque<(SmolStr, OrderAction)>,
+    ordered: Option<(SmolStr, OrderAction)>,
+    /// Largest fencing token of an order that was accepted, here or by an earlier scheduler.
+    last_fence: u64,
+    ordered_fence: u64,
+    model_loading_until: ClockTime,
+    /// What the last report said about the base models, if there was one.
+    weights: Option<WeightsReport>,
+}
+
+impl ServerDesk {
+    /// A desk that has not heard from its server yet; `models` is what is published of it.
+    pub fn new(now: ClockTime, lease: Duration, rule: &EngineRule, models: &[HeldModel]) -> Self {
+        let mut desk = ServerDesk {
+            right: OrderRight::new(now, lease),
+            models: Vec::new(),
+            places: Vec::new(),
+            recent: VecDeque::new(),
+            dropped: Vec::new(),
+            load_stretch: 1.0,
+            grants: BTreeMap::new(),
+            parts: PartCache::new(rule.cache_tokens),
+            read_until: now,
+            read_rate: FIRST_READ_RATE,
+            queue: VecDeque::new(),
+            ordered: None,
+            last_fence: 0,
+            ordered_fence: 0,
+            model_loading_until: now,
+            weights: None,
+        };
+        desk.adopt_models(now, models);
+        desk
+    }
+
+    /// The right to order.
+    pub fn right(&self) -> &OrderRight {
+        &self.right
+    }
+
+    /// Whether a report is due; the caller then reads one.
+    pub fn begin_reading(&mut self, now: ClockTime) -> bool {
+        self.right.begin_reading(now)
+    }
+
+    /// Gives the right up until it has been observed anew. Orders that wait were decided on what
+    /// may not hold any more.
+    pub fn suspend(&mut self, now: ClockTime) {
+        self.drop_queue();
+        self.right.suspend(now);
+    }
+
+    /// Time until the server would begin with another prompt.
+    pub fn backlog(&self, now: ClockTime) -> Duration {
+        self.read_until.since(now)
+    }
+
+    /// What the server holds and will hold soon.
+    pub fn holdings(&self) -> Vec<HeldModel> {
+        self.models
+            .iter()
+            .map(|model| HeldModel {
+                name: model.clone(),
+                adapters: self
+                    .places
+                    .iter()
+                    .filter(|place| place.model == *model && place.phase == PlacePhase::Ready)
+                    .map(|place| HeldAdapter {
+                        name: place.adapter.clone(),
+                        version: place.version,
+                    })
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Adapters that made way lately and come back fast.
+    pub fn recent_holdings(&self) -> Vec<HeldModel> {
+        self.models
+            .iter()
+            .map(|model| HeldModel {
+                name: model.clone(),
+                adapters: self
+                    .recent
+                    .iter()
+                    .filter(|(held_model, _)| held_model == model)
+                    .map(|(_, adapter)| HeldAdapter {
+                        name: adapter.clone(),
+                        version: 0,
+                    })
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Decides on a request that wants to be sent to the server.
+    ///
+    /// `lanes` are those of the instance for loads from the weight store.
+    pub fn ask(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        ask: &GrantAsk,
+        lanes: &mut LoadLanes,
+    ) -> GrantReply {
+        self.expire(now);
+        match self.admit(now, rule, ask, lanes) {
+            Ok(wait) => {
+                let unread = self.parts.unread(ask);
+                let busy_until = self.read_until.max(now);
+                let undisturbed = busy_until == now && wait.is_zero();
+                let reading = Duration::from_secs_f64(unread as f64 / self.read_rate / 1_000.0);
+                self.read_until = busy_until.after(reading);
+                self.parts.remember(ask);
+                self.grants.insert(
+                    ask.key.clone(),
+                    GrantRecord {
+                        model: ask.model.clone(),
+                        adapter: ask.adapter.clone(),
+                        tokens: ask.prompt_tokens + ask.output_tokens,
+                        unread,
+                        undisturbed,
+                        placed: !wait.is_zero(),
+                        expires: now.after(ask.lifetime),
+                    },
+                );
+                GrantReply::Granted {
+                    wait,
+                    backlog: self.backlog(now),
+                }
+            }
+            Err(reason) => GrantReply::Declined {
+                reason,
+                backlog: self.backlog(now),
+            },
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        ask: &GrantAsk,
+        lanes: &mut LoadLanes,
+    ) -> Result<Duration, DeclineReason> {
+        if !self.models.contains(&ask.model) {
+            return Err(DeclineReason::NoModel);
+        }
+        let tokens: u64 = self.grants.values().map(|grant| grant.tokens).sum();
+        let wanted = ask.prompt_tokens + ask.output_tokens;
+        let memory = (rule.cache_tokens as f64 * MEMORY_PART) as u64;
+        let is_full = self.grants.len() >= rule.slots as usize
+            || (!self.grants.is_empty() && tokens + wanted > memory);
+        if is_full {
+            return Err(DeclineReason::Full);
+        }
+        let Some(adapter) = &ask.adapter else {
+            return Ok(Duration::ZERO);
+        };
+        let ready_at = self.place_adapter(now, rule, ask, adapter, lanes)?;
+        if let Some(place) = self.place(&ask.model, adapter) {
+            place.used = now;
+        }
+        Ok(ready_at.since(now))
+    }
+
+    fn place(&mut self, model: &str, adapter: &str) -> Option<&mut AdapterPlace> {
+        self.places
+            .iter_mut()
+            .find(|place| place.is_for(model, adapter))
+    }
+
+    /// Makes sure that the adapter is or will be in place; returns when.
+    fn place_adapter(
+        &mut self,
+        now: ClockTime,
+        rule: &EngineRule,
+        ask: &GrantAsk,
+        adapter: &SmolStr,
+        lanes: &mut LoadLanes,
+    ) -> Result<ClockTime, DeclineReason> {
+        let (model, version) = (&ask.model, ask.version);
+        let is_active = self.right.is_active();
+        let is_in_use = self.is_in_use(model, adapter);
+        if let Some(place) = self.place(model, adapter) {
+            if place.phase == PlacePhase::Unloading {
+                return Err(DeclineReason::NoPlace);
+            }
+            if place.version >= version {
+                return Ok(place.ready_at.max(now));
+            }
+            if !is_active {
+                return Err(DeclineReason::NoRight);
+            }
+            if is_in_use {
+                return Err(DeclineReason::NoPlace);
+            }
+            place.version = version;
+            place.confirmed = false;
+            place.changed = now;
+            place.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_TIME);
+            let ready_at = place.ready_at;
+            self.push_load(model, adapter, version);
+            return Ok(ready_at);
+        }
+        if !is_active {
+            return Err(DeclineReason::NoRight);
+        }
+        if self.coming() >= MAX_COMING {
+            return Err(DeclineReason::LoadsBusy);
+        }
+        let is_recent = self.is_recent(model, adapter);
+        let load_time = if is_recent {
+            RECENT_LOAD_TIME
+        } else {
+            ADAPTER_LOAD_TIME.mul_f64(self.load_stretch)
+        };
+        // An adapter that is close at hand does not burden the weight store.
+        if self.taken() + self.reserved() >= rule.adapter_slots
+            && self.victims(now).count() <= self.reserved()
+        {
+            return Err(DeclineReason::NoPlace);
+        }
+        let start = if is_recent {
+            now
+        } else {
+            lanes
+                .reserve(now, load_time)
+                .ok_or(DeclineReason::LoadsBusy)?
+        };
+        self.forget_recent(model, adapter);
+        let ready_at = start.after(load_time + ORDER_TIME);
+        self.places.push(AdapterPlace {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            version,
+            phase: PlacePhase::Reserved { start, load_time },
+            ready_at,
+            changed: now,
+            used: now,
+            confirmed: false,
+        });
+        self.start_loads(now, rule);
+        Ok(ready_at)
+    }
+
+    /// Places that the server has given or will give to adapters.
+    fn taken(&self) -> usize {
+        self.places
+            .iter()
+            .filter(|place| !matches!(place.phase, PlacePhase::Reserved { .. }))
+            .count()
+    }
+
+    fn reserved(&self) -> usize {
+        self.places.len() - self.taken()
+    }
+
+    /// Orders the loads whose turn has come, and makes room for them.
+    fn start_loads(&mut self, now: ClockTime, rule: &EngineRule) {
+        let is_due = |place: &AdapterPlace| matches!(place.phase, PlacePhase::Reserved { start, .. } if start <= now);
+        while self.places.iter().any(is_due) {
+            if self.taken() >= rule.adapter_slots && self.evict(now).is_err() {
+                return;
+            }
+            let Some(place) = self.places.iter_mut().find(|place| is_due(place)) else {
+                return;
+            };
+            if let PlacePhase::Reserved { load_time, .. } = place.phase {
+                place.ready_at = now.after(load_time + ORDER_TIME);
+            }
+            place.phase = PlacePhase::Ready;
+            place.changed = now;
+            let (model, adapter) = (place.model.clone(), place.adapter.clone());
+            let version = place.version;
+            place.version = version.max(1);
+            self.push_load(&model, &adapter, version);
+        }
+    }
+
+    /// Adapters that nobody uses and that are known to be in place.
+    fn victims(&self, now: ClockTime) -> impl Iterator<Item = (usize, &AdapterPlace)> {
+        self.places.iter().enumerate().filter(move |(_, place)| {
+            place.phase == PlacePhase::Ready
+                && place.ready_at <= now
+                && place.confirmed
+                && !self.is_in_use(&place.model, &place.adapter)
+        })
+    }
+
+    /// Makes the least recently used adapter that nobody uses leave its place.
+    fn evict(&mut self, now: ClockTime) -> Result<(), DeclineReason> {
+        let victim = self
+            .victims(now)
+            .min_by_key(|(_, place)| place.used)
+            .map(|(position, _)| position)
+            .ok_or(DeclineReason::NoPlace)?;
+        let place = self.places.remove(victim);
+        let action = OrderAction::UnloadAdapter {
+            adapter: place.adapter.clone(),
+        };
+        self.queue.push_back((place.model.clone(), action));
+        self.dropped
+            .push((place.model.clone(), place.adapter.clone(), now));
+        self.remember_recent(place.model, place.adapter);
+        Ok(())
+    }
+
+    fn remember_recent(&mut self, model: SmolStr, adapter: SmolStr) {
+        self.recent.push_back((model, adapter));
+        if self.recent.len() > RECENT_ADAPTERS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn is_recent(&self, model: &str, adapter: &str) -> bool {
+        let is_it =
+            |(held_model, held): &(SmolStr, SmolStr)| held_model == model && held == adapter;
+        self.recent.iter().any(is_it)
+    }
+
+    fn forget_recent(&mut self, model: &str, adapter: &str) {
+        self.recent
+            .retain(|(held_model, held)| held_model != model || held != adapter);
+    }
+
+    fn expire(&mut self, now: ClockTime) {
+        self.grants.retain(|_, grant| grant.expires > now);
+    }
+
+    /// Whether a request was granted on the adapter and has not ended.
+    fn is_in_use(&self, model: &str, adapter: &str) -> bool {
+        self.grants
+            .values()
+            .any(|grant| grant.model == model && grant.adapter.as_deref() == Some(adapter))
+    }
+
+    /// Adapters that are on their way, as far as it is known.
+    pub fn coming(&self) -> usize {
+        self.places.iter().filter(|place| !place.confirmed).count()
+    }
+
+    /// Takes a grant back; tells whether an adapter loaded for it was in place in time.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> Option<LoadSignal> {
+        let grant = self.grants.remove(&release.key)?;
+        if release.adapter_missing
+            && let Some(adapter) = &grant.adapter
+        {
+            self.load_late(now, &grant.model, adapter);
+            return Some(LoadSignal::Late);
+        }
+        if release.first_event.is_some() {
+            self.load_stretch = 1.0 + (self.load_stretch - 1.0) * STRETCH_DECAY;
+            if let Some(adapter) = &grant.adapter
+                && let Some(place) = self.place(&grant.model, adapter)
+            {
+                place.confirmed = true;
+            }
+        }
+        if let Some(first) = release.first_event
+            && grant.undisturbed
+            && grant.unread > 1_000
+        {
+            let rate = grant.unread as f64 / (first.as_secs_f64() * 1_000.0).max(1.0);
+            self.read_rate += (rate - self.read_rate) * READ_RATE_WEIGHT;
+        }
+        (grant.placed && release.first_event.is_some()).then_some(LoadSignal::InTime)
+    }
+
+    /// The server lacks an adapter that should be in place by now.
+    ///
+    /// It may still be on its way, so that its place is kept until a report says otherwise.
+    fn load_late(&mut self, now: ClockTime, model: &str, adapter: &str) {
+        self.load_stretch = (self.load_stretch * STRETCH_GROWTH).min(MAX_STRETCH);
+        if let Some(place) = self.place(model, adapter) {
+            place.ready_at = now.after(LATE_LOAD_WAIT);
+        }
+        self.right.refresh(now);
+    }
+}
