--- /dev/null
+++ b/lib/src/gateway/admission.rs
@@ -0,0 +1,202 @@
+//! Admission of callers' requests by the configuration in force.
+
+use std::time::Duration;
+
+use rand::Rng;
+use smol_str::SmolStr;
+
+use super::{
+    GatewayReducer, TimerKind,
+    catalog::{QuotaUnit, RepeatRule, RouteRule, TeamRule},
+    event::{GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber},
+    note,
+    requests::{REFUSED_RETRY, RequestPhase, RequestRecord},
+    routes::pick_target,
+};
+use crate::{clock::ClockTime, error::ErrorKind};
+
+/// Part of the objective for which a request waits for a server before it is refused.
+const HOLD_PART: f64 = 0.5;
+/// Part of its time for which a request waits for a server at least.
+const HOLD_TIME_PART: f64 = 0.35;
+/// A caller refused by a leaving instance finds another one at once.
+const LEAVING_RETRY: Duration = Duration::from_millis(10);
+/// Parts of the grace time for which a leaving instance takes streams and whole answers.
+const STREAM_PART: f64 = 0.34;
+const CALL_PART: f64 = 0.75;
+/// Confirmed crashes after which a request is taken to be their cause.
+const MAX_CRASHES: u32 = 2;
+/// Share of failures at which a server's answer is rather given up for another attempt.
+const MAX_PRIORITY: u8 = 9;
+
+impl GatewayReducer {
+    pub(super) fn request_arrived(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.stats.requests += 1;
+        let number = request.number;
+        match self.admit(now, request) {
+            Ok(record) => {
+                self.set_timer(record.ends_at, TimerKind::Deadline(number));
+                self.requests.insert(number, record);
+                self.take_quota(now, number, effects);
+            }
+            Err((kind, retry_after, attempt, detail)) => {
+                self.stats.refusals += 1;
+                note(effects, "request_refused", &attempt, &detail);
+                effects.push(GatewayEffect::Refuse(GatewayRefusal {
+                    request: number,
+                    kind,
+                    retry_after,
+                }));
+            }
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+    ) -> Result<RequestRecord, (ErrorKind, Option<Duration>, SmolStr, String)> {
+        let attempt = request.attempt.clone();
+        let refuse = |kind: ErrorKind, retry: Option<Duration>, detail: String| {
+            (
+                kind,
+                retry,
+                attempt.clone(),
+                format!("kind={kind:?} {detail}"),
+            )
+        };
+        let Some(routes) = &self.routes else {
+            let detail = "no configuration yet".to_owned();
+            return Err(refuse(ErrorKind::NotReady, Some(REFUSED_RETRY), detail));
+        };
+        let version = routes.config().version;
+        let Some(route) = routes.route(&request.host, &request.path) else {
+            let detail = format!("config={version}");
+            return Err(refuse(ErrorKind::UnknownRoute, None, detail));
+        };
+        let team = request.key.and_then(|key| routes.team(&key)).cloned();
+        if !route.public && !routes.config().teams.is_empty() && team.is_none() {
+            let kind = match request.key {
+                Some(_) => ErrorKind::InvalidKey,
+                None => ErrorKind::MissingKey,
+            };
+            return Err(refuse(kind, None, format!("config={version}")));
+        }
+        let route = route.clone();
+        if self.is_closed_to(now, route.repeat) {
+            let detail = format!("route={}", route.name);
+            let retry = Some(LEAVING_RETRY);
+            return Err(refuse(ErrorKind::ShuttingDown, retry, detail));
+        }
+        let fingerprint = fingerprint(&request, team.as_ref());
+        if self.members.suspicions(fingerprint) >= MAX_CRASHES {
+            let detail = format!("fingerprint={fingerprint:016x} crashed servers before");
+            return Err(refuse(ErrorKind::NoServer, Some(REFUSED_RETRY), detail));
+        }
+        let cost = request_cost(&request, team.as_ref());
+        Ok(self.new_record(now, request, &route, team.as_ref(), cost, fingerprint))
+    }
+
+    /// Whether a leaving instance could no longer end such a request in time.
+    fn is_closed_to(&self, now: ClockTime, repeat: RepeatRule) -> bool {
+        let part = if repeat.is_stream() {
+            STREAM_PART
+        } else {
+            CALL_PART
+        };
+        self.leaving_since
+            .is_some_and(|since| now.since(since) >= self.plan.grace.mul_f64(part))
+    }
+
+    fn new_record(
+        &mut self,
+        now: ClockTime,
+        request: GatewayRequest,
+        route: &RouteRule,
+        team: Option<&TeamRule>,
+        cost: f64,
+        fingerprint: u64,
+    ) -> RequestRecord {
+        let draw = self.random.random_range(0.0..1.0);
+        let service = pick_target(&route.targets, draw)
+            .map(|target| target.service.clone())
+            .unwrap_or_default();
+        let time = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+        RequestRecord {
+            service,
+            route: route.name.clone(),
+            repeat: route.repeat,
+            objective: route.objective,
+            max_attempts: route.max_attempts.max(1),
+            priority: team
+                .and_then(|team| team.priority)
+                .unwrap_or(route.priority)
+                .min(MAX_PRIORITY),
+            team: team.map(|team| team.name.clone()),
+            cost,
+            arrived: now,
+            ends_at: now.after(time),
+            hold_until: now.after(
+                route
+                    .objective
+                    .mul_f64(HOLD_PART)
+                    .max(time.mul_f64(HOLD_TIME_PART)),
+            ),
+            looks: 0,
+            phase: RequestPhase::Admitting,
+            lenders: Vec::new(),
+            has_grant: false,
+            excluded: Vec::new(),
+            sends: 0,
+            runs: 0,
+            started: false,
+            fingerprint,
+            request,
+        }
+    }
+
+    /// Refuses requests that wait although the configuration no longer allows them.
+    pub(super) fn refuse_withdrawn(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        let Some(routes) = &self.routes else { return };
+        let withdrawn: Vec<(RequestNumber, ErrorKind)> = self
+            .requests
+            .iter()
+            .filter(|(_, record)| !matches!(record.phase, RequestPhase::Sent(_)))
+            .filter_map(|(number, record)| {
+                let request = &record.request;
+                let Some(route) = routes.route(&request.host, &request.path) else {
+                    return Some((*number, ErrorKind::UnknownRoute));
+                };
+                let has_team = request.key.is_some_and(|key| routes.team(&key).is_some());
+                let needs_team = !route.public && !routes.config().teams.is_empty();
+                (needs_team && !has_team).then_some((*number, ErrorKind::KeyWithdrawn))
+            })
+            .collect();
+        for (number, kind) in withdrawn {
+            self.refuse(now, number, kind, effects);
+        }
+    }
+}
+
+/// What a request counts against its team's limit.
+fn request_cost(request: &GatewayRequest, team: Option<&TeamRule>) -> f64 {
+    match team {
+        Some(team) if team.unit == QuotaUnit::Tokens => match request.tokens {
+            Some((prompt, output)) => (prompt + output) as f64,
+            None => team.plain_tokens,
+        },
+        _ => 1.0,
+    }
+}
+
+/// The same for requests that would do the same work.
+fn fingerprint(request: &GatewayRequest, team: Option<&TeamRule>) -> u64 {
+    let team = team.map_or("", |team| team.name.as_str());
+    twox_hash::XxHash3_64::oneshot_with_seed(request.content_hash, team.as_bytes())
+}
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -15,39 +15,10 @@
     members::{MemberPhase, MemberRecord, ServerClaim},
     message::PeerCall,
     note,
-    requests::RequestRecord,
-    servers::{ColdShare, GatewayServerKey},
+    servers::GatewayServerKey,
 };
 use crate::{clock::ClockTime, rendezvous};
 
-/// Expected time of a load from the weight store, in milliseconds.
-const LOAD_MS: f64 = 260.0;
-/// Expected time of a load of an adapter that the server held lately, in milliseconds.
-const RECENT_LOAD_MS: f64 = 35.0;
-/// Prompt tokens that a server reads in a millisecond, for choosing.
-const READ_RATE: f64 = 33.0;
-/// Weight of a millisecond until the first event while the objective is far.
-const EARLY_WEIGHT: f64 = 0.2;
-/// Additional weight of a millisecond in the last part of the objective and beyond.
-const LATE_WEIGHT: f64 = 1.5;
-/// Part of the objective that is not late in this sense.
-const EARLY_PART: f64 = 0.5;
-/// Cost of a load from the weight store beyond its time.
-const STORE_LOAD_COST: f64 = 150.0;
-/// Preference for servers that come early in an adapter's order, for each place.
-const RANK_COST: f64 = 10.0;
-/// Cost of sending a prompt token to another data centre.
-const CROSSING_COST: f64 = 0.004;
-/// Prompts of at least this many tokens hold up other streams for long.
-const LONG_PROMPT: u64 = 2_000;
-/// Part of a service's servers that long prompts go to first.
-const READING_PART: f64 = 0.6;
-/// Cost of a long prompt elsewhere, and of other requests there.
-const MIXING_COST: f64 = 100.0;
-/// Cost of a server that fails every request.
-const FAILURE_COST: f64 = 3_000.0;
-/// Cost of a server that nobody schedules.
-const UNSCHEDULED_COST: f64 = 150.0;
 /// Adapters on their way at first, for each server scheduled here; the number grows with each one
 /// that is in place in time and shrinks with each that is not, since the weight store slows down
 /// under many.
@@ -60,20 +31,18 @@
 const LEAST_HOLDERS: f64 = 0.6;
 /// Mean backlog of the holders from which on another one is worth a load from the weight store.
 const BUSY_BACKLOG_MS: f64 = 120.0;
-/// Requests that this instance has at most at a server that nobody schedules.
-const DIRECT_GRANT_LIMIT: u32 = 24;
 
 /// Who schedules a model server, as this instance knows.
 #[derive(Clone, Debug)]
 pub(super) struct OwnerView {
     /// The instance.
     pub(super) name: SmolStr,
-    peer: SocketAddr,
-    active: bool,
+    pub(super) peer: SocketAddr,
+    pub(super) active: bool,
     /// When the server would begin with another prompt.
     pub(super) read_until: ClockTime,
-    models: Vec<HeldModel>,
-    recent: Vec<HeldModel>,
+    pub(super) models: Vec<HeldModel>,
+    pub(super) recent: Vec<HeldModel>,
 }
 
 impl OwnerView {
@@ -95,63 +64,6 @@
     }
 }
 
-/// Whether a server has an adapter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PlaceView {
-    /// It is in place, or will soon be.
-    Held,
-    /// It made way lately and comes back fast.
-    Recent,
-    /// It must come from the weight store.
-    Missing,
-}
-
-/// A model server as a request sees it.
-struct EngineView {
-    place: PlaceView,
-    /// Whether its scheduler may order.
-    active: bool,
-    /// Whether it has a scheduler.
-    scheduled: bool,
-    backlog: Duration,
-}
-
-fn place_of(
-    models: &[HeldModel],
-    recent: &[HeldModel],
-    wanted: &ModelName,
-    version: u64,
-) -> PlaceView {
-    if holds(models, wanted, version) {
-        PlaceView::Held
-    } else if holds(recent, wanted, 0) {
-        PlaceView::Recent
-    } else {
-        PlaceView::Missing
-    }
-}
-
-fn holds(models: &[HeldModel], wanted: &ModelName, version: u64) -> bool {
-    let Some(model) = models.iter().find(|model| model.name == wanted.model) else {
-        return false;
-    };
-    wanted.adapter.as_ref().is_none_or(|adapter| {
-        model
-            .adapters
-            .iter()
-            .any(|held| held.name == *adapter && held.version >= version)
-    })
-}
-
-/// Where a request to a model server goes next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum EngineChoice {
-    /// Ask the server's scheduler.
-    Ask(GatewayServerKey),
-    /// Nobody schedules the server, but it holds the adapter.
-    Direct(GatewayServerKey),
-}
-
 impl GatewayReducer {
     fn engine_rule(&self, server: GatewayServerKey) -> Option<EngineRule> {
         let service = &self.servers.get(server).record.service;
@@ -159,7 +71,7 @@
     }
 
     /// Oldest version of the adapter that a new request may run on.
-    fn wanted_version(&self, wanted: &ModelName) -> u64 {
+    pub(super) fn wanted_version(&self, wanted: &ModelName) -> u64 {
         let Some(adapter) = &wanted.adapter else {
             return 0;
         };
@@ -464,166 +376,6 @@
         }
     }
 
-    /// Picks the server with the least expected time to the first event.
-    pub(super) fn choose_engine(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-    ) -> Option<EngineChoice> {
-        let record = self.requests.get(&number)?;
-        let service = record.service.clone();
-        let wanted = record.request.model.clone()?;
-        let version = self.wanted_version(&wanted);
-        let cold_rate = self.config()?.service(&service)?.cold_rate;
-        let population = self.population(now);
-        let mut candidates: Vec<GatewayServerKey> = self
-            .servers
-            .in_service(&service)
-            .map(|(key, _)| key)
-            .filter(|key| !record.excluded.contains(key) && self.servers.is_open(now, *key))
-            .collect();
-        let share = ColdShare {
-            bounds: self.plan.bounds.cold,
-            population,
-            instance: &self.plan.instance,
-        };
-        candidates.retain(|key| !self.servers.is_cold_full(now, *key, cold_rate, &share));
-        let name = match &wanted.adapter {
-            Some(adapter) => format!("{}/{adapter}", wanted.model),
-            None => wanted.model.to_string(),
-        };
-        let record = self.requests.get(&number)?;
-        let is_long = record
-            .request
-            .tokens
-            .is_some_and(|(prompt, _)| prompt >= LONG_PROMPT);
-        let part_name = match record.request.parts.get(1) {
-            Some(part) => format!("{name}#{:x}", part.id),
-            None => name.clone(),
-        };
-        let readers = self.reading_servers(&service);
-        let by_adapter = self.ranks(&name, &candidates);
-        let by_parts = self.ranks(&part_name, &candidates);
-        let mut best: Option<(f64, EngineChoice)> = None;
-        for (position, key) in candidates.iter().enumerate() {
-            let ranks = (by_adapter[position], by_parts[position]);
-            let apart = if is_long == readers.contains(key) {
-                0.0
-            } else {
-                MIXING_COST
-            };
-            if let Some((cost, choice)) = self.engine_cost(now, *key, record, version, ranks)
-                && let cost = cost + apart
-                && best.is_none_or(|(least, _)| cost < least)
-            {
-                best = Some((cost, choice));
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-
-    /// Servers of a service that long prompts go to first: reading one holds up the streams that
-    /// run beside it.
-    fn reading_servers(&self, service: &str) -> Vec<GatewayServerKey> {
-        let mut servers: Vec<(u64, GatewayServerKey)> = self
-            .servers
-            .in_service(service)
-            .map(|(key, server)| (rendezvous::weight("reading", &server.record.id), key))
-            .collect();
-        servers.sort_unstable_by_key(|(weight, _)| *weight);
-        servers.truncate((servers.len() as f64 * READING_PART).ceil() as usize);
-        servers.into_iter().map(|(_, key)| key).collect()
-    }
-
-    /// Place of each candidate in the rendezvous order of `name`.
-    fn ranks(&self, name: &str, candidates: &[GatewayServerKey]) -> Vec<usize> {
-        let weights: Vec<u64> = candidates
-            .iter()
-            .map(|key| rendezvous::weight(name, &self.servers.get(*key).record.id))
-            .collect();
-        weights
-            .iter()
-            .map(|weight| weights.iter().filter(|other| *other > weight).count())
-            .collect()
-    }
-
-    fn engine_cost(
-        &self,
-        now: ClockTime,
-        key: GatewayServerKey,
-        record: &RequestRecord,
-        version: u64,
-        (adapter_rank, part_rank): (usize, usize),
-    ) -> Option<(f64, EngineChoice)> {
-        let wanted = record.request.model.as_ref()?;
-        let server = self.servers.get(key);
-        let view = self.engine_view(now, key, wanted, version);
-        let tokens = record.request.tokens.map_or(0, |(prompt, _)| prompt);
-        let shared: u64 = match record.request.parts.split_last() {
-            Some((_, shared)) if part_rank == 0 => {
-                shared.iter().map(|part| u64::from(part.tokens)).sum()
-            }
-            _ => 0,
-        };
-        let read_ms = tokens.saturating_sub(shared) as f64 / READ_RATE;
-        let mut cost = server.failure_share(now) * FAILURE_COST;
-        let load_ms = match view.place {
-            PlaceView::Held => 0.0,
-            PlaceView::Recent if view.active => RECENT_LOAD_MS,
-            PlaceView::Missing if view.active => {
-                cost += STORE_LOAD_COST;
-                LOAD_MS
-            }
-            PlaceView::Recent | PlaceView::Missing => return None,
-        };
-        if view.place != PlaceView::Held {
-            cost += adapter_rank as f64 * RANK_COST;
-        }
-        if server.record.data_centre != self.plan.data_centre {
-            cost += tokens as f64 * CROSSING_COST;
-        }
-        let first_ms = (view.backlog.as_secs_f64() * 1_000.0).max(load_ms) + read_ms;
-        let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_PART;
-        cost += first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
-        if view.scheduled {
-            return Some((cost, EngineChoice::Ask(key)));
-        }
-        (server.in_flight < DIRECT_GRANT_LIMIT)
-            .then_some((cost + UNSCHEDULED_COST, EngineChoice::Direct(key)))
-    }
-
-    fn engine_view(
-        &self,
-        now: ClockTime,
-        key: GatewayServerKey,
-        wanted: &ModelName,
-        version: u64,
-    ) -> EngineView {
-        let record = &self.servers.get(key).record;
-        if let Some(desk) = self.desks.get(&key) {
-            EngineView {
-                place: place_of(&desk.holdings(), &desk.recent_holdings(), wanted, version),
-                active: desk.right().is_active(),
-                scheduled: true,
-                backlog: desk.backlog(now),
-            }
-        } else if let Some(view) = self.owners.get(&record.id) {
-            EngineView {
-                place: place_of(&view.models, &view.recent, wanted, version),
-                active: view.active,
-                scheduled: true,
-                backlog: view.read_until.since(now),
-            }
-        } else {
-            EngineView {
-                place: place_of(&record.models, &[], wanted, version),
-                active: false,
-                scheduled: false,
-                backlog: Duration::ZERO,
-            }
-        }
-    }
-
     /// Asks the scheduler of `server` for a grant; the answer comes back as a reply.
     pub(super) fn ask_grant(
         &mut self,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -4,9 +4,11 @@
 //! Like [`crate::reducer`], [`GatewayReducer::reduce`] takes the time and an event, changes the
 //! state and appends effects; it reads no clock, socket or random source.
 
+mod admission;
 pub mod allowance;
 pub mod board;
 pub mod catalog;
+mod choice;
 pub mod desk;
 mod engines;
 pub mod event;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -8,15 +8,14 @@
 
 use super::{
     GatewayReducer, TimerKind,
-    catalog::{QuotaUnit, RepeatRule, RouteRule, TeamRule},
+    catalog::RepeatRule,
+    choice::EngineChoice,
     desk::{DeclineReason, GrantRelease, GrantReply},
-    engines::EngineChoice,
     event::{
         AttemptEnd, AttemptSight, GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber,
         ServerDispatch,
     },
     note,
-    routes::pick_target,
     servers::{ColdShare, GatewayServerKey, ServerOutcome},
 };
 use crate::{clock::ClockTime, error::ErrorKind};
@@ -27,17 +26,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Longest such pause, as a multiple of the first.
 const MAX_LOOK_PAUSE: u32 = 4;
-/// Part of the objective for which a request waits for a server before it is refused.
-const HOLD_PART: f64 = 0.5;
-/// Part of its time for which a request waits for a server at least.
-const HOLD_TIME_PART: f64 = 0.35;
 /// When a refused caller may come back if nothing better is known.
-const REFUSED_RETRY: Duration = Duration::from_millis(400);
-/// A caller refused by a leaving instance finds another one at once.
-const LEAVING_RETRY: Duration = Duration::from_millis(10);
-/// Parts of the grace time for which a leaving instance takes streams and whole answers.
-const STREAM_PART: f64 = 0.34;
-const CALL_PART: f64 = 0.75;
+pub(super) const REFUSED_RETRY: Duration = Duration::from_millis(400);
 /// Servers that may reject one request unrun, or be out of reach, before it is refused.
 const MAX_SENDS: u32 = 5;
 /// Servers tried in one go before a request waits a little.
@@ -46,10 +36,6 @@
 const PATIENCE_PART: f64 = 0.5;
 /// An attempt is given up after this many objectives, if the request could go elsewhere.
 const PATIENCE_OBJECTIVES: f64 = 2.0;
-/// Confirmed crashes after which a request is taken to be their cause.
-const MAX_CRASHES: u32 = 2;
-/// Share of failures at which a server's answer is rather given up for another attempt.
-const MAX_PRIORITY: u8 = 9;
 /// Part of a server's slots that cost nothing extra when servers are compared.
 const CROSSING_COST: f64 = 0.15;
 
@@ -73,165 +59,34 @@
 pub(super) struct RequestRecord {
     pub(super) request: GatewayRequest,
     pub(super) service: SmolStr,
-    route: SmolStr,
-    repeat: RepeatRule,
+    pub(super) route: SmolStr,
+    pub(super) repeat: RepeatRule,
     pub(super) objective: Duration,
-    max_attempts: u32,
-    priority: u8,
+    pub(super) max_attempts: u32,
+    pub(super) priority: u8,
     pub(super) team: Option<SmolStr>,
     pub(super) cost: f64,
-    arrived: ClockTime,
+    pub(super) arrived: ClockTime,
     /// When it gets its final answer at the latest.
     pub(super) ends_at: ClockTime,
-    hold_until: ClockTime,
+    pub(super) hold_until: ClockTime,
     /// Times that it found no server.
-    looks: u32,
+    pub(super) looks: u32,
     pub(super) phase: RequestPhase,
     /// Peers that can still be asked for allowance.
     pub(super) lenders: Vec<SocketAddr>,
-    has_grant: bool,
+    pub(super) has_grant: bool,
     /// Servers not to try again.
     pub(super) excluded: Vec<GatewayServerKey>,
     /// Times that it was sent.
-    sends: u32,
+    pub(super) sends: u32,
     /// Times that a server may have run it.
-    runs: u32,
-    started: bool,
-    fingerprint: u64,
+    pub(super) runs: u32,
+    pub(super) started: bool,
+    pub(super) fingerprint: u64,
 }
 
 impl GatewayReducer {
-    pub(super) fn request_arrived(
-        &mut self,
-        now: ClockTime,
-        request: GatewayRequest,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        self.stats.requests += 1;
-        let number = request.number;
-        match self.admit(now, request) {
-            Ok(record) => {
-                self.set_timer(record.ends_at, TimerKind::Deadline(number));
-                self.requests.insert(number, record);
-                self.take_quota(now, number, effects);
-            }
-            Err((kind, retry_after, attempt, detail)) => {
-                self.stats.refusals += 1;
-                note(effects, "request_refused", &attempt, &detail);
-                effects.push(GatewayEffect::Refuse(GatewayRefusal {
-                    request: number,
-                    kind,
-                    retry_after,
-                }));
-            }
-        }
-    }
-
-    #[allow(clippy::type_complexity)]
-    fn admit(
-        &mut self,
-        now: ClockTime,
-        request: GatewayRequest,
-    ) -> Result<RequestRecord, (ErrorKind, Option<Duration>, SmolStr, String)> {
-        let attempt = request.attempt.clone();
-        let refuse = |kind: ErrorKind, retry: Option<Duration>, detail: String| {
-            (
-                kind,
-                retry,
-                attempt.clone(),
-                format!("kind={kind:?} {detail}"),
-            )
-        };
-        let Some(routes) = &self.routes else {
-            let detail = "no configuration yet".to_owned();
-            return Err(refuse(ErrorKind::NotReady, Some(REFUSED_RETRY), detail));
-        };
-        let version = routes.config().version;
-        let Some(route) = routes.route(&request.host, &request.path) else {
-            let detail = format!("config={version}");
-            return Err(refuse(ErrorKind::UnknownRoute, None, detail));
-        };
-        let team = request.key.and_then(|key| routes.team(&key)).cloned();
-        if !route.public && !routes.config().teams.is_empty() && team.is_none() {
-            let kind = match request.key {
-                Some(_) => ErrorKind::InvalidKey,
-                None => ErrorKind::MissingKey,
-            };
-            return Err(refuse(kind, None, format!("config={version}")));
-        }
-        let route = route.clone();
-        if self.is_closed_to(now, route.repeat) {
-            let detail = format!("route={}", route.name);
-            let retry = Some(LEAVING_RETRY);
-            return Err(refuse(ErrorKind::ShuttingDown, retry, detail));
-        }
-        let fingerprint = fingerprint(&request, team.as_ref());
-        if self.members.suspicions(fingerprint) >= MAX_CRASHES {
-            let detail = format!("fingerprint={fingerprint:016x} crashed servers before");
-            return Err(refuse(ErrorKind::NoServer, Some(REFUSED_RETRY), detail));
-        }
-        let cost = request_cost(&request, team.as_ref());
-        Ok(self.new_record(now, request, &route, team.as_ref(), cost, fingerprint))
-    }
-
-    /// Whether a leaving instance could no longer end such a request in time.
-    fn is_closed_to(&self, now: ClockTime, repeat: RepeatRule) -> bool {
-        let part = if repeat.is_stream() {
-            STREAM_PART
-        } else {
-            CALL_PART
-        };
-        self.leaving_since
-            .is_some_and(|since| now.since(since) >= self.plan.grace.mul_f64(part))
-    }
-
-    fn new_record(
-        &mut self,
-        now: ClockTime,
-        request: GatewayRequest,
-        route: &RouteRule,
-        team: Option<&TeamRule>,
-        cost: f64,
-        fingerprint: u64,
-    ) -> RequestRecord {
-        let draw = self.random.random_range(0.0..1.0);
-        let service = pick_target(&route.targets, draw)
-            .map(|target| target.service.clone())
-            .unwrap_or_default();
-        let time = request.deadline.unwrap_or(route.timeout).min(route.timeout);
-        RequestRecord {
-            service,
-            route: route.name.clone(),
-            repeat: route.repeat,
-            objective: route.objective,
-            max_attempts: route.max_attempts.max(1),
-            priority: team
-                .and_then(|team| team.priority)
-                .unwrap_or(route.priority)
-                .min(MAX_PRIORITY),
-            team: team.map(|team| team.name.clone()),
-            cost,
-            arrived: now,
-            ends_at: now.after(time),
-            hold_until: now.after(
-                route
-                    .objective
-                    .mul_f64(HOLD_PART)
-                    .max(time.mul_f64(HOLD_TIME_PART)),
-            ),
-            looks: 0,
-            phase: RequestPhase::Admitting,
-            lenders: Vec::new(),
-            has_grant: false,
-            excluded: Vec::new(),
-            sends: 0,
-            runs: 0,
-            started: false,
-            fingerprint,
-            request,
-        }
-    }
-
     /// Goes on with a request that waits to be sent.
     pub(super) fn continue_request(
         &mut self,
@@ -748,28 +603,6 @@
             self.close_attempt(now, number, &record, effects);
         }
     }
-
-    /// Refuses requests that wait although the configuration no longer allows them.
-    pub(super) fn refuse_withdrawn(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        let Some(routes) = &self.routes else { return };
-        let withdrawn: Vec<(RequestNumber, ErrorKind)> = self
-            .requests
-            .iter()
-            .filter(|(_, record)| !matches!(record.phase, RequestPhase::Sent(_)))
-            .filter_map(|(number, record)| {
-                let request = &record.request;
-                let Some(route) = routes.route(&request.host, &request.path) else {
-                    return Some((*number, ErrorKind::UnknownRoute));
-                };
-                let has_team = request.key.is_some_and(|key| routes.team(&key).is_some());
-                let needs_team = !route.public && !routes.config().teams.is_empty();
-                (needs_team && !has_team).then_some((*number, ErrorKind::KeyWithdrawn))
-            })
-            .collect();
-        for (number, kind) in withdrawn {
-            self.refuse(now, number, kind, effects);
-        }
-    }
 }
 
 fn server_outcome(end: AttemptEnd) -> ServerOutcome {
@@ -784,20 +617,3 @@
         | AttemptEnd::Interrupted => ServerOutcome::Failed,
     }
 }
-
-/// What a request counts against its team's limit.
-fn request_cost(request: &GatewayRequest, team: Option<&TeamRule>) -> f64 {
-    match team {
-        Some(team) if team.unit == QuotaUnit::Tokens => match request.tokens {
-            Some((prompt, output)) => (prompt + output) as f64,
-            None => team.plain_tokens,
-        },
-        _ => 1.0,
-    }
-}
-
-/// The same for requests that would do the same work.
-fn fingerprint(request: &GatewayRequest, team: Option<&TeamRule>) -> u64 {
-    let team = team.map_or("", |team| team.name.as_str());
-    twox_hash::XxHash3_64::oneshot_with_seed(request.content_hash, team.as_bytes())
-}
