gateway: long prompts are read one after another

Change: the scheduler of a server lets such prompts in one by one, with a gap in which each stream makes an event.

--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -48,6 +48,15 @@
 const MEMORY_PART: f64 = 0.9;
 /// Prompt tokens that a server reads in a millisecond, until it has been measured.
 const FIRST_READ_RATE: f64 = 30.0;
+/// Highest rate that is believed.
+const MAX_READ_RATE: f64 = 200.0;
+/// Time from the end of reading to the first event.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(30);
+/// Prompts with at least this many tokens to read go to a server one after another: while two are
+/// read in a row, the streams beside them stand still for longer than their objective.
+const PACED_TOKENS: u64 = 1_500;
+/// Time between two of them, in which each stream makes an event.
+const PACE_GAP: Duration = Duration::from_millis(30);
 /// Weight of the newest measurement of the reading rate.
 const READ_RATE_WEIGHT: f64 = 0.1;
 
@@ -97,8 +106,6 @@
     adapter: Option<SmolStr>,
     tokens: u64,
     unread: u64,
-    /// Whether nothing was read ahead of it and nothing had to be loaded.
-    undisturbed: bool,
     /// Whether the adapter had to be loaded for it.
     placed: bool,
     expires: ClockTime,
@@ -226,12 +233,16 @@
     ) -> GrantReply {
         self.expire(now);
         match self.admit(now, rule, ask, lanes) {
-            Ok(wait) => {
+            Ok(load_wait) => {
                 let unread = self.parts.unread(ask);
-                let busy_until = self.read_until.max(now);
-                let undisturbed = busy_until == now && wait.is_zero();
                 let reading = Duration::from_secs_f64(unread as f64 / self.read_rate / 1_000.0);
-                self.read_until = busy_until.after(reading);
+                let ready_at = now.after(load_wait);
+                let start = if unread >= PACED_TOKENS {
+                    ready_at.max(self.read_until.after(PACE_GAP))
+                } else {
+                    ready_at
+                };
+                self.read_until = self.read_until.max(start).after(reading);
                 self.parts.remember(ask);
                 self.grants.insert(
                     ask.key.clone(),
@@ -240,13 +251,12 @@
                         adapter: ask.adapter.clone(),
                         tokens: ask.prompt_tokens + ask.output_tokens,
                         unread,
-                        undisturbed,
-                        placed: !wait.is_zero(),
+                        placed: !load_wait.is_zero(),
                         expires: now.after(ask.lifetime),
                     },
                 );
                 GrantReply::Granted {
-                    wait,
+                    wait: start.since(now),
                     backlog: self.backlog(now),
                 }
             }
@@ -479,10 +489,10 @@
             }
         }
         if let Some(first) = release.first_event
-            && grant.undisturbed
-            && grant.unread > 1_000
+            && grant.unread >= PACED_TOKENS
         {
-            let rate = grant.unread as f64 / (first.as_secs_f64() * 1_000.0).max(1.0);
+            let reading = first.saturating_sub(FIRST_EVENT_TIME).as_secs_f64() * 1_000.0;
+            let rate = (grant.unread as f64 / reading.max(1.0)).min(MAX_READ_RATE);
             self.read_rate += (rate - self.read_rate) * READ_RATE_WEIGHT;
         }
         (grant.placed && release.first_event.is_some()).then_some(LoadSignal::InTime)
