gateway: servers that declined a load rest; loads cost more in the choice; shorter holds

Change: a server without a place or turn for another adapter is not asked for one for 60 ms, one without the right or a base model for 300 ms; a load from the weight store costs 300 instead of 150 in the choice; the hold is a quarter.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -18,7 +18,7 @@
 /// Part of the objective for which a request waits for a server before it is refused.
 const HOLD_PART: f64 = 0.5;
 /// Part of its time for which a request waits for a server at least.
-const HOLD_TIME_PART: f64 = 0.35;
+const HOLD_TIME_PART: f64 = 0.25;
 /// A caller refused by a leaving instance finds another one at once.
 const LEAVING_RETRY: Duration = Duration::from_millis(10);
 /// Parts of the grace time for which a leaving instance takes streams and whole answers.
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -25,7 +25,7 @@
 /// Part of the objective that is not late in this sense.
 const EARLY_PART: f64 = 0.5;
 /// Cost of a load from the weight store beyond its time.
-const STORE_LOAD_COST: f64 = 150.0;
+const STORE_LOAD_COST: f64 = 300.0;
 /// Preference for servers that come early in an adapter's order, for each place.
 const RANK_COST: f64 = 10.0;
 /// Cost of sending a prompt token to another data centre.
@@ -214,6 +214,9 @@
             PlaceView::Recent | PlaceView::Missing => return None,
         };
         if view.place != PlaceView::Held {
+            if self.load_pauses.get(&key).is_some_and(|until| now < *until) {
+                return None;
+            }
             cost += adapter_rank as f64 * RANK_COST;
         }
         if server.record.data_centre != self.plan.data_centre {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -155,6 +155,8 @@
     load_lanes: LoadLanes,
     /// Largest fencing tokens heard of, with the start of the server's process.
     fences: BTreeMap<SmolStr, (u64, u64)>,
+    /// Until when servers are not asked to load another adapter, after they declined.
+    load_pauses: BTreeMap<GatewayServerKey, ClockTime>,
     releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
     suspects: SuspectList,
     has_quorum: bool,
@@ -207,6 +209,7 @@
             load_window: engines::FIRST_LOAD_WINDOW,
             load_lanes: LoadLanes::default(),
             fences: BTreeMap::new(),
+            load_pauses: BTreeMap::new(),
             releases: BTreeMap::new(),
             suspects: SuspectList::default(),
             has_quorum: true,
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -25,7 +25,11 @@
 /// Pause before a request that found no server looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Longest such pause, as a multiple of the first.
-const MAX_LOOK_PAUSE: u32 = 4;
+const MAX_LOOK_PAUSE: u32 = 2;
+/// A server that has no place or turn for another adapter is not asked again for this long.
+const LOAD_PAUSE: Duration = Duration::from_millis(60);
+/// The same for one whose scheduler may not order yet, or that holds no base model.
+const RIGHT_PAUSE: Duration = Duration::from_millis(300);
 /// When a refused caller may come back if nothing better is known.
 pub(super) const REFUSED_RETRY: Duration = Duration::from_millis(400);
 /// Servers that may reject one request unrun, or be out of reach, before it is refused.
@@ -246,6 +250,14 @@
         reason: DeclineReason,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        let pause = match reason {
+            DeclineReason::NoPlace | DeclineReason::LoadsBusy => Some(LOAD_PAUSE),
+            DeclineReason::NoRight | DeclineReason::NoModel => Some(RIGHT_PAUSE),
+            DeclineReason::NotScheduled | DeclineReason::Full => None,
+        };
+        if let Some(pause) = pause {
+            self.load_pauses.insert(server, now.after(pause));
+        }
         if let Some(record) = self.requests.get(&number) {
             let id = &self.servers.get(server).record.id;
             let detail = format!("server={id} reason={reason:?}");
