--- a/daemon/src/gateway/answers.rs
+++ b/daemon/src/gateway/answers.rs
@@ -63,11 +63,13 @@
     .await;
 }
 
-/// Serves metrics.
+/// Serves metrics and usage.
 pub(super) async fn serve_operators(listener: TcpListener, core: Arc<GatewayCore>) {
     serve_whole(listener, move |request| {
         let response = if is_get(&request, "/metrics") {
             reply(StatusCode::OK, "text/plain; version=0.0.4", core.metrics())
+        } else if is_get(&request, "/operator/v1/usage") {
+            reply(StatusCode::OK, "application/json", core.usage())
         } else {
             not_found()
         };
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -18,6 +18,7 @@
         },
         message::{PeerAnswer, PeerCall},
     },
+    operator::UsageView,
     settings::GatewaySettings,
 };
 
@@ -27,6 +28,8 @@
 const SERVER_IDLE_LINKS: usize = 16;
 /// Connections that may be idle with one peer.
 const PEER_IDLE_LINKS: usize = 4;
+/// Records in one answer about usage.
+const USAGE_RECORDS: usize = 1_000;
 /// Instances to expect in a data centre while the members are not known yet.
 const EXPECTED_PER_DATA_CENTRE: usize = 2;
 /// The clock is looked at this often when nothing else is due.
@@ -281,6 +284,15 @@
         self.life
     }
 
+    /// What this process has counted, as JSON.
+    pub(super) fn usage(&self) -> Vec<u8> {
+        let state = self.lock();
+        let usage = state.reducer.usage();
+        let view = UsageView::of_meter(self.instance.clone(), self.life, usage, 0, USAGE_RECORDS);
+        // Names and numbers always serialize.
+        serde_json::to_vec(&view).unwrap_or_default()
+    }
+
     /// Counters as text.
     pub(super) fn metrics(&self) -> Vec<u8> {
         let state = self.lock();
--- /dev/null
+++ b/daemon/tests/gateway.rs
@@ -0,0 +1,262 @@
+//! Real gateway processes before a stand-in of the users' platform.
+
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    path::Path,
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use hyper::{Method, StatusCode};
+use rustix::process::Signal;
+use wasabistall_testutils::{
+    gateway::{CallerAnswer, CallerConnection, GatewayPorts, GatewayProcess, ask, wait_ready},
+    platform::{PlatformStandin, StoreMode, platform_config},
+};
+
+static NEXT_NET: AtomicU8 = AtomicU8::new(1);
+
+/// A platform and some gateways, on addresses that no other test uses.
+struct Site {
+    platform: PlatformStandin,
+    gateways: Vec<GatewayProcess>,
+    _folder: tempfile::TempDir,
+}
+
+impl Site {
+    async fn start(gateways: u8) -> Site {
+        let net = NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id().to_le_bytes();
+        let ip = |host: u8| IpAddr::V4(Ipv4Addr::new(127, process[0] | 1, process[1] ^ net, host));
+        let platform = PlatformStandin::start(ip(200)).await;
+        platform.put("op/config", Some(&platform_config(1, "key")));
+        platform.start_server(ip(201), "s-1", "models", true).await;
+        platform.start_server(ip(202), "s-2", "models", true).await;
+        platform.start_server(ip(203), "s-3", "desk", false).await;
+        platform.start_server(ip(204), "s-4", "desk", false).await;
+        let folder = tempfile::tempdir().expect("folder for settings");
+        let ports: Vec<GatewayPorts> = (1..=gateways)
+            .map(|host| GatewayPorts {
+                ip: ip(host),
+                first: 21_000,
+            })
+            .collect();
+        let peers: Vec<_> = ports.iter().take(3).map(|ports| ports.peers()).collect();
+        let binary = Path::new(env!("CARGO_BIN_EXE_wasabistalld"));
+        let gateways: Vec<GatewayProcess> = ports
+            .iter()
+            .enumerate()
+            .map(|(index, ports)| {
+                let name = format!("g-{index}");
+                GatewayProcess::start(binary, folder.path(), &name, *ports, &peers, platform.store)
+            })
+            .collect();
+        for ports in &ports {
+            wait_ready(*ports).await;
+        }
+        Site {
+            platform,
+            gateways,
+            _folder: folder,
+        }
+    }
+
+    async fn call(&self, gateway: usize, method: Method, path: &str, id: &str) -> CallerAnswer {
+        let address = self.gateways[gateway].ports.callers();
+        let mut connection = CallerConnection::open(address).await.expect("connect");
+        let headers = [("host", "host"), ("attempt-id", id), ("credential", "key")];
+        connection
+            .call(method, path, &headers, b"body")
+            .await
+            .expect("an answer")
+    }
+
+    /// Asks for a stream until its adapter is in place: rights to order take some seconds.
+    async fn stream(&self, gateway: usize, id: &str) -> CallerAnswer {
+        let address = self.gateways[gateway].ports.callers();
+        for attempt in 0..60 {
+            let mut connection = CallerConnection::open(address).await.expect("connect");
+            let id = format!("{id}-{attempt}");
+            let headers = [
+                ("host", "host"),
+                ("attempt-id", &id),
+                ("credential", "key"),
+                ("model", "base/a1"),
+                ("token-usage", "100,20"),
+            ];
+            let answer = connection
+                .call(Method::POST, "/chat/x", &headers, b"prompt")
+                .await
+                .expect("an answer");
+            if answer.status != StatusCode::SERVICE_UNAVAILABLE {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        panic!("the adapter was never loaded");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_requests_and_streams_pass_whole() {
+    let site = Site::start(3).await;
+    let answer = site.call(0, Method::POST, "/once/book", "one").await;
+    assert_eq!(
+        (answer.status, &answer.body[..]),
+        (StatusCode::OK, &b"answer to one"[..])
+    );
+    assert!(answer.headers.contains_key("response-seal"));
+    let stream = site.stream(1, "two").await;
+    assert!(stream.complete);
+    let text = String::from_utf8(stream.body.to_vec()).expect("text");
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    let expected: Vec<String> = (0..12).map(|number| number.to_string()).collect();
+    assert_eq!(ids, expected);
+    let runs = site.platform.runs();
+    assert!(
+        runs.iter()
+            .all(|run| !run.saw_key && run.tenant.as_deref() == Some("team"))
+    );
+    assert_eq!(site.platform.violations(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn addresses_name_every_ready_instance() {
+    let site = Site::start(3).await;
+    let mut listed = 0;
+    for _ in 0..200 {
+        let answer = ask(site.gateways[2].ports.addresses(), "/resolve?Name=host").await;
+        let body = answer.expect("an answer").body;
+        let value: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+        listed = value["Addresses"].as_array().map_or(0, Vec::len);
+        if listed == 3 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(listed, 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_keys_and_paths_are_refused_as_not_run() {
+    let site = Site::start(1).await;
+    let unknown = site.call(0, Method::GET, "/nowhere/x", "one").await;
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    let address = site.gateways[0].ports.callers();
+    let mut connection = CallerConnection::open(address).await.expect("connect");
+    let headers = [
+        ("host", "host"),
+        ("attempt-id", "two"),
+        ("credential", "wrong"),
+    ];
+    let answer = connection
+        .call(Method::POST, "/once/x", &headers, b"")
+        .await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::UNAUTHORIZED);
+    assert_eq!(site.platform.runs(), Vec::new());
+}
+
+/// A caller that goes away ends its run: the server sees the connection close.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_its_run() {
+    let site = Site::start(1).await;
+    site.stream(0, "warm").await;
+    let address = site.gateways[0].ports.callers();
+    let mut connection = CallerConnection::open(address).await.expect("connect");
+    let headers = [
+        ("host", "host"),
+        ("attempt-id", "leaver"),
+        ("credential", "key"),
+        ("model", "base/a1"),
+        ("token-usage", "100,20"),
+    ];
+    let response = connection
+        .send(Method::POST, "/chat/x", &headers, b"")
+        .await;
+    assert_eq!(
+        response.as_ref().map(hyper::Response::status),
+        Some(StatusCode::OK)
+    );
+    drop(response);
+    drop(connection);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let runs = site.platform.runs();
+    let run = runs
+        .iter()
+        .find(|run| run.attempt == "leaver")
+        .expect("a run");
+    assert!(!run.finished);
+}
+
+/// A planned stop answers what is in progress and what still comes, then ends in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing() {
+    let mut site = Site::start(2).await;
+    site.stream(0, "warm").await;
+    let address = site.gateways[0].ports.callers();
+    let mut connection = CallerConnection::open(address).await.expect("connect");
+    let headers = [
+        ("host", "host"),
+        ("attempt-id", "crossing"),
+        ("credential", "key"),
+        ("model", "base/a1"),
+        ("token-usage", "100,20"),
+    ];
+    let running = connection.call(Method::POST, "/chat/x", &headers, b"");
+    site.gateways[0].signal(Signal::TERM);
+    let answer = running.await.expect("an answer");
+    assert!(answer.complete && answer.status == StatusCode::OK);
+    let later = site.call(0, Method::POST, "/once/x", "later").await;
+    assert_eq!(later.status, StatusCode::OK);
+    assert_eq!(
+        later
+            .headers
+            .get("connection")
+            .map(|value| value.as_bytes()),
+        Some(&b"close"[..])
+    );
+    let ready = ask(site.gateways[0].ports.readiness(), "/readiness").await;
+    assert_eq!(
+        ready.map(|answer| answer.status),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    assert!(site.gateways[0].wait_end(Duration::from_secs(10)));
+}
+
+/// With the store away, instances go on; one that starts then learns from its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dark_store_costs_no_service() {
+    let mut site = Site::start(3).await;
+    site.platform.set_mode(StoreMode::Silent);
+    site.gateways[1].kill();
+    site.gateways[1].restart();
+    wait_ready(site.gateways[1].ports).await;
+    for gateway in 0..3 {
+        let id = format!("dark-{gateway}");
+        let answer = site.call(gateway, Method::POST, "/once/x", &id).await;
+        assert_eq!(answer.status, StatusCode::OK, "gateway {gateway}");
+    }
+}
+
+/// The lines of a request tell its way, with its id.
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_and_metrics_tell_a_requests_way() {
+    let mut site = Site::start(1).await;
+    site.call(0, Method::POST, "/once/x", "traced").await;
+    let metrics = ask(site.gateways[0].ports.operators(), "/metrics").await;
+    let text = String::from_utf8(metrics.expect("metrics").body.to_vec()).expect("text");
+    assert!(text.contains("wasabistall_requests_total 1\n"), "{text}");
+    site.gateways[0].signal(Signal::TERM);
+    site.gateways[0].wait_end(Duration::from_secs(10));
+    let log = std::fs::read_to_string(site.gateways[0].log()).expect("read the log");
+    let events: Vec<String> = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+        .filter(|line| line["attempt"] == "traced")
+        .map(|line| line["event"].as_str().unwrap_or_default().to_owned())
+        .collect();
+    assert_eq!(events, ["request_sent", "attempt_ended"]);
+}
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -47,7 +47,7 @@
     store::StoreReader,
     suspects::SuspectList,
 };
-use crate::clock::ClockTime;
+use crate::{clock::ClockTime, usage::UsageMeter};
 
 /// How often each duty that no event triggers is looked after.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -168,6 +168,7 @@
     last_event: ClockTime,
     leaving_since: Option<ClockTime>,
     stats: GatewayStats,
+    usage: UsageMeter,
 }
 
 impl GatewayReducer {
@@ -221,6 +222,7 @@
             last_event: ClockTime::ZERO,
             leaving_since: None,
             stats: GatewayStats::default(),
+            usage: UsageMeter::default(),
         }
     }
 
@@ -353,6 +355,11 @@
         self.stats
     }
 
+    /// Requests counted so far, each once.
+    pub fn usage(&self) -> &UsageMeter {
+        &self.usage
+    }
+
     /// Version of the configuration in force; 0 while there is none.
     pub fn config_version(&self) -> u64 {
         self.routes
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use rand::Rng;
 
@@ -12,13 +12,18 @@
     choice::EngineChoice,
     desk::{DeclineReason, GrantRelease, GrantReply},
     event::{
-        AttemptEnd, AttemptSight, GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber,
-        ServerDispatch,
+        AttemptEnd, AttemptSight, GatewayEffect, GatewayRefusal, GatewayRequest, ModelName,
+        RequestNumber, ServerDispatch,
     },
     note,
     servers::{ColdShare, GatewayServerKey, ServerOutcome},
 };
-use crate::{clock::ClockTime, error::ErrorKind};
+use crate::{
+    clock::ClockTime,
+    config::PriceClass,
+    error::ErrorKind,
+    usage::{UsageAccount, UsageOutcome},
+};
 
 /// A request with less time than this left is not sent any more.
 const LEAST_TIME: Duration = Duration::from_millis(15);
@@ -36,6 +41,8 @@
 const MAX_SENDS: u32 = 5;
 /// Servers tried in one go before a request waits a little.
 const MAX_ASKS: usize = 4;
+/// Requests of this rank and more urgent ones are counted at the higher price.
+const PREMIUM_PRIORITY: u8 = 1;
 /// Part of the time left that an attempt may use while the request could go elsewhere.
 const PATIENCE_PART: f64 = 0.5;
 /// An attempt is given up after this many objectives, if the request could go elsewhere.
@@ -485,7 +492,9 @@
         let may_go_on = record.sends < MAX_SENDS;
         match end {
             AttemptEnd::Completed { .. } => {
-                self.requests.remove(&number);
+                if let Some(record) = self.requests.remove(&number) {
+                    self.count_usage(number, &record, UsageOutcome::Answered);
+                }
                 return;
             }
             AttemptEnd::NotConnected | AttemptEnd::Rejected { .. } if may_go_on => {}
@@ -543,6 +552,14 @@
         self.stats.refusals += 1;
         let is_sent = matches!(record.phase, RequestPhase::Sent(_));
         let may_have_run = record.runs > 0 || is_sent;
+        if may_have_run {
+            let outcome = if record.started {
+                UsageOutcome::Partial
+            } else {
+                UsageOutcome::Unknown
+            };
+            self.count_usage(number, &record, outcome);
+        }
         let kind = match kind {
             // Only a request that ran nowhere may be called so.
             ErrorKind::NoServer | ErrorKind::DeadlineExceeded if !may_have_run => {
@@ -575,6 +592,38 @@
         self.close_attempt(now, number, &record, effects);
     }
 
+    /// Counts a request that a server ran, or may have run, against its team.
+    fn count_usage(
+        &mut self,
+        number: RequestNumber,
+        record: &RequestRecord,
+        outcome: UsageOutcome,
+    ) {
+        let team = record.team.clone().unwrap_or_default();
+        let target = match &record.request.model {
+            Some(ModelName {
+                model,
+                adapter: Some(adapter),
+            }) => format_smolstr!("{model}/{adapter}"),
+            Some(name) => name.model.clone(),
+            None => record.service.clone(),
+        };
+        let price = if record.priority <= PREMIUM_PRIORITY {
+            PriceClass::Premium
+        } else {
+            PriceClass::Standard
+        };
+        let account = UsageAccount {
+            // The platform publishes no owners above the teams.
+            owner: team.clone(),
+            team,
+            target,
+            price,
+        };
+        let (prompt, output) = record.request.tokens.unwrap_or_default();
+        self.usage.count(number, account, outcome, prompt, output);
+    }
+
     fn close_attempt(
         &mut self,
         now: ClockTime,
@@ -612,6 +661,9 @@
     ) {
         if let Some(record) = self.requests.remove(&number) {
             note(effects, "caller_gone", &record.request.attempt, "");
+            if record.runs > 0 || matches!(record.phase, RequestPhase::Sent(_)) {
+                self.count_usage(number, &record, UsageOutcome::Partial);
+            }
             self.close_attempt(now, number, &record, effects);
         }
     }
--- a/lib/src/operator.rs
+++ b/lib/src/operator.rs
@@ -10,7 +10,7 @@
 use crate::{
     config::ConfigState,
     reducer::Reducer,
-    usage::{UsageAccount, UsageRecord, UsageTotal},
+    usage::{UsageAccount, UsageMeter, UsageRecord, UsageTotal},
 };
 
 /// SHA-256 digest of an operator's token, for the settings.
@@ -119,10 +119,27 @@
 impl UsageView {
     /// Reads usage: all totals, and at most `limit` records after `after`.
     pub fn read(reducer: &Reducer, after: u64, limit: usize) -> UsageView {
-        let usage = reducer.usage();
+        let settings = reducer.settings();
+        UsageView::of_meter(
+            settings.instance.clone(),
+            settings.life,
+            reducer.usage(),
+            after,
+            limit,
+        )
+    }
+
+    /// Reads the usage that an instance counted in one process life.
+    pub fn of_meter(
+        instance: SmolStr,
+        life: u64,
+        usage: &UsageMeter,
+        after: u64,
+        limit: usize,
+    ) -> UsageView {
         UsageView {
-            instance: reducer.settings().instance.clone(),
-            life: reducer.settings().life,
+            instance,
+            life,
             sequence: usage.sequence(),
             totals: usage
                 .totals()
--- /dev/null
+++ b/lib/tests/gateway_requests.rs
@@ -0,0 +1,415 @@
+//! One instance and the fate of single requests: repeats, refusals that are true, budgets.
+
+use std::{sync::Arc, time::Duration};
+
+use assert_matches::assert_matches;
+use wasabistall_lib::{
+    clock::ClockTime,
+    error::ErrorKind,
+    gateway::{
+        FleetBounds, GatewayPlan, GatewayReducer,
+        allowance::{ColdBounds, QuotaBounds, RetryBounds},
+        board::BoardPage,
+        catalog::{
+            CallerBounds, PublishedChange, PublishedItem, QuotaUnit, RepeatRule, RouteRule,
+            RouteTarget, ServerRecord, ServiceRule, ServingConfig, TeamRule,
+        },
+        event::{
+            AttemptEnd, AttemptSight, GatewayEffect, GatewayEvent, GatewayRefusal, GatewayRequest,
+            ServerDispatch,
+        },
+    },
+    key::KeyDigest,
+};
+
+fn route(prefix: &str, repeat: RepeatRule, max_attempts: u32) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: "host".into(),
+        prefix: prefix.into(),
+        targets: vec![RouteTarget {
+            service: "desk".into(),
+            weight: 1.0,
+        }],
+        repeat,
+        timeout: Duration::from_millis(3_000),
+        objective: Duration::from_millis(300),
+        max_attempts,
+        priority: 1,
+        public: false,
+    }
+}
+
+fn serving_config(version: u64, keys: &[&[u8]]) -> ServingConfig {
+    ServingConfig {
+        version,
+        routes: vec![
+            route("/safe/", RepeatRule::Idempotent, 3),
+            route("/once/", RepeatRule::Once, 1),
+            route("/stream/", RepeatRule::ResumableStream, 2),
+        ],
+        services: vec![ServiceRule {
+            name: "desk".into(),
+            connection_limit: 100,
+            cold_time: Duration::from_secs(3),
+            cold_rate: 0.0,
+            engine: None,
+        }],
+        teams: vec![TeamRule {
+            name: "team".into(),
+            keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+            priority: None,
+            unit: QuotaUnit::Requests,
+            plain_tokens: 0.0,
+            rate: 0.0,
+            burst: 0.0,
+        }],
+        bounds: CallerBounds {
+            header_bytes: 16_384,
+            body_bytes: 1_000_000,
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+fn server(id: u8, draining: bool) -> ServerRecord {
+    ServerRecord {
+        id: format!("s-{id}").into(),
+        service: "desk".into(),
+        address: format!("10.0.0.{id}:80").parse().unwrap(),
+        data_centre: format!("dc-{id}").into(),
+        slots: 6,
+        draining,
+        cold_for: Duration::ZERO,
+        sequence: 0,
+        started: 1,
+        models: Vec::new(),
+    }
+}
+
+/// One instance in front of some servers.
+struct Bench {
+    reducer: GatewayReducer,
+    now: ClockTime,
+    revision: u64,
+    number: u64,
+}
+
+impl Bench {
+    fn new(servers: u8) -> Bench {
+        let address = "10.1.0.1:7000".parse().unwrap();
+        let mut bench = Bench {
+            reducer: GatewayReducer::new(GatewayPlan {
+                instance: "n-1".into(),
+                life: 1,
+                seed: 7,
+                data_centre: "dc-0".into(),
+                callers: address,
+                peers: address,
+                first_peers: Vec::new(),
+                least_population: 2,
+                first_start: true,
+                grace: Duration::from_secs(8),
+                bounds: FleetBounds {
+                    quota: QuotaBounds {
+                        window: Duration::from_secs(8),
+                        overage: 0.25,
+                        slack: 0.0,
+                    },
+                    retry: RetryBounds {
+                        window: Duration::from_secs(10),
+                        ratio: 0.2,
+                        slack: 8.0,
+                    },
+                    cold: ColdBounds {
+                        overage: 1.5,
+                        slack: 5.0,
+                    },
+                    order_lease: Duration::from_secs(3),
+                },
+            }),
+            now: ClockTime::from_millis(1),
+            revision: 0,
+            number: 0,
+        };
+        bench.publish(
+            "op/config",
+            PublishedItem::Config(Arc::new(serving_config(1, &[b"key"]))),
+        );
+        for id in 1..=servers {
+            bench.publish(
+                &format!("servers/s-{id}"),
+                PublishedItem::Server(server(id, false)),
+            );
+        }
+        bench
+    }
+
+    fn tell(&mut self, event: GatewayEvent) -> Vec<GatewayEffect> {
+        let mut effects = Vec::new();
+        self.reducer.reduce(self.now, event, &mut effects);
+        effects
+    }
+
+    fn publish(&mut self, key: &str, item: PublishedItem) -> Vec<GatewayEffect> {
+        self.revision += 1;
+        let page = BoardPage {
+            changes: vec![PublishedChange {
+                key: key.into(),
+                revision: self.revision,
+                item: Some(item),
+            }],
+            whole: false,
+            revision: self.revision,
+        };
+        self.tell(GatewayEvent::StoreAnswered(Ok(page)))
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<GatewayEffect> {
+        let mut effects = Vec::new();
+        let end = self.now.after(time);
+        while self.now < end {
+            self.now = self.now.after(Duration::from_millis(20));
+            effects.extend(self.tell(GatewayEvent::Tick));
+        }
+        effects
+    }
+
+    fn request_with(&mut self, path: &str, key: Option<&[u8]>, content: u64) -> Vec<GatewayEffect> {
+        self.number += 1;
+        self.tell(GatewayEvent::RequestArrived(GatewayRequest {
+            number: self.number,
+            attempt: "id".into(),
+            host: "host".into(),
+            path: path.into(),
+            key: key.map(KeyDigest::of),
+            model: None,
+            tokens: None,
+            parts: Vec::new(),
+            deadline: Some(Duration::from_millis(3_000)),
+            content_hash: content,
+            resumes: false,
+        }))
+    }
+
+    fn request(&mut self, path: &str) -> Vec<GatewayEffect> {
+        let content = self.number;
+        self.request_with(path, Some(b"key"), content)
+    }
+
+    fn end(&mut self, end: AttemptEnd) -> Vec<GatewayEffect> {
+        self.tell(GatewayEvent::AttemptEnded {
+            request: self.number,
+            end,
+            sight: AttemptSight::default(),
+        })
+    }
+}
+
+fn dispatched(effects: &[GatewayEffect]) -> Option<&ServerDispatch> {
+    effects.iter().find_map(|effect| match effect {
+        GatewayEffect::Dispatch(dispatch) => Some(dispatch),
+        _ => None,
+    })
+}
+
+fn refused(effects: &[GatewayEffect]) -> Option<GatewayRefusal> {
+    effects.iter().find_map(|effect| match effect {
+        GatewayEffect::Refuse(refusal) => Some(*refusal),
+        _ => None,
+    })
+}
+
+fn refused_kind(effects: &[GatewayEffect]) -> Option<ErrorKind> {
+    refused(effects).map(|refusal| refusal.kind)
+}
+
+#[test]
+fn a_request_that_may_run_once_is_sent_once() {
+    for end in [AttemptEnd::Broken, AttemptEnd::Silent] {
+        let mut bench = Bench::new(3);
+        assert!(dispatched(&bench.request("/once/x")).is_some());
+        let effects = bench.end(end);
+        assert_eq!(dispatched(&effects), None);
+        assert_eq!(refused_kind(&effects), Some(ErrorKind::ServerLost));
+    }
+}
+
+#[test]
+fn a_rejected_request_goes_to_another_server() {
+    for end in [
+        AttemptEnd::NotConnected,
+        AttemptEnd::Rejected { misdirected: true },
+    ] {
+        let mut bench = Bench::new(3);
+        let effects = bench.request("/once/x");
+        let first = dispatched(&effects).unwrap().server;
+        let effects = bench.end(end);
+        let second = dispatched(&effects).unwrap().server;
+        assert_ne!(first, second);
+    }
+}
+
+#[test]
+fn an_idempotent_request_runs_at_most_as_often_as_its_route_allows() {
+    let mut bench = Bench::new(4);
+    bench.request("/safe/x");
+    assert!(dispatched(&bench.end(AttemptEnd::Failed)).is_some());
+    assert!(dispatched(&bench.end(AttemptEnd::Broken)).is_some());
+    let effects = bench.end(AttemptEnd::Broken);
+    assert_eq!(dispatched(&effects), None);
+    assert_eq!(refused_kind(&effects), Some(ErrorKind::ServerLost));
+}
+
+/// "Not run" stays untrue once a server may have run the request, whatever happens after that.
+#[test]
+fn a_request_that_may_have_run_is_never_called_not_run() {
+    let mut bench = Bench::new(2);
+    bench.request("/safe/x");
+    bench.end(AttemptEnd::Broken);
+    bench.end(AttemptEnd::Rejected { misdirected: false });
+    let effects = bench.pass(Duration::from_secs(4));
+    let kind = refused_kind(&effects).unwrap();
+    assert!(
+        kind.answer().status >= 502 && kind.answer().status != 503,
+        "{kind:?}"
+    );
+}
+
+#[test]
+fn the_deadline_ends_a_request_in_either_way() {
+    let mut bench = Bench::new(1);
+    bench.request("/once/x");
+    let effects = bench.pass(Duration::from_millis(3_100));
+    assert_eq!(refused_kind(&effects), Some(ErrorKind::DeadlineExceeded));
+    let mut empty = Bench::new(0);
+    let mut effects = empty.request("/once/x");
+    effects.extend(empty.pass(Duration::from_millis(3_100)));
+    let refusal = refused(&effects).unwrap();
+    assert_eq!(refusal.kind, ErrorKind::NoServer);
+    assert_matches!(refusal.retry_after, Some(_));
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_server() {
+    let mut bench = Bench::new(3);
+    bench.request("/stream/x");
+    bench.tell(GatewayEvent::AnswerStarted(1));
+    let effects = bench.end(AttemptEnd::Interrupted);
+    assert!(dispatched(&effects).is_some());
+}
+
+#[test]
+fn keys_and_routes_decide_by_the_configuration_in_force() {
+    let mut bench = Bench::new(1);
+    let kinds = [
+        refused_kind(&bench.request_with("/once/x", None, 1)),
+        refused_kind(&bench.request_with("/once/x", Some(b"wrong"), 1)),
+        refused_kind(&bench.request("/nowhere/x")),
+    ];
+    assert_eq!(
+        kinds,
+        [
+            Some(ErrorKind::MissingKey),
+            Some(ErrorKind::InvalidKey),
+            Some(ErrorKind::UnknownRoute),
+        ]
+    );
+    bench.publish(
+        "op/config",
+        PublishedItem::Config(Arc::new(serving_config(2, &[b"new"]))),
+    );
+    assert_eq!(
+        refused_kind(&bench.request("/once/x")),
+        Some(ErrorKind::InvalidKey)
+    );
+    let effects = bench.request_with("/once/x", Some(b"new"), 1);
+    assert!(dispatched(&effects).is_some());
+}
+
+/// A key that is withdrawn while its request waits opens nothing any more.
+#[test]
+fn a_waiting_request_loses_its_key() {
+    let mut bench = Bench::new(0);
+    bench.request("/once/x");
+    let effects = bench.publish(
+        "op/config",
+        PublishedItem::Config(Arc::new(serving_config(2, &[b"new"]))),
+    );
+    assert_eq!(refused_kind(&effects), Some(ErrorKind::KeyWithdrawn));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_more() {
+    let mut bench = Bench::new(2);
+    bench.publish("servers/s-1", PublishedItem::Server(server(1, true)));
+    for _ in 0..20 {
+        let effects = bench.request("/once/x");
+        assert_eq!(dispatched(&effects).unwrap().id, "s-2");
+        bench.end(AttemptEnd::Completed { success: true });
+    }
+}
+
+#[test]
+fn an_evacuated_data_centre_gets_nothing_until_it_is_back() {
+    let mut bench = Bench::new(2);
+    let out = PublishedItem::Evacuation("dc-2".into());
+    bench.publish("op/evacuate/dc-2", out);
+    for _ in 0..20 {
+        let effects = bench.request("/once/x");
+        assert_eq!(dispatched(&effects).unwrap().id, "s-1");
+        bench.end(AttemptEnd::Completed { success: true });
+    }
+}
+
+/// Repeats stay within the ratio and this instance's part of the slack.
+#[test]
+fn repeats_stay_within_the_budget() {
+    let mut bench = Bench::new(8);
+    let mut sends = 0;
+    for _ in 0..100 {
+        sends += usize::from(dispatched(&bench.request("/safe/x")).is_some());
+        for _ in 0..4 {
+            let effects = bench.end(AttemptEnd::Rejected { misdirected: false });
+            sends += usize::from(dispatched(&effects).is_some());
+        }
+        bench.pass(Duration::from_millis(40));
+    }
+    let repeats = sends - 100;
+    assert!(repeats as f64 <= 0.2 * 100.0 + 8.0, "{repeats} repeats");
+    assert!(repeats > 10, "{repeats} repeats");
+}
+
+/// A request that took two servers down is refused at once, as not run.
+#[test]
+fn a_request_that_crashes_servers_is_known_by_its_content() {
+    let mut bench = Bench::new(6);
+    for _ in 0..2 {
+        let effects = bench.request_with("/safe/poison", Some(b"key"), 99);
+        let id = dispatched(&effects).unwrap().id.clone();
+        bench.end(AttemptEnd::Broken);
+        let mut record = server(1, false);
+        record.id.clone_from(&id);
+        record.started = 1_000 + bench.number;
+        let index: u8 = id.trim_start_matches("s-").parse().unwrap();
+        record.address = format!("10.0.0.{index}:80").parse().unwrap();
+        bench.publish(&format!("servers/{id}"), PublishedItem::Server(record));
+    }
+    let effects = bench.request_with("/safe/poison", Some(b"key"), 99);
+    assert_eq!(refused_kind(&effects), Some(ErrorKind::NoServer));
+    assert!(dispatched(&bench.request_with("/safe/other", Some(b"key"), 98)).is_some());
+}
+
+#[test]
+fn a_leaving_instance_refuses_what_it_could_not_end() {
+    let mut bench = Bench::new(1);
+    bench.tell(GatewayEvent::ShutdownRequested);
+    assert!(dispatched(&bench.request("/stream/x")).is_some());
+    bench.end(AttemptEnd::Completed { success: true });
+    bench.pass(Duration::from_millis(3_000));
+    assert_eq!(
+        refused_kind(&bench.request("/stream/x")),
+        Some(ErrorKind::ShuttingDown)
+    );
+    assert!(dispatched(&bench.request("/once/x")).is_some());
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod caller;
 mod deployment;
+pub mod gateway;
+pub mod platform;
 pub mod world;
 
 pub use self::{
--- /dev/null
+++ b/testutils/src/platform.rs
@@ -0,0 +1,460 @@
+//! Stand-ins of the users' platform: its store, and backend servers that remember what they ran.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::HeaderMap,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use tokio::{net::TcpListener, sync::Notify};
+
+/// Time that a load of an adapter takes.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// Events of a stream.
+const EVENTS: u64 = 12;
+/// Time that a plain request runs.
+const RUN_TIME: Duration = Duration::from_millis(20);
+
+type StandinBody = BoxBody<Bytes, std::io::Error>;
+
+/// How the store treats callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It serves.
+    Up,
+    /// It answers 503.
+    Busy,
+    /// It answers nothing.
+    Silent,
+}
+
+/// A run of a request at a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The caller's attempt.
+    pub attempt: String,
+    /// The server.
+    pub server: SmolStr,
+    /// The path.
+    pub path: String,
+    /// The team that the system named.
+    pub tenant: Option<String>,
+    /// Whether the caller's key came along.
+    pub saw_key: bool,
+    /// Whether the run reached its end.
+    pub finished: bool,
+}
+
+struct StoreItem {
+    value: Option<Vec<u8>>,
+    revision: u64,
+}
+
+#[derive(Default)]
+struct EngineState {
+    sequence: u64,
+    held: Vec<String>,
+    coming: BTreeMap<String, std::time::Instant>,
+    last_holder: Option<(String, std::time::Instant)>,
+}
+
+struct PlatformState {
+    mode: StoreMode,
+    items: BTreeMap<String, StoreItem>,
+    revision: u64,
+    runs: Vec<RunRecord>,
+    engines: BTreeMap<SmolStr, EngineState>,
+    violations: Vec<String>,
+}
+
+/// The platform, as far as a gateway sees it.
+#[derive(Clone)]
+pub struct PlatformStandin {
+    state: Arc<Mutex<PlatformState>>,
+    changed: Arc<Notify>,
+    /// Where the store answers.
+    pub store: SocketAddr,
+}
+
+/// Places for adapters of a server.
+pub const ADAPTER_SLOTS: usize = 3;
+/// Time that must pass between orders of two holders.
+pub const LEASE: Duration = Duration::from_millis(3_000);
+
+impl PlatformStandin {
+    /// Starts a store on a free port of `ip`.
+    pub async fn start(ip: std::net::IpAddr) -> PlatformStandin {
+        let listener = TcpListener::bind((ip, 0)).await.expect("bind the store");
+        let standin = PlatformStandin {
+            state: Arc::new(Mutex::new(PlatformState {
+                mode: StoreMode::Up,
+                items: BTreeMap::new(),
+                revision: 1,
+                runs: Vec::new(),
+                engines: BTreeMap::new(),
+                violations: Vec::new(),
+            })),
+            changed: Arc::new(Notify::new()),
+            store: listener.local_addr().expect("address of the store"),
+        };
+        let answering = standin.clone();
+        tokio::spawn(serve(listener, move |request| {
+            let standin = answering.clone();
+            async move { standin.answer_store(&request).await }
+        }));
+        standin
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes how the store treats callers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Writes or removes an item.
+    pub fn put(&self, key: &str, value: Option<&Value>) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let item = StoreItem {
+            value: value.map(|value| value.to_string().into_bytes()),
+            revision: state.revision,
+        };
+        state.items.insert(key.to_owned(), item);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// All runs so far.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.lock().runs.clone()
+    }
+
+    /// Rules that servers saw broken.
+    pub fn violations(&self) -> Vec<String> {
+        self.lock().violations.clone()
+    }
+
+    /// Starts a backend server of `service` and registers it; returns its address.
+    pub async fn start_server(
+        &self,
+        ip: std::net::IpAddr,
+        id: &str,
+        service: &str,
+        is_engine: bool,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind((ip, 0)).await.expect("bind a server");
+        let address = listener.local_addr().expect("address of a server");
+        let id = SmolStr::new(id);
+        self.lock()
+            .engines
+            .insert(id.clone(), EngineState::default());
+        self.register(&id, service, address, is_engine, "ready");
+        let standin = self.clone();
+        tokio::spawn(serve(listener, move |request| {
+            let (standin, id) = (standin.clone(), id.clone());
+            async move { standin.answer_server(&id, request).await }
+        }));
+        address
+    }
+
+    /// Writes a server's entry.
+    pub fn register(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        is_engine: bool,
+        state: &str,
+    ) {
+        let models = if is_engine {
+            json!([{"Name": "base", "Version": 1, "Adapters": []}])
+        } else {
+            json!([])
+        };
+        let entry = json!({"Service": service, "Address": address, "Zone": "dc-a", "Version": "v1",
+            "Slots": 16, "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
+            "Models": models});
+        self.put(&format!("servers/{id}"), Some(&entry));
+    }
+
+    async fn answer_store(&self, request: &Request<Incoming>) -> Response<StandinBody> {
+        let query: BTreeMap<String, String> = request
+            .uri()
+            .query()
+            .unwrap_or("")
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        let mode = self.lock().mode;
+        match mode {
+            StoreMode::Busy => return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Up => {}
+        }
+        match request.uri().path() {
+            "/kv-range" => json_answer(&self.page(0, "items")),
+            "/kv-watch" => {
+                let number = |name: &str| query.get(name).and_then(|value| value.parse().ok());
+                let after = number("after").unwrap_or(0);
+                let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
+                self.await_change(after, wait).await;
+                json_answer(&self.page(after, "events"))
+            }
+            _ => whole(StatusCode::NOT_FOUND, Vec::new()),
+        }
+    }
+
+    async fn await_change(&self, after: u64, wait: Duration) {
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if self.lock().revision > after {
+                return;
+            }
+            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn page(&self, after: u64, list: &str) -> Value {
+        let state = self.lock();
+        let items: Vec<Value> = state
+            .items
+            .iter()
+            .filter(|(_, item)| item.revision > after && (after > 0 || item.value.is_some()))
+            .map(|(key, item)| match &item.value {
+                Some(value) => json!({"Key": key, "Value": STANDARD.encode(value),
+                    "Revision": item.revision, "Created": item.revision, "Lease": 0}),
+                None => json!({"Key": key, "Revision": item.revision, "Removed": true}),
+            })
+            .collect();
+        json!({list: items, "HasMore": false, "CurrentRev": state.revision})
+    }
+
+    async fn answer_server(
+        &self,
+        id: &SmolStr,
+        request: Request<Incoming>,
+    ) -> Response<StandinBody> {
+        let headers = request.headers().clone();
+        let expects = text(&headers, "expect-instance");
+        if expects.as_deref().is_some_and(|expected| expected != id) {
+            return whole(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+        }
+        match request.uri().path() {
+            "/report" => json_answer(&self.report(id)),
+            "/order" => {
+                let body = request.into_body().collect().await;
+                let body = body
+                    .map(http_body_util::Collected::to_bytes)
+                    .unwrap_or_default();
+                let order: Value = serde_json::from_slice(&body).unwrap_or_default();
+                whole(self.order(id, &order), Vec::new())
+            }
+            _ => self.run(id, request, &headers).await,
+        }
+    }
+
+    fn report(&self, id: &SmolStr) -> Value {
+        let mut state = self.lock();
+        let engine = state.engines.entry(id.clone()).or_default();
+        advance(engine);
+        let held: Vec<String> = engine.held.iter().map(|name| format!("{name}@1")).collect();
+        let coming: Vec<String> = engine
+            .coming
+            .keys()
+            .map(|name| format!("base/{name}@1"))
+            .collect();
+        json!({"Stage": "both", "Models": [{"Name": "base", "Version": 1, "Adapters": held}],
+            "Busy": false, "Sequence": engine.sequence, "Coming": coming, "born": 1})
+    }
+
+    fn order(&self, id: &SmolStr, order: &Value) -> StatusCode {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let engine = state.engines.entry(id.clone()).or_default();
+        advance(engine);
+        let holder = order["Holder"].as_str().unwrap_or("").to_owned();
+        let adapter = order["Adapter"].as_str().unwrap_or("").to_owned();
+        let is_load = order["Operation"] == "load";
+        let holds = engine.held.contains(&adapter) || engine.coming.contains_key(&adapter);
+        if is_load == holds {
+            return StatusCode::OK;
+        }
+        if order["Expected"].as_u64() != Some(engine.sequence) {
+            return StatusCode::CONFLICT;
+        }
+        let now = std::time::Instant::now();
+        if let Some((last, time)) = &engine.last_holder
+            && *last != holder
+            && now.duration_since(*time) < LEASE
+        {
+            let violation = format!("{last} and {holder} took turns at {id}");
+            state.violations.push(violation);
+        }
+        engine.last_holder = Some((holder, now));
+        engine.sequence += 1;
+        if is_load {
+            if engine.held.len() + engine.coming.len() >= ADAPTER_SLOTS {
+                state.violations.push(format!("{id} was overfilled"));
+            }
+            engine.coming.insert(adapter, now + LOAD_TIME);
+            StatusCode::ACCEPTED
+        } else {
+            engine.held.retain(|name| *name != adapter);
+            StatusCode::OK
+        }
+    }
+
+    async fn run(
+        &self,
+        id: &SmolStr,
+        request: Request<Incoming>,
+        headers: &HeaderMap,
+    ) -> Response<StandinBody> {
+        let path = request.uri().path().to_owned();
+        let attempt = text(headers, "attempt-id").unwrap_or_default();
+        let model = text(headers, "model");
+        // The whole body comes before the run.
+        let _body = request.into_body().collect().await;
+        if let Some((_, adapter)) = model.as_deref().and_then(|model| model.split_once('/')) {
+            let mut state = self.lock();
+            let engine = state.engines.entry(id.clone()).or_default();
+            advance(engine);
+            if !engine.held.iter().any(|held| held == adapter) {
+                return whole(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+            }
+        }
+        let run = {
+            let mut state = self.lock();
+            state.runs.push(RunRecord {
+                attempt: attempt.clone(),
+                server: id.clone(),
+                path,
+                tenant: text(headers, "tenant"),
+                saw_key: headers.contains_key("credential"),
+                finished: false,
+            });
+            state.runs.len() - 1
+        };
+        let mut response = if model.is_some() {
+            Response::new(self.stream(run))
+        } else {
+            tokio::time::sleep(RUN_TIME).await;
+            self.lock().runs[run].finished = true;
+            whole(StatusCode::OK, format!("answer to {attempt}").into_bytes())
+        };
+        let headers = response.headers_mut();
+        if let Ok(value) = attempt.parse() {
+            headers.insert("attempt-id", value);
+        }
+        headers.insert("response-seal", "seal".parse().expect("plain text"));
+        response
+    }
+
+    fn stream(&self, run: usize) -> StandinBody {
+        let standin = self.clone();
+        let events = futures_util::stream::unfold(0_u64, move |number| {
+            let standin = standin.clone();
+            async move {
+                if number == EVENTS {
+                    standin.lock().runs[run].finished = true;
+                    return None;
+                }
+                tokio::time::sleep(EVENT_PAUSE).await;
+                let event = Bytes::from(format!("id: {number}\ndata: token\n\n"));
+                Some((Ok(Frame::data(event)), number + 1))
+            }
+        });
+        BodyExt::boxed(StreamBody::new(events))
+    }
+}
+
+fn advance(engine: &mut EngineState) {
+    let now = std::time::Instant::now();
+    let (done, coming) = std::mem::take(&mut engine.coming)
+        .into_iter()
+        .partition(|(_, time)| *time <= now);
+    engine.coming = coming;
+    let done: BTreeMap<String, std::time::Instant> = done;
+    engine.held.extend(done.into_keys());
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn whole(status: StatusCode, body: Vec<u8>) -> Response<StandinBody> {
+    let body = Full::new(Bytes::from(body)).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(body.boxed());
+    *response.status_mut() = status;
+    response
+}
+
+fn json_answer(value: &Value) -> Response<StandinBody> {
+    whole(StatusCode::OK, value.to_string().into_bytes())
+}
+
+async fn serve<H, F>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<StandinBody>> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let answer = handle(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            // A caller that goes away is no fault of the stand-in.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// The configuration that stand-in deployments use.
+pub fn platform_config(version: u64, key: &str) -> Value {
+    json!({"Version": version,
+        "Routes": [
+            {"Name": "chat", "Host": "host", "Prefix": "/chat/", "Kind": "streaming",
+             "TimeoutMs": 5000, "TargetLatencyMs": 1000, "Priority": 1, "Service": "models",
+             "MaxAttempts": 1, "Resumable": false},
+            {"Name": "once", "Host": "host", "Prefix": "/once/", "Kind": "unsafe",
+             "TimeoutMs": 3000, "TargetLatencyMs": 300, "Service": "desk", "MaxAttempts": 1},
+            {"Name": "safe", "Host": "host", "Prefix": "/safe/", "Kind": "safe",
+             "TimeoutMs": 3000, "TargetLatencyMs": 300, "Service": "desk", "MaxAttempts": 2}],
+        "Services": [
+            {"Name": "models", "MaxConnections": 300, "ColdStartS": 0.0, "ColdPerS": 0.0,
+             "Engine": {"Slots": 64, "KvCapacityTokens": 200_000, "AdapterSlots": ADAPTER_SLOTS,
+              "WeightsMb": 66000.0, "LoadsPerS": 2.0,
+              "Models": [{"Name": "base", "WeightsMb": 65000.0, "LoadS": 1.9, "Adapters": 100}]}},
+            {"Name": "desk", "MaxConnections": 300, "ColdStartS": 0.0, "ColdPerS": 0.0}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1_000_000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "team", "ApiKeys": [key]}]})
+}
