gateway: faster first rounds of gossip; no orders wait while the instance may not order

Cause: after a kill of all, instances found most of the others a second late, and orders could wait in a queue while the instance lacked the others. Change: gossip every 100 ms for the first two seconds; the queue is dropped whenever the leave to order changes.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -243,7 +243,7 @@
         if let Some(desk) = self.desks.get(&key) {
             EngineView {
                 place: place_of(&desk.holdings(), &desk.recent_holdings(), wanted, version),
-                active: desk.right().is_active(),
+                active: desk.is_active(),
                 scheduled: true,
                 backlog: desk.backlog(now),
             }
--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -115,6 +115,8 @@
 #[derive(Debug)]
 pub struct ServerDesk {
     right: OrderRight,
+    /// Whether the instance may order at all.
+    may_order: bool,
     models: Vec<SmolStr>,
     places: Vec<AdapterPlace>,
     recent: VecDeque<(SmolStr, SmolStr)>,
@@ -141,6 +143,7 @@
     pub fn new(now: ClockTime, lease: Duration, rule: &EngineRule, models: &[HeldModel]) -> Self {
         let mut desk = ServerDesk {
             right: OrderRight::new(now, lease),
+            may_order: true,
             models: Vec::new(),
             places: Vec::new(),
             recent: VecDeque::new(),
@@ -166,6 +169,19 @@
         &self.right
     }
 
+    /// Whether orders can be given now.
+    pub fn is_active(&self) -> bool {
+        self.may_order && self.right.is_active()
+    }
+
+    /// Says whether the instance may order at all. Orders that wait meanwhile are dropped.
+    pub fn set_may_order(&mut self, may_order: bool) {
+        if self.may_order != may_order {
+            self.drop_queue();
+            self.may_order = may_order;
+        }
+    }
+
     /// Whether a report is due; the caller then reads one.
     pub fn begin_reading(&mut self, now: ClockTime) -> bool {
         self.right.begin_reading(now)
@@ -311,7 +327,7 @@
         lanes: &mut LoadLanes,
     ) -> Result<ClockTime, DeclineReason> {
         let (model, version) = (&ask.model, ask.version);
-        let is_active = self.right.is_active();
+        let is_active = self.is_active();
         let is_in_use = self.is_in_use(model, adapter);
         if let Some(place) = self.place(model, adapter) {
             if place.phase == PlacePhase::Unloading {
--- a/lib/src/gateway/desk/orders.rs
+++ b/lib/src/gateway/desk/orders.rs
@@ -74,7 +74,7 @@
         if self.ordered.is_some() {
             return None;
         }
-        let expected = self.right.expected()?;
+        let expected = self.right.expected().filter(|_| self.may_order)?;
         self.start_loads(now, rule);
         let (model, action) = self.queue.pop_front()?;
         self.ordered = Some((model.clone(), action.clone()));
@@ -130,7 +130,7 @@
     /// from the weight store if `from_store`.
     pub fn want_model(&mut self, now: ClockTime, rule: &EngineRule, from_store: bool) {
         let Some(weights) = &self.weights else { return };
-        if !self.right.is_active()
+        if !self.is_active()
             || !self.models.is_empty()
             || weights.busy
             || now < self.model_loading_until
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -123,7 +123,7 @@
     ) {
         let own_weight = rendezvous::weight(id, &self.plan.instance);
         if let Some(desk) = self.desks.get(&key) {
-            let own_rank = (desk.right().is_active(), own_weight);
+            let own_rank = (desk.is_active(), own_weight);
             let rival = self
                 .owners
                 .get(id)
@@ -140,6 +140,7 @@
         }
         let models = self.servers.get(key).record.models.clone();
         let mut desk = ServerDesk::new(now, self.plan.bounds.order_lease, rule, &models);
+        desk.set_may_order(self.has_quorum);
         if let Some((started, fence)) = self.fences.get(id)
             && *started == self.servers.get(key).record.started
         {
@@ -173,6 +174,7 @@
         };
         note(effects, event, "", "");
         for desk in self.desks.values_mut() {
+            desk.set_may_order(has_quorum);
             desk.suspend(now);
         }
     }
@@ -191,9 +193,6 @@
         key: GatewayServerKey,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if !self.has_quorum {
-            return;
-        }
         let Some(rule) = self.engine_rule(key) else {
             return;
         };
@@ -279,9 +278,9 @@
         let Some(desk) = self.desks.get_mut(&server) else {
             return;
         };
-        let was_active = desk.right().is_active();
+        let was_active = desk.is_active();
         desk.observe(now, report);
-        if desk.right().is_active() != was_active {
+        if desk.is_active() != was_active {
             let detail = format!("server={id} active={}", !was_active);
             note(effects, "order_right", "", &detail);
         }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -53,6 +53,9 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 /// How often members are exchanged when nothing has changed.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// The same for a process that has just started, and for how long: all may have started at once.
+const FIRST_GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_GOSSIP_TIME: Duration = Duration::from_millis(2_000);
 /// The process stood still when no event came for this long.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(700);
 /// A new process waits this long for peers before it takes servers over.
@@ -213,7 +216,7 @@
             load_pauses: BTreeMap::new(),
             releases: BTreeMap::new(),
             suspects: SuspectList::default(),
-            has_quorum: true,
+            has_quorum: false,
             timers,
             wake: None,
             calls: BTreeMap::new(),
@@ -277,7 +280,12 @@
                 TimerKind::Housekeeping => self.housekeeping(now, effects),
                 TimerKind::Gossip => {
                     self.gossip(now, effects);
-                    self.set_timer(now.after(GOSSIP_INTERVAL), TimerKind::Gossip);
+                    let interval = if now.since(ClockTime::ZERO) < FIRST_GOSSIP_TIME {
+                        FIRST_GOSSIP_INTERVAL
+                    } else {
+                        GOSSIP_INTERVAL
+                    };
+                    self.set_timer(now.after(interval), TimerKind::Gossip);
                 }
                 TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
                 TimerKind::Continue(request) => self.continue_request(now, request, effects),
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -60,7 +60,7 @@
             .map(|(key, desk)| ServerClaim {
                 server: self.servers.get(*key).record.id.clone(),
                 started: self.servers.get(*key).record.started,
-                active: desk.right().is_active(),
+                active: desk.is_active(),
                 fence: desk.last_fence(),
                 models: desk.holdings(),
                 recent: desk.recent_holdings(),
