cli: explain a request from the logs of the instances that it passed

Cause: on-call engineers have only logs and metrics; putting several instances' lines together by hand is slow.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod ask;
 pub(crate) mod config;
 pub(crate) mod errors;
+pub(crate) mod explain;
 pub(crate) mod key;
 pub(crate) mod patch;
 pub(crate) mod settings;
--- a/cli/src/commands/settings.rs
+++ b/cli/src/commands/settings.rs
@@ -2,7 +2,7 @@
 
 use eyre::{Result, WrapErr};
 use serde_json::json;
-use wasabistall_lib::settings::InstanceSettings;
+use wasabistall_lib::settings::ProcessSettings;
 
 use crate::{CommandEnd, flags, output::Output};
 
@@ -11,12 +11,11 @@
     let file = check.file.display();
     let text =
         std::fs::read_to_string(&check.file).wrap_err_with(|| format!("cannot read {file}"))?;
-    let faults = match InstanceSettings::parse(&text) {
+    let faults = match ProcessSettings::parse(&text) {
         Ok(settings) => {
-            let value = json!({ "valid": true, "instance": settings.instance });
-            output.print(&value, || {
-                format!("{file}: valid, instance {}", settings.instance)
-            })?;
+            let instance = settings.instance();
+            let value = json!({ "valid": true, "instance": instance });
+            output.print(&value, || format!("{file}: valid, instance {instance}"))?;
             return Ok(CommandEnd::Fine);
         }
         Err(faults) => faults,
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -30,6 +30,13 @@
         }
         /// Prints the table of error kinds.
         cmd errors {}
+        /// Explains what became of a request, from the logs of the instances that it passed.
+        cmd explain-request explain {
+            /// Identity of the caller's attempt.
+            required attempt: String
+            /// Log files. Default: standard input.
+            repeated logs: PathBuf
+        }
         /// Works on callers' keys.
         cmd key {
             /// Makes a key: shows it once, with the change that grants it.
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -56,6 +56,7 @@
     match flags.subcommand {
         Command::Settings(command) => commands::settings::run(&command, output),
         Command::Errors(_) => commands::errors::run(output),
+        Command::ExplainRequest(command) => commands::explain::run(&command, output),
         Command::Key(command) => commands::key::run(&command, output),
         Command::Token(_) => commands::token::run(output),
         Command::Patch(command) => commands::patch::run(command, &deployment()?, output).await,
--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -18,7 +18,7 @@
 pub use self::{
     grant::{DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply},
     lanes::{LoadLanes, LoadSignal},
-    orders::{OrderAction, ServerOrder, ServerOrderOutcome},
+    orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
 };
 use super::{
     catalog::{EngineRule, HeldAdapter, HeldModel},
--- a/lib/src/gateway/desk/orders.rs
+++ b/lib/src/gateway/desk/orders.rs
@@ -10,8 +10,10 @@
     gateway::catalog::{EngineRule, ModelRule},
 };
 
-/// Low bits of a fencing token, which tell instances apart at the same count.
-const FENCE_HOLDER_BITS: u32 = 16;
+/// Low bits of a fencing token, and the unit of the time of day in them: a fraction of the lease.
+/// They wrap after two years, and matter only among orders at the same count.
+pub const FENCE_TIME_BITS: u32 = 28;
+const FENCE_TIME_MILLIS: u64 = 250;
 /// Pause between looks at a server that loads a base model.
 pub(super) const MODEL_RECHECK: Duration = Duration::from_millis(1_000);
 
@@ -64,12 +66,12 @@
 impl ServerDesk {
     /// The next order to give, if one may be given now.
     ///
-    /// `holder_bits` tells fencing tokens of instances apart that are at the same count.
+    /// `unix_millis` is the time of day, which tells tokens of holders apart at the same count.
     pub fn next_order(
         &mut self,
         now: ClockTime,
         rule: &EngineRule,
-        holder_bits: u16,
+        unix_millis: u64,
     ) -> Option<ServerOrder> {
         if self.ordered.is_some() {
             return None;
@@ -78,7 +80,7 @@
         self.start_loads(now, rule);
         let (model, action) = self.queue.pop_front()?;
         self.ordered = Some((model.clone(), action.clone()));
-        let fence = self.fence(expected, holder_bits);
+        let fence = self.fence(expected, unix_millis);
         self.ordered_fence = fence;
         Some(ServerOrder {
             action,
@@ -88,17 +90,16 @@
         })
     }
 
-    /// The count alone gives the token, so that it survives the loss of all instances; it is above
-    /// that only after an order that was accepted without being counted.
-    pub(super) fn fence(&self, expected: u64, holder_bits: u16) -> u64 {
-        let token = |count: u64| count << FENCE_HOLDER_BITS | u64::from(holder_bits);
-        let counted = token(expected + 1);
-        if counted >= self.last_fence {
+    /// The count leads the token, so that it survives the loss of all instances. An order that
+    /// already holds is accepted without being counted; the time of day, which is later for a later
+    /// holder by the lease, then tells the holders apart.
+    pub(super) fn fence(&self, expected: u64, unix_millis: u64) -> u64 {
+        let time = unix_millis / FENCE_TIME_MILLIS & ((1 << FENCE_TIME_BITS) - 1);
+        let counted = (expected + 1) << FENCE_TIME_BITS | time;
+        if counted > self.last_fence {
             counted
-        } else if self.last_fence == token(self.last_fence >> FENCE_HOLDER_BITS) {
-            self.last_fence
         } else {
-            token((self.last_fence >> FENCE_HOLDER_BITS) + 1)
+            self.last_fence + 1
         }
     }
 
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -211,8 +211,8 @@
                 address,
             });
         }
-        let holder_bits = rendezvous::weight("holder", &self.plan.instance) as u16;
-        if let Some(order) = desk.next_order(now, &rule, holder_bits) {
+        let unix_millis = self.plan.life + now.as_micros() / 1_000;
+        if let Some(order) = desk.next_order(now, &rule, unix_millis) {
             self.stats.orders += 1;
             let detail = format!(
                 "server={id} action={:?} expected={}",
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -129,6 +129,14 @@
 }
 
 impl ProcessSettings {
+    /// Name of the instance.
+    pub fn instance(&self) -> &SmolStr {
+        match self {
+            ProcessSettings::Instance(settings) => &settings.instance,
+            ProcessSettings::Gateway(settings) => &settings.instance,
+        }
+    }
+
     /// Reads and checks settings; `role` in them tells which they are.
     pub fn parse(text: &str) -> Result<ProcessSettings, Vec<SettingsFault>> {
         let mut faults = FaultList::new(text);
