tests: a randomized soak of real gateways with faults from outside

Change: real processes on loopback, a proxy that delays, resets, silences or passes one way in front of every server and the store, signals, store trouble and configurations in series; promises checked from what callers and servers saw.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 mod deployment;
 pub mod gateway;
 pub mod platform;
+pub mod proxy;
 pub mod world;
 
 pub use self::{
