--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -135,6 +135,11 @@
             10 => self.gateways[gateway].signal(Signal::HUP),
             _ => {}
         }
+        self.restart_ended();
+    }
+
+    /// The platform starts every process again that ends, whenever that is.
+    fn restart_ended(&mut self) {
         for gateway in &mut self.gateways {
             if gateway.has_ended() {
                 gateway.restart();
@@ -154,11 +159,7 @@
         for proxy in &self.proxies {
             proxy.set_mode(ProxyMode::Pass);
         }
-        for gateway in &mut self.gateways {
-            if gateway.has_ended() {
-                gateway.restart();
-            }
-        }
+        self.restart_ended();
     }
 }
 
@@ -250,11 +251,12 @@
     text == format!("answer to {attempt}") || ids == all
 }
 
-async fn recovers(ports: &[GatewayPorts]) -> bool {
+async fn recovers(soak: &mut Soak, ports: &[GatewayPorts]) -> bool {
     let end = tokio::time::Instant::now() + RECOVERY;
     let mut number = 0;
     while tokio::time::Instant::now() < end {
         number += 1;
+        soak.restart_ended();
         let mut served = 0;
         for (index, ports) in ports.iter().enumerate() {
             let id = format!("recovered-{index}-{number}");
@@ -301,12 +303,7 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let faults = check(&soak.platform, &log);
     assert_eq!(faults, Vec::<String>::new(), "seed {seed}");
-    for gateway in &mut soak.gateways {
-        if gateway.has_ended() {
-            gateway.restart();
-        }
-    }
-    assert!(recovers(&ports).await, "seed {seed}: not served again");
+    assert!(recovers(&mut soak, &ports).await, "seed {seed}: not served again");
     let answered = log.lock().expect("log").values().flatten().count();
     println!(
         "seed {seed}: {answered} answers, {} runs",
