daemon: one way to listen and to read an answer; fewer lines for declined grants

Change: shared by both shells; only a request's first round writes its declines, its end says how many rounds it took.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -33,9 +33,9 @@
     core::{CommandReceiver, GatewayCore, RequestCommand},
     events::ResumeBuffer,
     forward::{AttemptResult, CallerCall, StreamAnswer, StreamRest, attempt},
-    links::WholeAnswer,
     listen,
 };
+use crate::client::WholeAnswer;
 
 /// Bounds while no configuration is known.
 const FIRST_BOUNDS: CallerBounds = CallerBounds {
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -16,8 +16,9 @@
 
 use super::{
     core::GatewayCore,
-    links::{LinkFault, SendFault, ServerLink, WholeAnswer, read_whole},
+    links::{LinkFault, SendFault, ServerLink, read_answer},
 };
+use crate::client::WholeAnswer;
 
 /// Longest answer that is no stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -120,7 +121,7 @@
     };
     if head.not_run {
         // The body says nothing that the head does not.
-        if let Ok(_answer) = read_whole(response, MAX_ANSWER_BYTES).await {
+        if let Ok(_answer) = read_answer(response, MAX_ANSWER_BYTES).await {
             core.servers.put(&dispatch.id, link, head.keep_alive);
         }
         let end = AttemptEnd::Rejected {
@@ -239,7 +240,7 @@
     dispatch: &ServerDispatch,
     started: Instant,
 ) -> AttemptResult {
-    let answer = read_whole(response, MAX_ANSWER_BYTES).await;
+    let answer = read_answer(response, MAX_ANSWER_BYTES).await;
     let sight = AttemptSight {
         first_event: Some(started.elapsed()),
         load: head.load,
--- a/daemon/src/gateway/links.rs
+++ b/daemon/src/gateway/links.rs
@@ -9,11 +9,13 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, body::Incoming, client::conn::http1, header::HeaderMap};
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use crate::client::{CallFault, WholeAnswer, read_whole};
+
 /// A connection that does not come about within this time is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections are used for this long, unless the server names a shorter time.
@@ -181,35 +183,17 @@
     }
 }
 
-/// A whole answer.
-pub(super) struct WholeAnswer {
-    pub(super) status: hyper::StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-}
-
 /// Reads the body of an answer up to `limit` bytes.
-pub(super) async fn read_whole(
+pub(super) async fn read_answer(
     response: Response<Incoming>,
     limit: usize,
 ) -> Result<WholeAnswer, LinkFault> {
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, limit)
-        .collect()
+    read_whole(response, limit)
         .await
-        .map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                LinkFault::TooLong
-            } else {
-                LinkFault::Broken
-            }
-        })?
-        .to_bytes();
-    Ok(WholeAnswer {
-        status: head.status,
-        headers: head.headers,
-        body,
-    })
+        .map_err(|fault| match fault {
+            CallFault::TooLong => LinkFault::TooLong,
+            CallFault::NotConnected | CallFault::Broken => LinkFault::Broken,
+        })
 }
 
 /// Calls through a pool and reads the whole answer, within `timeout`.
@@ -230,7 +214,7 @@
             SendFault::NotSent => LinkFault::Refused,
             SendFault::Broken => LinkFault::Broken,
         })?;
-        read_whole(response, limit).await
+        read_answer(response, limit).await
     };
     match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(answer)) => {
--- a/daemon/src/gateway/listen.rs
+++ b/daemon/src/gateway/listen.rs
@@ -1,40 +1,18 @@
 //! Listeners of the gateway.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, future::Future, time::Duration};
 
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Idle connections of callers' questions and of peers are closed after this time.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
-/// Listens on an address.
-pub(super) fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
-    let listen = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.set_nodelay(true)?;
-        socket.bind(address)?;
-        socket.listen(LISTEN_BACKLOG)
-    };
-    listen().wrap_err_with(|| {
-        format!(
-            "cannot listen for {what} on {address}\n    hint: is another process using the port?"
-        )
-    })
-}
-
 /// Accepts connections for ever and hands each to `take`.
 pub(super) async fn accept(listener: TcpListener, take: impl Fn(TcpStream)) {
     loop {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 use wasabistall_lib::settings::GatewaySettings;
 
 use self::core::GatewayCore;
+use crate::listen::bind;
 
 /// Part of the grace time for which a leaving instance still accepts connections; callers may keep
 /// its address for some seconds.
@@ -42,11 +43,11 @@
 
 async fn serve(settings: GatewaySettings) -> Result<()> {
     let logs = logs::start(&settings.telemetry)?;
-    let callers = listen::bind(settings.listen.callers, "callers")?;
-    let peers = listen::bind(settings.listen.peers, "peers")?;
-    let addresses = listen::bind(settings.listen.addresses, "questions for addresses")?;
-    let readiness = listen::bind(settings.listen.readiness, "questions for readiness")?;
-    let operators = listen::bind(settings.listen.operators, "operators")?;
+    let callers = bind(settings.listen.callers, "callers")?;
+    let peers = bind(settings.listen.peers, "peers")?;
+    let addresses = bind(settings.listen.addresses, "questions for addresses")?;
+    let readiness = bind(settings.listen.readiness, "questions for readiness")?;
+    let operators = bind(settings.listen.operators, "operators")?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let core = GatewayCore::start(&settings);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,22 +6,19 @@
 mod driver;
 mod engines;
 mod gateway;
+mod listen;
 mod operators;
 mod peers;
 mod platform;
 mod sse;
 mod telemetry;
 
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode};
 
 use eyre::{Result, WrapErr, eyre};
-use tokio::net::{TcpListener, TcpSocket};
 use wasabistall_lib::settings::{InstanceSettings, ProcessSettings};
 use wasabistall_platform::SETTINGS_VARIABLE;
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
-
 mod flags {
     use std::path::PathBuf;
 
@@ -79,30 +76,11 @@
     }
 }
 
-fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
-    let listen = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        // Accepted connections inherit it; events are small and must not wait for each other.
-        socket.set_nodelay(true)?;
-        socket.bind(address)?;
-        socket.listen(LISTEN_BACKLOG)
-    };
-    listen().wrap_err_with(|| {
-        format!(
-            "cannot listen for {what} on {address}\n    hint: is another process using the port?"
-        )
-    })
-}
-
 async fn run(settings: InstanceSettings) -> Result<()> {
     let telemetry = telemetry::start(&settings)?;
-    let callers = bind(settings.listen.callers, "callers")?;
-    let peers = bind(settings.listen.peers, "peers")?;
-    let operators = bind(settings.listen.operators, "operators")?;
+    let callers = listen::bind(settings.listen.callers, "callers")?;
+    let peers = listen::bind(settings.listen.peers, "peers")?;
+    let operators = listen::bind(settings.listen.operators, "operators")?;
     tracing::info!(
         instance = %settings.instance,
         callers = %callers.local_addr()?,
--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -303,7 +303,10 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let faults = check(&soak.platform, &log);
     assert_eq!(faults, Vec::<String>::new(), "seed {seed}");
-    assert!(recovers(&mut soak, &ports).await, "seed {seed}: not served again");
+    assert!(
+        recovers(&mut soak, &ports).await,
+        "seed {seed}: not served again"
+    );
     let answered = log.lock().expect("log").values().flatten().count();
     println!(
         "seed {seed}: {answered} answers, {} runs",
--- a/lib/src/gateway/desk/orders.rs
+++ b/lib/src/gateway/desk/orders.rs
@@ -94,8 +94,8 @@
     /// already holds is accepted without being counted; the time of day, which is later for a later
     /// holder by the lease, then tells the holders apart.
     pub(super) fn fence(&self, expected: u64, unix_millis: u64) -> u64 {
-        let time = unix_millis / FENCE_TIME_MILLIS & ((1 << FENCE_TIME_BITS) - 1);
-        let counted = (expected + 1) << FENCE_TIME_BITS | time;
+        let time = (unix_millis / FENCE_TIME_MILLIS) & ((1 << FENCE_TIME_BITS) - 1);
+        let counted = ((expected + 1) << FENCE_TIME_BITS) | time;
         if counted > self.last_fence {
             counted
         } else {
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -265,7 +265,10 @@
         if let Some(pause) = pause {
             self.load_pauses.insert(server, now.after(pause));
         }
-        if let Some(record) = self.requests.get(&number) {
+        // Later rounds of the same request say the same; its end counts them.
+        if let Some(record) = self.requests.get(&number)
+            && record.looks == 0
+        {
             let id = &self.servers.get(server).record.id;
             let detail = format!("server={id} reason={reason:?}");
             note(effects, "grant_declined", &record.request.attempt, &detail);
@@ -576,11 +579,12 @@
             bucket.give_back(record.cost);
         }
         let detail = format!(
-            "kind={kind:?} route={} service={} sends={} runs={} held_ms={}",
+            "kind={kind:?} route={} service={} sends={} runs={} looks={} held_ms={}",
             record.route,
             record.service,
             record.sends,
             record.runs,
+            record.looks,
             now.since(record.arrived).as_millis(),
         );
         note(effects, "request_refused", &record.request.attempt, &detail);
