--- a/lib/tests/gateway_desk.rs
+++ b/lib/tests/gateway_desk.rs
@@ -250,6 +250,26 @@
     assert_eq!(engine.overfilled, None);
 }
 
+/// A newer version replaces the one in place; nothing is granted on the old one meanwhile.
+#[test]
+fn a_newer_version_is_loaded_before_it_is_granted() {
+    let mut engine = EngineModel::new(3);
+    let (mut desk, now) = active_desk(&engine);
+    let rule = engine_rule(3);
+    let mut lanes = lanes(8);
+    desk.ask(now, &rule, &ask(1, "a1"), &mut lanes);
+    carry_out(&mut desk, &mut engine, now);
+    let later = now.after(Duration::from_millis(400));
+    engine.advance(later);
+    desk.release(later, &release(1, Some(Duration::from_millis(40)), false));
+    let mut newer = ask(2, "a1");
+    newer.version = 2;
+    let reply = desk.ask(later, &rule, &newer, &mut lanes);
+    assert_matches!(reply, GrantReply::Granted { wait, .. } if !wait.is_zero());
+    let order = desk.next_order(later, &rule, 7).unwrap();
+    assert_matches!(order.action, OrderAction::LoadAdapter { version: 2, .. });
+}
+
 /// Requests, releases, lost answers and reports in any order never overfill the server, drop an
 /// adapter in use or lower the token of an accepted order.
 #[test]
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -165,6 +165,20 @@
         self.tell(GatewayEvent::StoreAnswered(Ok(page)))
     }
 
+    fn remove(&mut self, key: &str) -> Vec<GatewayEffect> {
+        self.revision += 1;
+        let page = BoardPage {
+            changes: vec![PublishedChange {
+                key: key.into(),
+                revision: self.revision,
+                item: None,
+            }],
+            whole: false,
+            revision: self.revision,
+        };
+        self.tell(GatewayEvent::StoreAnswered(Ok(page)))
+    }
+
     fn pass(&mut self, time: Duration) -> Vec<GatewayEffect> {
         let mut effects = Vec::new();
         let end = self.now.after(time);
@@ -412,3 +426,42 @@
     );
     assert!(dispatched(&bench.request("/once/x")).is_some());
 }
+
+/// What a cold server bears is divided among the instances that may act; this one takes its part.
+#[test]
+fn a_cold_server_gets_this_instances_part_of_what_it_bears() {
+    let mut bench = Bench::new(0);
+    let mut config = serving_config(2, &[b"key"]);
+    config.services[0].cold_rate = 6.9;
+    bench.publish("op/config", PublishedItem::Config(Arc::new(config)));
+    let mut record = server(1, false);
+    record.cold_for = Duration::from_secs(3);
+    bench.publish("servers/s-1", PublishedItem::Server(record));
+    let mut in_first_second = 0;
+    for _ in 0..50 {
+        let effects = bench.request("/once/x");
+        in_first_second += usize::from(dispatched(&effects).is_some());
+        bench.end(AttemptEnd::Completed { success: true });
+        bench.pass(Duration::from_millis(20));
+    }
+    // (6.9 x 1.5 + 5) for two instances, the least that the plan assumes.
+    assert_eq!(in_first_second, 7);
+}
+
+/// Servers of a data centre that comes back may be cold, whatever they say.
+#[test]
+fn servers_of_a_returned_data_centre_count_as_cold() {
+    let mut bench = Bench::new(1);
+    let mut config = serving_config(2, &[b"key"]);
+    config.services[0].cold_rate = 6.9;
+    bench.publish("op/config", PublishedItem::Config(Arc::new(config)));
+    bench.publish("op/evacuate/dc-1", PublishedItem::Evacuation("dc-1".into()));
+    assert_eq!(dispatched(&bench.request("/once/x")), None);
+    bench.remove("op/evacuate/dc-1");
+    let mut sent = 0;
+    for _ in 0..20 {
+        sent += usize::from(dispatched(&bench.request("/once/x")).is_some());
+        bench.end(AttemptEnd::Completed { success: true });
+    }
+    assert_eq!(sent, 7);
+}
