gateway: one list of candidates, desks asked directly

Cause: reading the change again: both choices of servers built the same list of candidates; the choice copied every name that an own desk holds and had dropped, for each server and request; the rank of a claim stood twice; a map held a value that nobody read, behind a flag that chose between two functions; two wrappers only called on; each page of publications copied the keys of all removals. Change: one function each, no behaviour changes.

--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -1,9 +1,6 @@
 //! One attempt of a request at a server.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -164,7 +161,7 @@
             }
         }
     }
-    let mut link = connect(dispatch.address).await?;
+    let mut link = ServerLink::connect(dispatch.address).await?;
     match link.send(request()).await {
         Ok(response) => Ok(OpenExchange { link, response }),
         Err(SendFault::NotSent) => Err(LinkFault::Refused),
@@ -172,10 +169,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<ServerLink, LinkFault> {
-    ServerLink::connect(address).await
-}
-
 fn server_request(
     call: &CallerCall,
     dispatch: &ServerDispatch,
--- a/lib/src/gateway/board.rs
+++ b/lib/src/gateway/board.rs
@@ -131,15 +131,17 @@
     }
 
     fn forget_removals(&mut self) {
-        let mut removals: Vec<(u64, SmolStr)> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.item.is_none())
-            .map(|(key, entry)| (entry.revision, key.clone()))
-            .collect();
-        if removals.len() <= KEPT_REMOVALS {
+        let removed = || {
+            self.entries
+                .iter()
+                .filter(|(_, entry)| entry.item.is_none())
+        };
+        if removed().count() <= KEPT_REMOVALS {
             return;
         }
+        let mut removals: Vec<(u64, SmolStr)> = removed()
+            .map(|(key, entry)| (entry.revision, key.clone()))
+            .collect();
         removals.sort_unstable();
         for (revision, key) in removals.drain(..removals.len() - KEPT_REMOVALS / 2) {
             self.forgotten = self.forgotten.max(revision);
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -73,18 +73,15 @@
     Missing,
 }
 
-fn place_of(
-    models: &[HeldModel],
-    recent: &[HeldModel],
-    wanted: &ModelName,
-    version: u64,
-) -> PlaceView {
-    if holds(models, wanted, version) {
-        PlaceView::Held
-    } else if holds(recent, wanted, 0) {
-        PlaceView::Recent
-    } else {
-        PlaceView::Missing
+impl PlaceView {
+    fn new(is_held: bool, is_recent: bool) -> PlaceView {
+        if is_held {
+            PlaceView::Held
+        } else if is_recent {
+            PlaceView::Recent
+        } else {
+            PlaceView::Missing
+        }
     }
 }
 
@@ -111,20 +108,7 @@
         let service = record.service.clone();
         let wanted = record.request.model.clone()?;
         let version = self.wanted_version(&wanted);
-        let cold_rate = self.config()?.service(&service)?.cold_rate;
-        let population = self.population(now);
-        let mut candidates: Vec<GatewayServerKey> = self
-            .servers
-            .in_service(&service)
-            .map(|(key, _)| key)
-            .filter(|key| !record.excluded.contains(key) && self.servers.is_open(now, *key))
-            .collect();
-        let share = ColdShare {
-            bounds: self.plan.bounds.cold,
-            population,
-            instance: &self.plan.instance,
-        };
-        candidates.retain(|key| !self.servers.is_cold_full(now, *key, cold_rate, &share));
+        let candidates = self.candidates(now, number)?;
         let name = match &wanted.adapter {
             Some(adapter) => format!("{}/{adapter}", wanted.model),
             None => wanted.model.to_string(),
@@ -159,6 +143,29 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// Servers of a request's service that it may be sent to now.
+    pub(super) fn candidates(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+    ) -> Option<Vec<GatewayServerKey>> {
+        let record = self.requests.get(&number)?;
+        let cold_rate = self.config()?.service(&record.service)?.cold_rate;
+        let mut candidates: Vec<GatewayServerKey> = self
+            .servers
+            .in_service(&record.service)
+            .map(|(key, _)| key)
+            .filter(|key| !record.excluded.contains(key) && self.servers.is_open(now, *key))
+            .collect();
+        let share = ColdShare {
+            bounds: self.plan.bounds.cold,
+            population: self.population(now),
+            instance: &self.plan.instance,
+        };
+        candidates.retain(|key| !self.servers.is_cold_full(now, *key, cold_rate, &share));
+        Some(candidates)
+    }
+
     /// Servers of a service that long prompts go to first: reading one holds up the streams that
     /// run beside it.
     fn reading_servers(&self, service: &str) -> Vec<GatewayServerKey> {
@@ -241,22 +248,29 @@
     ) -> EngineView {
         let record = &self.servers.get(key).record;
         if let Some(desk) = self.desks.get(&key) {
+            let adapter = wanted.adapter.as_deref();
             EngineView {
-                place: place_of(&desk.holdings(), &desk.recent_holdings(), wanted, version),
+                place: PlaceView::new(
+                    desk.holds(&wanted.model, adapter, version),
+                    adapter.is_some_and(|adapter| desk.held_lately(&wanted.model, adapter)),
+                ),
                 active: desk.is_active(),
                 scheduled: true,
                 backlog: desk.backlog(now),
             }
         } else if let Some(view) = self.owners.get(&record.id) {
             EngineView {
-                place: place_of(&view.models, &view.recent, wanted, version),
+                place: PlaceView::new(
+                    holds(&view.models, wanted, version),
+                    holds(&view.recent, wanted, 0),
+                ),
                 active: view.active,
                 scheduled: true,
                 backlog: view.read_until.since(now),
             }
         } else {
             EngineView {
-                place: place_of(&record.models, &[], wanted, version),
+                place: PlaceView::new(holds(&record.models, wanted, version), false),
                 active: false,
                 scheduled: false,
                 backlog: Duration::ZERO,
--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -237,6 +237,24 @@
             .collect()
     }
 
+    /// Whether the server holds the adapter in `version` or a newer one, or will soon; the base model
+    /// if there is no adapter.
+    pub fn holds(&self, model: &str, adapter: Option<&str>, version: u64) -> bool {
+        self.models.iter().any(|held| held == model)
+            && adapter.is_none_or(|adapter| {
+                self.places.iter().any(|place| {
+                    place.is_for(model, adapter)
+                        && place.phase == PlacePhase::Ready
+                        && place.version >= version
+                })
+            })
+    }
+
+    /// Whether the adapter made way lately and comes back fast.
+    pub fn held_lately(&self, model: &str, adapter: &str) -> bool {
+        self.models.iter().any(|held| held == model) && self.is_recent(model, adapter)
+    }
+
     /// Decides on a request that wants to be sent to the server.
     ///
     /// `lanes` are those of the instance for loads from the weight store.
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -59,8 +59,12 @@
 
     /// Whether this claim to `server` goes before another.
     pub(super) fn goes_before(&self, other: &OwnerView, server: &str) -> bool {
-        let rank = |view: &OwnerView| (view.active, rendezvous::weight(server, &view.name));
-        rank(self) > rank(other)
+        self.rank(server) > other.rank(server)
+    }
+
+    /// Rank among claims to `server`; the largest goes first.
+    fn rank(&self, server: &str) -> (bool, u64) {
+        (self.active, rendezvous::weight(server, &self.name))
     }
 }
 
@@ -124,10 +128,7 @@
         let own_weight = rendezvous::weight(id, &self.plan.instance);
         if let Some(desk) = self.desks.get(&key) {
             let own_rank = (desk.is_active(), own_weight);
-            let rival = self
-                .owners
-                .get(id)
-                .filter(|view| (view.active, rendezvous::weight(id, &view.name)) > own_rank);
+            let rival = self.owners.get(id).filter(|view| view.rank(id) > own_rank);
             if let Some(rival) = rival {
                 let detail = format!("server={id} to={}", rival.name);
                 note(effects, "desk_yielded", "", &detail);
@@ -187,7 +188,8 @@
         }
     }
 
-    fn pump_desk(
+    /// Reads a server's report if it is due and gives its next order.
+    pub(super) fn pump_desk(
         &mut self,
         now: ClockTime,
         key: GatewayServerKey,
@@ -232,15 +234,6 @@
         }
     }
 
-    pub(super) fn order_due(
-        &mut self,
-        now: ClockTime,
-        key: GatewayServerKey,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        self.pump_desk(now, key, effects);
-    }
-
     /// Whether the service is short of servers that hold a base model, so that a load from the
     /// weight store is worth its price.
     fn needs_model(&self, now: ClockTime, key: GatewayServerKey) -> bool {
@@ -313,11 +306,11 @@
         now: ClockTime,
         server: GatewayServerKey,
         is_new: bool,
-        models: &[HeldModel],
     ) {
         let Some(desk) = self.desks.get_mut(&server) else {
             return;
         };
+        let models = &self.servers.get(server).record.models;
         if is_new {
             desk.server_restarted(now, models);
         } else {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -289,7 +289,7 @@
                 }
                 TimerKind::Deadline(request) => self.deadline_passed(now, request, effects),
                 TimerKind::Continue(request) => self.continue_request(now, request, effects),
-                TimerKind::Order(server) => self.order_due(now, server, effects),
+                TimerKind::Order(server) => self.pump_desk(now, server, effects),
             }
         }
     }
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -16,7 +16,7 @@
         RequestNumber, ServerDispatch,
     },
     note,
-    servers::{ColdShare, GatewayServerKey, ServerOutcome},
+    servers::{GatewayServerKey, ServerOutcome},
 };
 use crate::{
     clock::ClockTime,
@@ -152,25 +152,8 @@
 
     /// The least loaded server of a plain service.
     fn choose_plain(&mut self, now: ClockTime, number: RequestNumber) -> Option<GatewayServerKey> {
-        let record = self.requests.get(&number)?;
-        let service = record.service.clone();
-        let cold_rate = self.config()?.service(&service)?.cold_rate;
-        let keys: Vec<GatewayServerKey> = self
-            .servers
-            .in_service(&service)
-            .map(|(key, _)| key)
-            .filter(|key| !record.excluded.contains(key) && self.servers.is_open(now, *key))
-            .collect();
-        let share = ColdShare {
-            bounds: self.plan.bounds.cold,
-            population: self.members.population(now),
-            instance: &self.plan.instance,
-        };
         let mut best: Option<(f64, GatewayServerKey)> = None;
-        for key in keys {
-            if self.servers.is_cold_full(now, key, cold_rate, &share) {
-                continue;
-            }
+        for key in self.candidates(now, number)? {
             let server = self.servers.get(key);
             let slots = f64::from(server.record.slots.max(1));
             let crossing = if server.record.data_centre == self.plan.data_centre {
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -1,6 +1,9 @@
 //! Backend servers as one instance sees them: what is published, and how they answered.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use la_arena::{Arena, Idx};
 use smol_str::SmolStr;
@@ -131,7 +134,7 @@
 pub struct GatewayServers {
     servers: Arena<ServerState>,
     by_id: BTreeMap<SmolStr, GatewayServerKey>,
-    evacuated: BTreeMap<SmolStr, u64>,
+    evacuated: BTreeSet<SmolStr>,
 }
 
 impl GatewayServers {
@@ -168,7 +171,7 @@
     fn takes(&self, server: &ServerState) -> bool {
         server.listed
             && !server.record.draining
-            && !self.evacuated.contains_key(&server.record.data_centre)
+            && !self.evacuated.contains(&server.record.data_centre)
     }
 
     /// Whether the server may get requests.
@@ -211,19 +214,19 @@
         }
     }
 
-    /// Closes a data centre, or opens it again; its servers may then be cold for `cold_time`.
-    pub fn set_evacuated(
+    /// Sends nothing more to the servers of a data centre.
+    pub fn close_data_centre(&mut self, data_centre: &SmolStr) {
+        self.evacuated.insert(data_centre.clone());
+    }
+
+    /// Opens a data centre that was closed; its servers may be cold for `cold_time`.
+    pub fn reopen_data_centre(
         &mut self,
         now: ClockTime,
         data_centre: &SmolStr,
-        evacuated: bool,
         cold_time: Duration,
     ) {
-        if evacuated {
-            self.evacuated.insert(data_centre.clone(), 0);
-            return;
-        }
-        if self.evacuated.remove(data_centre).is_none() {
+        if !self.evacuated.remove(data_centre) {
             return;
         }
         for (_, server) in self.servers.iter_mut() {
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -208,8 +208,7 @@
             }
             Some(PublishedItem::Evacuation(data_centre)) => {
                 note(effects, "data_centre_out", "", data_centre);
-                self.servers
-                    .set_evacuated(now, data_centre, true, Duration::ZERO);
+                self.servers.close_data_centre(data_centre);
             }
             Some(PublishedItem::AdapterVersion {
                 model,
@@ -223,7 +222,6 @@
                 *known = (*known).max(*version);
             }
             Some(PublishedItem::Server(record)) => {
-                let models = record.models.clone();
                 let (key, is_new) = self.servers.publish(now, record.clone());
                 if is_new {
                     let detail = format!("server={} started={}", record.id, record.started);
@@ -233,7 +231,7 @@
                         self.share_suspects(now);
                     }
                 }
-                self.server_published(now, key, is_new, &models);
+                self.server_published(now, key, is_new);
             }
             None => self.apply_removal(now, &change.key, effects),
         }
@@ -255,7 +253,7 @@
             })
             .unwrap_or_default();
         self.servers
-            .set_evacuated(now, &data_centre, false, cold_time);
+            .reopen_data_centre(now, &data_centre, cold_time);
         if let Some(server) = self.servers.key(name) {
             note(effects, "server_withdrawn", "", name);
             self.servers.withdraw(name);
