gateway: asks for a grant are conditional on the backlog that is known

Cause: with 80 instances each one hears of a server's backlog only in the answers to its own few requests, so that asks go to servers that are long busy, and a desk grants any wait.

Change: an ask says how long it would wait for other prompts; a desk with more to read declines with its backlog, and the request chooses anew. After four such answers it waits where it asks next. Ranks are sorted, not counted.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -164,6 +164,7 @@
             phase: RequestPhase::Admitting,
             lenders: Vec::new(),
             has_grant: false,
+            busy_answers: 0,
             excluded: Vec::new(),
             sends: 0,
             runs: 0,
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -47,7 +47,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EngineChoice {
     /// Ask the server's scheduler.
-    Ask(GatewayServerKey),
+    Ask {
+        /// The server.
+        server: GatewayServerKey,
+        /// Time until it would begin with another prompt, as far as it is known.
+        backlog: Duration,
+    },
     /// Nobody schedules the server, but it holds the adapter.
     Direct(GatewayServerKey),
 }
@@ -181,14 +186,20 @@
 
     /// Place of each candidate in the rendezvous order of `name`.
     fn ranks(&self, name: &str, candidates: &[GatewayServerKey]) -> Vec<usize> {
-        let weights: Vec<u64> = candidates
+        let mut order: Vec<(u64, usize)> = candidates
             .iter()
-            .map(|key| rendezvous::weight(name, &self.servers.get(*key).record.id))
+            .enumerate()
+            .map(|(position, key)| {
+                let id = &self.servers.get(*key).record.id;
+                (rendezvous::weight(name, id), position)
+            })
             .collect();
-        weights
-            .iter()
-            .map(|weight| weights.iter().filter(|other| *other > weight).count())
-            .collect()
+        order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let mut ranks = vec![0; candidates.len()];
+        for (rank, (_, position)) in order.into_iter().enumerate() {
+            ranks[position] = rank;
+        }
+        ranks
     }
 
     fn engine_cost(
@@ -233,7 +244,11 @@
         let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_PART;
         cost += first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
         if view.scheduled {
-            return Some((cost, EngineChoice::Ask(key)));
+            let choice = EngineChoice::Ask {
+                server: key,
+                backlog: view.backlog,
+            };
+            return Some((cost, choice));
         }
         (server.in_flight < DIRECT_GRANT_LIMIT)
             .then_some((cost + UNSCHEDULED_COST, EngineChoice::Direct(key)))
--- a/lib/src/gateway/desk/grant.rs
+++ b/lib/src/gateway/desk/grant.rs
@@ -39,6 +39,9 @@
     pub output_tokens: u64,
     /// Shared parts of the prompt.
     pub parts: Vec<PromptPart>,
+    /// How long the request would wait for other prompts here before it goes elsewhere.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub patience: Duration,
     /// How long the grant is held if nothing more is heard of it.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lifetime: Duration,
@@ -60,6 +63,8 @@
     LoadsBusy,
     /// Slots or memory are used up.
     Full,
+    /// Other prompts come first for longer than the request would wait.
+    Busy,
 }
 
 /// Answer to a [`GrantAsk`].
--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -266,16 +266,18 @@
         lanes: &mut LoadLanes,
     ) -> GrantReply {
         self.expire(now);
-        match self.admit(now, rule, ask, lanes) {
+        let unread = self.parts.unread(ask);
+        let turn = self.reading_turn(now, unread);
+        let admitted = if turn.since(now) > ask.patience {
+            Err(DeclineReason::Busy)
+        } else {
+            self.admit(now, rule, ask, lanes)
+        };
+        match admitted {
             Ok(load_wait) => {
-                let unread = self.parts.unread(ask);
                 let reading = Duration::from_secs_f64(unread as f64 / self.read_rate / 1_000.0);
                 let ready_at = now.after(load_wait);
-                let start = if unread >= PACED_TOKENS {
-                    ready_at.max(self.read_until.after(PACE_GAP))
-                } else {
-                    ready_at
-                };
+                let start = ready_at.max(turn);
                 self.read_until = self.read_until.max(start).after(reading);
                 self.parts.remember(ask);
                 self.grants.insert(
@@ -301,6 +303,15 @@
         }
     }
 
+    /// When a prompt with that many tokens to read may be sent.
+    fn reading_turn(&self, now: ClockTime, unread: u64) -> ClockTime {
+        if unread >= PACED_TOKENS {
+            self.read_until.after(PACE_GAP).max(now)
+        } else {
+            now
+        }
+    }
+
     fn admit(
         &mut self,
         now: ClockTime,
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -374,9 +374,10 @@
         now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
+        patience: Duration,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let Some(ask) = self.grant_ask(now, number, server) else {
+        let Some(ask) = self.grant_ask(now, number, server, patience) else {
             return;
         };
         if self.desks.contains_key(&server) {
@@ -400,6 +401,7 @@
         now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
+        patience: Duration,
     ) -> Option<GrantAsk> {
         let record = self.requests.get(&number)?;
         let wanted = record.request.model.as_ref()?;
@@ -413,6 +415,7 @@
             prompt_tokens,
             output_tokens,
             parts: record.request.parts.clone(),
+            patience,
             lifetime: record.ends_at.since(now) + Duration::from_secs(1),
         })
     }
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -39,6 +39,12 @@
 pub(super) const REFUSED_RETRY: Duration = Duration::from_millis(400);
 /// Servers that may reject one request unrun, or be out of reach, before it is refused.
 const MAX_SENDS: u32 = 5;
+/// Answers that a server is busier than expected, after which a request waits wherever it is asked
+/// for next; each costs a message to a peer and its answer.
+const MAX_BUSY_ANSWERS: u32 = 4;
+/// How much more backlog than expected a request puts up with: about the reading time of a prompt
+/// whose shared parts are kept.
+const BACKLOG_TOLERANCE: Duration = Duration::from_millis(100);
 /// Servers tried in one go before a request waits a little.
 const MAX_ASKS: usize = 4;
 /// Requests of this rank and more urgent ones are counted at the higher price.
@@ -91,6 +97,8 @@
     /// Peers that can still be asked for allowance.
     pub(super) lenders: Vec<SocketAddr>,
     pub(super) has_grant: bool,
+    /// Servers that were busier than expected when they were asked.
+    pub(super) busy_answers: u32,
     /// Servers not to try again.
     pub(super) excluded: Vec<GatewayServerKey>,
     /// Times that it was sent.
@@ -120,9 +128,9 @@
                     None
                 };
                 match choice {
-                    Some(EngineChoice::Ask(server)) => {
-                        self.set_phase(number, RequestPhase::Asking(server));
-                        self.ask_grant(now, number, server, effects);
+                    Some(EngineChoice::Ask { server, backlog }) => {
+                        let patience = self.begin_asking(now, number, server, backlog);
+                        self.ask_grant(now, number, server, patience, effects);
                     }
                     Some(EngineChoice::Direct(server)) => self.send(now, number, server, effects),
                     None => self.look_again(now, number, effects),
@@ -144,6 +152,28 @@
             .is_some_and(|service| service.engine.is_some())
     }
 
+    /// Notes that a scheduler is asked; returns how long the request would wait at its server.
+    ///
+    /// What is known of a server's backlog may be old, so that the first asks are conditional on it
+    /// and the last one is not.
+    fn begin_asking(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+        backlog: Duration,
+    ) -> Duration {
+        let Some(record) = self.requests.get_mut(&number) else {
+            return Duration::ZERO;
+        };
+        record.phase = RequestPhase::Asking(server);
+        if record.busy_answers < MAX_BUSY_ANSWERS {
+            backlog + BACKLOG_TOLERANCE
+        } else {
+            record.ends_at.since(now)
+        }
+    }
+
     fn set_phase(&mut self, number: RequestNumber, phase: RequestPhase) {
         if let Some(record) = self.requests.get_mut(&number) {
             record.phase = phase;
@@ -244,10 +274,19 @@
         reason: DeclineReason,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        if reason == DeclineReason::Busy {
+            // Its backlog is known now; it may still be the best choice.
+            if let Some(record) = self.requests.get_mut(&number) {
+                record.phase = RequestPhase::Choosing;
+                record.busy_answers += 1;
+            }
+            self.continue_request(now, number, effects);
+            return;
+        }
         let pause = match reason {
             DeclineReason::NoPlace | DeclineReason::LoadsBusy => Some(LOAD_PAUSE),
             DeclineReason::NoRight | DeclineReason::NoModel => Some(RIGHT_PAUSE),
-            DeclineReason::NotScheduled | DeclineReason::Full => None,
+            DeclineReason::NotScheduled | DeclineReason::Full | DeclineReason::Busy => None,
         };
         if let Some(pause) = pause {
             self.load_pauses.insert(server, now.after(pause));
--- a/lib/tests/gateway_desk.rs
+++ b/lib/tests/gateway_desk.rs
@@ -32,6 +32,7 @@
         prompt_tokens: 1_000,
         output_tokens: 50,
         parts: Vec::new(),
+        patience: Duration::from_secs(10),
         lifetime: Duration::from_secs(10),
     }
 }
@@ -349,3 +350,49 @@
         desk.release(now, &release(request, first, !holds));
     }
 }
+
+/// Prompts that are read one after another do not pile up behind a request that would go elsewhere.
+#[test]
+fn a_busy_server_declines_requests_that_would_not_wait() {
+    let engine = EngineModel::new(3);
+    let (mut desk, now) = active_desk(&engine);
+    let rule = engine_rule(3);
+    let mut lanes = lanes(8);
+    let long = |request, patience_ms| GrantAsk {
+        prompt_tokens: 9_000,
+        patience: Duration::from_millis(patience_ms),
+        ..ask(request, "a1")
+    };
+    assert_matches!(
+        desk.ask(now, &rule, &long(1, 0), &mut lanes),
+        GrantReply::Granted { .. }
+    );
+    let backlog = desk.backlog(now);
+    let declined = desk.ask(now, &rule, &long(2, 100), &mut lanes);
+    assert_eq!(
+        declined,
+        GrantReply::Declined {
+            reason: DeclineReason::Busy,
+            backlog
+        }
+    );
+    // Nothing is kept for a request that was declined.
+    assert_eq!(desk.backlog(now), backlog);
+    assert_matches!(
+        desk.ask(now, &rule, &long(2, 2_000), &mut lanes),
+        GrantReply::Granted { wait, .. } if wait >= backlog
+    );
+    // A short prompt is read between the pieces of a long one.
+    assert_matches!(
+        desk.ask(
+            now,
+            &rule,
+            &GrantAsk {
+                patience: Duration::ZERO,
+                ..ask(3, "a1")
+            },
+            &mut lanes
+        ),
+        GrantReply::Granted { .. }
+    );
+}
