gateway: turns of loads adapt by whether loads are late, below one an instance

Cause: in the first second of traffic 177 loads were ordered at once where the weight store bears 24; all were late, 421s ate the retry budget, and the window, one load an instance at least and held four times its duration, let 50 loads a second through for ten seconds where the store bears 96.

Change: lanes may be fractions of a load (a pause after each), start at half a load a server, are cut once for loads that are late together, and grow while some had to wait and none was late. Expected durations stretch to twice, not four times. A release says only whether an adapter was late.

The first second is still the worst.

--- a/lib/src/gateway/desk/mod.rs
+++ b/lib/src/gateway/desk/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     grant::{DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply},
-    lanes::{LoadLanes, LoadSignal},
+    lanes::LoadLanes,
     orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
 };
 use super::{
@@ -40,8 +40,8 @@
 /// Growth of the expected time of loads when one was not done in time, its decay with each request
 /// that was served, and its bound.
 const STRETCH_GROWTH: f64 = 1.25;
-const STRETCH_DECAY: f64 = 0.9;
-const MAX_STRETCH: f64 = 4.0;
+const STRETCH_DECAY: f64 = 0.8;
+const MAX_STRETCH: f64 = 2.0;
 /// Time after which an adapter that was not in place in time is expected.
 const LATE_LOAD_WAIT: Duration = Duration::from_millis(120);
 /// Part of a server's memory that requests may fill.
@@ -106,8 +106,6 @@
     adapter: Option<SmolStr>,
     tokens: u64,
     unread: u64,
-    /// Whether the adapter had to be loaded for it.
-    placed: bool,
     expires: ClockTime,
 }
 
@@ -287,7 +285,6 @@
                         adapter: ask.adapter.clone(),
                         tokens: ask.prompt_tokens + ask.output_tokens,
                         unread,
-                        placed: !load_wait.is_zero(),
                         expires: now.after(ask.lifetime),
                     },
                 );
@@ -516,14 +513,16 @@
         self.places.iter().filter(|place| !place.confirmed).count()
     }
 
-    /// Takes a grant back; tells whether an adapter loaded for it was in place in time.
-    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> Option<LoadSignal> {
-        let grant = self.grants.remove(&release.key)?;
+    /// Takes a grant back; tells whether an adapter that should be in place was missing.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> bool {
+        let Some(grant) = self.grants.remove(&release.key) else {
+            return false;
+        };
         if release.adapter_missing
             && let Some(adapter) = &grant.adapter
         {
             self.load_late(now, &grant.model, adapter);
-            return Some(LoadSignal::Late);
+            return true;
         }
         if release.first_event.is_some() {
             self.load_stretch = 1.0 + (self.load_stretch - 1.0) * STRETCH_DECAY;
@@ -540,7 +539,7 @@
             let rate = (grant.unread as f64 / reading.max(1.0)).min(MAX_READ_RATE);
             self.read_rate += (rate - self.read_rate) * READ_RATE_WEIGHT;
         }
-        (grant.placed && release.first_event.is_some()).then_some(LoadSignal::InTime)
+        false
     }
 
     /// The server lacks an adapter that should be in place by now.
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -8,8 +8,7 @@
     CallPurpose, GatewayReducer, JOIN_TIME, TimerKind,
     catalog::{EngineRule, HeldModel, ServerReport},
     desk::{
-        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, LoadSignal, ServerDesk,
-        ServerOrderOutcome,
+        DeclineReason, GrantAsk, GrantKey, GrantRelease, GrantReply, ServerDesk, ServerOrderOutcome,
     },
     event::{GatewayEffect, ModelName, RequestNumber},
     members::{MemberPhase, MemberRecord, ServerClaim},
@@ -19,14 +18,6 @@
 };
 use crate::{clock::ClockTime, rendezvous};
 
-/// Adapters on their way at first, for each server scheduled here; the number grows with each one
-/// that is in place in time and shrinks with each that is not, since the weight store slows down
-/// under many.
-pub(super) const FIRST_LOAD_WINDOW: f64 = 1.0;
-const LOAD_WINDOW_STEP: f64 = 0.03;
-const LOAD_WINDOW_CUT: f64 = 0.85;
-const MIN_LOAD_WINDOW: f64 = 0.5;
-const MAX_LOAD_WINDOW: f64 = 2.0;
 /// Part of a service's servers that hold a base model in any case.
 const LEAST_HOLDERS: f64 = 0.6;
 /// Mean backlog of the holders from which on another one is worth a load from the weight store.
@@ -335,8 +326,7 @@
         let Some(rule) = self.engine_rule(key) else {
             return declined;
         };
-        let lanes = (self.load_window * self.desks.len() as f64).round();
-        self.load_lanes.resize(lanes as usize);
+        self.load_lanes.resize(self.desks.len());
         let Some(desk) = self.desks.get_mut(&key) else {
             return declined;
         };
@@ -355,14 +345,8 @@
             return;
         };
         if let Some(desk) = self.desks.get_mut(&key) {
-            match desk.release(now, release) {
-                Some(LoadSignal::InTime) => {
-                    self.load_window = (self.load_window + LOAD_WINDOW_STEP).min(MAX_LOAD_WINDOW);
-                }
-                Some(LoadSignal::Late) => {
-                    self.load_window = (self.load_window * LOAD_WINDOW_CUT).max(MIN_LOAD_WINDOW);
-                }
-                None => {}
+            if desk.release(now, release) {
+                self.load_lanes.note_late(now);
             }
             self.pump_desk(now, key, effects);
         }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -153,8 +153,7 @@
     retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     desks: BTreeMap<GatewayServerKey, ServerDesk>,
     owners: BTreeMap<SmolStr, OwnerView>,
-    /// Adapters that may be on their way to servers scheduled here.
-    load_window: f64,
+    /// Turns of loads to the servers scheduled here.
     load_lanes: LoadLanes,
     /// Largest fencing tokens heard of, with the start of the server's process.
     fences: BTreeMap<SmolStr, (u64, u64)>,
@@ -210,7 +209,6 @@
             retry_budgets: BTreeMap::new(),
             desks: BTreeMap::new(),
             owners: BTreeMap::new(),
-            load_window: engines::FIRST_LOAD_WINDOW,
             load_lanes: LoadLanes::default(),
             fences: BTreeMap::new(),
             load_pauses: BTreeMap::new(),
@@ -298,6 +296,7 @@
         self.note_member_changes(now, effects);
         self.read_store(now, effects);
         self.sync_desks(now, effects);
+        self.load_lanes.adjust(now);
         self.pump_desks(now, effects);
         self.flush_releases(effects);
         self.set_timer(now.after(HOUSEKEEPING_INTERVAL), TimerKind::Housekeeping);
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -174,12 +174,6 @@
         }
     }
 
-    fn set_phase(&mut self, number: RequestNumber, phase: RequestPhase) {
-        if let Some(record) = self.requests.get_mut(&number) {
-            record.phase = phase;
-        }
-    }
-
     /// The least loaded server of a plain service.
     fn choose_plain(&mut self, now: ClockTime, number: RequestNumber) -> Option<GatewayServerKey> {
         let mut best: Option<(f64, GatewayServerKey)> = None;
--- a/lib/tests/gateway_desk.rs
+++ b/lib/tests/gateway_desk.rs
@@ -12,7 +12,7 @@
     clock::ClockTime,
     gateway::desk::{
         DeclineReason, FENCE_TIME_BITS, GrantAsk, GrantKey, GrantRelease, GrantReply, LoadLanes,
-        LoadSignal, OrderAction, ServerDesk, ServerOrder, ServerOrderOutcome,
+        OrderAction, ServerDesk, ServerOrder, ServerOrderOutcome,
     },
 };
 
@@ -51,7 +51,7 @@
 }
 
 fn lanes(count: usize) -> LoadLanes {
-    let mut lanes = LoadLanes::default();
+    let mut lanes = LoadLanes::new(1.0);
     lanes.resize(count);
     lanes
 }
@@ -144,7 +144,7 @@
     carry_out(&mut desk, &mut engine, now);
     let later = now.after(Duration::from_millis(300));
     for request in [1, 2, 3] {
-        assert_eq!(desk.release(later, &release(request, None, false)), None);
+        assert!(!desk.release(later, &release(request, None, false)));
     }
     let reply = desk.ask(later, &rule, &ask(4, "a4"), &mut lanes);
     assert_matches!(
@@ -168,10 +168,7 @@
     }
     carry_out(&mut desk, &mut engine, now);
     let later = now.after(Duration::from_millis(800));
-    assert_eq!(
-        desk.release(later, &release(1, None, true)),
-        Some(LoadSignal::Late)
-    );
+    assert!(desk.release(later, &release(1, None, true)));
     desk.ask(later, &rule, &ask(4, "a4"), &mut lanes);
     carry_out(&mut desk, &mut engine, later);
     assert_eq!(engine.overfilled, None);
@@ -396,3 +393,47 @@
         GrantReply::Granted { .. }
     );
 }
+
+/// Time until the last of `loads` new adapters, asked for in turn at two servers, is in place.
+fn last_turn(lanes: &mut LoadLanes, loads: u64) -> Option<Duration> {
+    let engine = EngineModel::new(3);
+    let rule = engine_rule(16);
+    let (mut first, now) = active_desk(&engine);
+    let (mut second, _) = active_desk(&engine);
+    lanes.resize(2);
+    let mut last = None;
+    for request in 0..loads {
+        let desk = if request % 2 == 0 {
+            &mut first
+        } else {
+            &mut second
+        };
+        last = match desk.ask(now, &rule, &ask(request, &format!("a{request}")), lanes) {
+            GrantReply::Granted { wait, .. } => Some(wait),
+            GrantReply::Declined { .. } => None,
+        };
+    }
+    last
+}
+
+/// Loads that were late are followed by fewer at once, with pauses below one for each instance.
+#[test]
+fn late_loads_make_way_for_fewer() {
+    let untroubled = last_turn(&mut LoadLanes::new(1.0), 2);
+    assert_eq!(untroubled, Some(Duration::from_millis(262)));
+    let mut lanes = LoadLanes::new(1.0);
+    for late in 0..20 {
+        lanes.note_late(ClockTime::from_millis(late * 400));
+    }
+    assert_eq!(last_turn(&mut lanes, 2), None);
+}
+
+/// Loads that are late together count once.
+#[test]
+fn one_slow_moment_of_the_store_is_one_cut() {
+    let mut lanes = LoadLanes::new(1.0);
+    for _ in 0..20 {
+        lanes.note_late(ClockTime::from_millis(400));
+    }
+    assert_eq!(last_turn(&mut lanes, 2), Some(Duration::from_millis(262)));
+}
