gateway: a busy server is asked a bounded number of times

A server whose backlog exceeded the time that a request had left declined it as busy, and was asked again at once, without end; on the scheduler's own instance as recursion, elsewhere as messages.

Change: after four such answers the server is left out like one that is full, and the request looks again later.

--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -268,12 +268,13 @@
         reason: DeclineReason,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if reason == DeclineReason::Busy {
+        if reason == DeclineReason::Busy
+            && let Some(record) = self.requests.get_mut(&number)
+            && record.busy_answers < MAX_BUSY_ANSWERS
+        {
             // Its backlog is known now; it may still be the best choice.
-            if let Some(record) = self.requests.get_mut(&number) {
-                record.phase = RequestPhase::Choosing;
-                record.busy_answers += 1;
-            }
+            record.phase = RequestPhase::Choosing;
+            record.busy_answers += 1;
             self.continue_request(now, number, effects);
             return;
         }
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -80,6 +80,8 @@
     next: u64,
     pub(crate) lost_orders: f64,
     pub(crate) ends: Vec<(ClockTime, u64, RequestEnd)>,
+    /// Calls of instances to each other.
+    pub(crate) calls: u64,
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
@@ -176,6 +178,7 @@
             next: 0,
             lost_orders: 0.0,
             ends: Vec::new(),
+            calls: 0,
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
@@ -464,6 +467,7 @@
         peer: SocketAddr,
         message: PeerCall,
     ) {
+        self.calls += 1;
         let target = self.nodes.iter().position(|node| node.address == peer);
         let is_cut = self.nodes[index].cut;
         match target {
--- a/lib/tests/gateway_fleet.rs
+++ b/lib/tests/gateway_fleet.rs
@@ -2,7 +2,7 @@
 
 mod gateway;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use gateway::world::{GatewayWorld, QUOTA, RequestEnd, config, team};
 use rand::Rng;
@@ -250,3 +250,29 @@
         }
     }
 }
+
+/// Regression: a server with a backlog beyond the time that a request had left declined, and was
+/// asked again without end; its scheduler's own instance ran out of stack.
+#[test]
+fn a_backlog_beyond_all_deadlines_is_asked_for_a_few_times() {
+    for last in 0..3 {
+        let mut world = GatewayWorld::new(8, 3, 1);
+        world.run(secs(6));
+        // Each is read for a tenth of a second, and has five seconds.
+        for step in 0..45 {
+            world.request((last + 1 + step % 2) % 3, "a1", 2_900);
+        }
+        world.run(Duration::from_millis(100));
+        let calls = world.calls;
+        let asked: BTreeSet<u64> = (0..15)
+            .map(|_| world.request(last, "a1", 2_900))
+            .collect();
+        world.run(Duration::from_millis(500));
+        // Four answers that the server is busy, an ask with each look of 40 ms, and some gossip.
+        let asks = world.calls - calls;
+        assert!(asks < 60 * (4 + 13) + 100, "{asks} calls in half a second");
+        world.run(secs(7));
+        let ended: BTreeSet<u64> = world.ends.iter().map(|(_, number, _)| *number).collect();
+        assert!(ended.is_superset(&asked));
+    }
+}
