gateway: latency histograms and counters by OpenTelemetry

Cause: the gateway wrote seven counters by hand; on-call engineers had no latencies, and dropped log lines were not counted.

Change: metrics of the gateway are OpenTelemetry instruments, served as Prometheus text on the operators' address: time to the head of an answer by status, wait before the first send, first events, pauses of streams, calls to peers, and the log lines that were dropped. Names of the counters stay.

Test: logs_and_metrics_tell_a_requests_way asks for each of them on a real process.

--- a/daemon/src/gateway/answers.rs
+++ b/daemon/src/gateway/answers.rs
@@ -67,7 +67,13 @@
 pub(super) async fn serve_operators(listener: TcpListener, core: Arc<GatewayCore>) {
     serve_whole(listener, move |request| {
         let response = if is_get(&request, "/metrics") {
-            reply(StatusCode::OK, "text/plain; version=0.0.4", core.metrics())
+            match core.metrics.render() {
+                Ok(page) => reply(StatusCode::OK, "text/plain; version=0.0.4", page),
+                Err(error) => {
+                    tracing::warn!(event = "metrics_unwritable", %error);
+                    reply(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Vec::new())
+                }
+            }
         } else if is_get(&request, "/operator/v1/usage") {
             reply(StatusCode::OK, "application/json", core.usage())
         } else {
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -105,6 +105,7 @@
 
 impl OpenRequest {
     fn tell_end(&mut self, end: AttemptEnd, sight: AttemptSight) {
+        self.core.metrics.count_sight(&sight);
         self.core.tell(GatewayEvent::AttemptEnded {
             request: self.number,
             end,
@@ -130,7 +131,10 @@
 
 async fn answer(core: Arc<GatewayCore>, request: Request<Incoming>) -> Response<CallerBody> {
     let is_leaving = core.is_leaving();
-    let mut response = answer_request(core, request).await;
+    let arrived = Instant::now();
+    let mut response = answer_request(core.clone(), request).await;
+    core.metrics
+        .count_answer(response.status().as_u16(), arrived.elapsed());
     if is_leaving {
         response
             .headers_mut()
@@ -229,6 +233,9 @@
             }
         };
         let core = open.core.clone();
+        if let Some(waited) = dispatch.waited {
+            core.metrics.count_wait(waited);
+        }
         let result = tokio::select! {
             result = attempt(&core, &call, &dispatch, None) => result,
             command = commands.recv() => {
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -11,7 +11,7 @@
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::{
-        GatewayPlan, GatewayReducer,
+        GatewayPlan, GatewayReducer, GatewayStats,
         event::{
             GatewayEffect, GatewayEvent, GatewayRefusal, GatewayRequest, RequestNumber,
             ServerDispatch,
@@ -22,7 +22,9 @@
     settings::GatewaySettings,
 };
 
-use super::{clock::BootClock, links::LinkPool, logs, orders, peers, store};
+use super::{
+    clock::BootClock, links::LinkPool, logs, metrics::GatewayMetrics, orders, peers, store,
+};
 
 /// Connections that may be idle with one server.
 const SERVER_IDLE_LINKS: usize = 16;
@@ -68,11 +70,12 @@
     store_address: SocketAddr,
     pub(super) servers: LinkPool<smol_str::SmolStr>,
     pub(super) peers: LinkPool<SocketAddr>,
+    pub(super) metrics: GatewayMetrics,
 }
 
 impl GatewayCore {
     /// Starts the reducer and its timers.
-    pub(super) fn start(settings: &GatewaySettings) -> Arc<GatewayCore> {
+    pub(super) fn start(settings: &GatewaySettings, metrics: GatewayMetrics) -> Arc<GatewayCore> {
         let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -108,6 +111,7 @@
             store_address: settings.store,
             servers: LinkPool::new(SERVER_IDLE_LINKS),
             peers: LinkPool::new(PEER_IDLE_LINKS),
+            metrics,
         });
         tokio::spawn(core.clone().run_timers());
         core
@@ -293,23 +297,13 @@
         serde_json::to_vec(&view).unwrap_or_default()
     }
 
-    /// Counters as text.
-    pub(super) fn metrics(&self) -> Vec<u8> {
-        let state = self.lock();
-        let stats = state.reducer.stats();
-        let lines = [
-            ("requests_total", stats.requests),
-            ("refusals_total", stats.refusals),
-            ("repeats_total", stats.repeats),
-            ("orders_total", stats.orders),
-            ("stalls_total", stats.stalls),
-            ("config_version", state.reducer.config_version()),
-            ("open_requests", state.requests.len() as u64),
-        ];
-        lines
-            .iter()
-            .map(|(name, value)| format!("wasabistall_{name} {value}\n"))
-            .collect::<String>()
-            .into_bytes()
+    /// Counters of the reducer.
+    pub(super) fn stats(&self) -> GatewayStats {
+        self.lock().reducer.stats()
+    }
+
+    /// Version of the configuration in force; 0 while there is none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.lock().reducer.config_version()
     }
 }
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod links;
 mod listen;
 mod logs;
+mod metrics;
 mod orders;
 mod peers;
 mod store;
@@ -19,7 +20,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use wasabistall_lib::settings::GatewaySettings;
 
-use self::core::GatewayCore;
+use self::{core::GatewayCore, metrics::GatewayMetrics};
 use crate::listen::bind;
 
 /// Part of the grace time for which a leaving instance still accepts connections; callers may keep
@@ -50,7 +51,8 @@
     let operators = bind(settings.listen.operators, "operators")?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let core = GatewayCore::start(&settings);
+    let core = GatewayCore::start(&settings, GatewayMetrics::new()?);
+    core.metrics.observe(&core, logs.dropped_lines());
     tracing::info!(event = "started", instance = %settings.instance, life = core.life());
     tokio::spawn(peers::serve(peers, core.clone()));
     tokio::spawn(answers::serve_addresses(addresses, core.clone()));
@@ -69,7 +71,7 @@
     core.shut_down();
     drain(&core, settings.grace, &accepting).await;
     tracing::info!(event = "stopped", requests = core.open_requests());
-    drop(logs);
+    logs.close();
     Ok(())
 }
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -1,6 +1,10 @@
 //! Calls between instances: HTTP with MessagePack bodies.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -31,7 +35,10 @@
 
 /// Calls a peer and tells the reducer what came of it.
 pub(super) async fn call(core: Arc<GatewayCore>, call: u64, peer: SocketAddr, message: PeerCall) {
+    let started = Instant::now();
     let answer = exchange(&core, peer, &message).await;
+    core.metrics
+        .count_peer_call(answer.is_ok(), started.elapsed());
     if let Err(fault) = answer {
         tracing::debug!(%peer, ?fault, "call to a peer failed");
     }
--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -248,7 +248,17 @@
     site.call(0, Method::POST, "/once/x", "traced").await;
     let metrics = ask(site.gateways[0].ports.operators(), "/metrics").await;
     let text = String::from_utf8(metrics.expect("metrics").body.to_vec()).expect("text");
-    assert!(text.contains("wasabistall_requests_total 1\n"), "{text}");
+    let counted = [
+        "wasabistall_requests_total 1",
+        "wasabistall_open_requests 0",
+        "wasabistall_log_dropped_lines_total 0",
+        "wasabistall_answer_head_seconds_count{status=\"200\"} 1",
+        "wasabistall_request_wait_seconds_count 1",
+        "wasabistall_server_first_event_seconds_count 1",
+    ];
+    for line in counted {
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
+    }
     site.gateways[0].signal(Signal::TERM);
     site.gateways[0].wait_end(Duration::from_secs(10));
     let log = std::fs::read_to_string(site.gateways[0].log()).expect("read the log");
