--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -1,18 +1,20 @@
 //! Configuration: patches, the state they lead to, and the log that carries them.
 
+mod fault;
 mod log;
 mod patch;
 mod state;
 mod table;
 
 pub use self::{
+    fault::{FaultKind, PatchFault},
     log::{ConfigLog, LogEntry, PatchOutcome},
     patch::{ConfigChange, ConfigPatch, PriceClass, ServerRole, ServiceCall, TeamRate},
     state::{
         AdapterKey, AdapterRecord, BaseKey, BaseRecord, ConfigState, DataCentreKey,
-        DataCentreRecord, FaultKind, GrantKey, InstanceKey, InstanceRecord, KeyRecord, OwnerKey,
-        OwnerRecord, PatchFault, RegionKey, RegionRecord, ServerKey, ServerRecord, ServiceKey,
-        ServiceRecord, TeamKey, TeamRecord,
+        DataCentreRecord, GrantKey, InstanceKey, InstanceRecord, KeyRecord, OwnerKey, OwnerRecord,
+        RegionKey, RegionRecord, ServerKey, ServerRecord, ServiceKey, ServiceRecord, TeamKey,
+        TeamRecord,
     },
     table::RecordTable,
 };
--- a/lib/src/gateway/catalog.rs
+++ b/lib/src/gateway/catalog.rs
@@ -79,8 +79,6 @@
 pub struct ModelRule {
     /// Name.
     pub name: SmolStr,
-    /// Size of the weights, in megabytes.
-    pub weights_mb: f64,
     /// Time of a load from the weight store.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub load_time: Duration,
@@ -97,8 +95,6 @@
     pub cache_tokens: u64,
     /// Places for adapters.
     pub adapter_slots: usize,
-    /// Memory for weights and adapters, in megabytes.
-    pub weights_mb: f64,
     /// Output tokens of an event of a stream.
     pub event_tokens: u32,
     /// Whether a server can fetch parts of prompts from another one.
@@ -113,8 +109,6 @@
 pub struct ServiceRule {
     /// Name.
     pub name: SmolStr,
-    /// Connections that one server accepts from all callers together.
-    pub connection_limit: u32,
     /// How long a server stays cold after its start.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub cold_time: Duration,
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -88,6 +88,7 @@
                 Some((key, server.record.id.clone(), rule))
             })
             .collect();
+        self.load_pauses.retain(|_, until| now < *until);
         self.desks.retain(|key, _| {
             let kept = engines.iter().any(|(listed, _, _)| listed == key);
             if !kept {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 mod choice;
 pub mod desk;
+mod endings;
 mod engines;
 pub mod event;
 pub mod members;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -1,10 +1,9 @@
-//! A caller's request: admission, choice of servers, repeats and its one final answer.
+//! A caller's request on its way to servers: asks for grants, sends and repeats.
 
 use std::{net::SocketAddr, time::Duration};
 
-use smol_str::{SmolStr, ToSmolStr};
-
 use rand::Rng;
+use smol_str::SmolStr;
 
 use super::{
     GatewayReducer, TimerKind,
@@ -12,18 +11,12 @@
     choice::EngineChoice,
     desk::{DeclineReason, GrantRelease, GrantReply},
     event::{
-        AttemptEnd, AttemptSight, GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber,
-        ServerDispatch,
+        AttemptEnd, AttemptSight, GatewayEffect, GatewayRequest, RequestNumber, ServerDispatch,
     },
     note,
     servers::{GatewayServerKey, ServerOutcome},
 };
-use crate::{
-    clock::ClockTime,
-    config::PriceClass,
-    error::ErrorKind,
-    usage::{UsageAccount, UsageOutcome},
-};
+use crate::{clock::ClockTime, error::ErrorKind, usage::UsageOutcome};
 
 /// A request with less time than this left is not sent any more.
 const LEAST_TIME: Duration = Duration::from_millis(15);
@@ -47,8 +40,6 @@
 const BACKLOG_TOLERANCE: Duration = Duration::from_millis(100);
 /// Servers tried in one go before a request waits a little.
 const MAX_ASKS: usize = 4;
-/// Requests of this rank and more urgent ones are counted at the higher price.
-const PREMIUM_PRIORITY: u8 = 1;
 /// Part of the time left that an attempt may use while the request could go elsewhere.
 const PATIENCE_PART: f64 = 0.5;
 /// An attempt is given up after this many objectives, if the request could go elsewhere.
@@ -405,7 +396,7 @@
         effects.push(GatewayEffect::Dispatch(dispatch));
     }
 
-    fn release_grant(
+    pub(super) fn release_grant(
         &mut self,
         now: ClockTime,
         number: RequestNumber,
@@ -581,145 +572,6 @@
         record.hold_until = record.hold_until.max(now.after(LOOK_AGAIN));
         self.try_elsewhere(now, number, server, effects);
     }
-
-    /// Ends a request without a server's answer.
-    pub(super) fn refuse(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-        kind: ErrorKind,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        self.refuse_until(now, number, kind, None, effects);
-    }
-
-    /// Ends a request without a server's answer, and says when it is worth coming back.
-    pub(super) fn refuse_until(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-        kind: ErrorKind,
-        retry_after: Option<Duration>,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        let Some(record) = self.requests.remove(&number) else {
-            return;
-        };
-        self.stats.refusals += 1;
-        let is_sent = matches!(record.phase, RequestPhase::Sent(_));
-        let may_have_run = record.runs > 0 || is_sent;
-        if may_have_run {
-            let outcome = if record.started {
-                UsageOutcome::Partial
-            } else {
-                UsageOutcome::Unknown
-            };
-            self.count_usage(number, &record, outcome);
-        }
-        let kind = match kind {
-            // Only a request that ran nowhere may be called so.
-            ErrorKind::NoServer | ErrorKind::DeadlineExceeded if !may_have_run => {
-                ErrorKind::NoServer
-            }
-            ErrorKind::NoServer => ErrorKind::ServerLost,
-            kind => kind,
-        };
-        if !may_have_run
-            && record.phase != RequestPhase::Admitting
-            && let Some(team) = &record.team
-            && let Some(bucket) = self.team_buckets.get_mut(team)
-        {
-            bucket.give_back(record.cost);
-        }
-        let detail = format!(
-            "kind={kind:?} route={} service={} sends={} runs={} looks={} held_ms={}",
-            record.route,
-            record.service,
-            record.sends,
-            record.runs,
-            record.looks,
-            now.since(record.arrived).as_millis(),
-        );
-        note(effects, "request_refused", &record.request.attempt, &detail);
-        effects.push(GatewayEffect::Refuse(GatewayRefusal {
-            request: number,
-            kind,
-            retry_after: retry_after.or((kind == ErrorKind::NoServer).then_some(REFUSED_RETRY)),
-        }));
-        self.close_attempt(now, number, &record, effects);
-    }
-
-    /// Counts a request that a server ran, or may have run, against its team.
-    fn count_usage(
-        &mut self,
-        number: RequestNumber,
-        record: &RequestRecord,
-        outcome: UsageOutcome,
-    ) {
-        let team = record.team.clone().unwrap_or_default();
-        let target = match &record.request.model {
-            Some(name) => name.to_smolstr(),
-            None => record.service.clone(),
-        };
-        let price = if record.priority <= PREMIUM_PRIORITY {
-            PriceClass::Premium
-        } else {
-            PriceClass::Standard
-        };
-        let account = UsageAccount {
-            // The platform publishes no owners above the teams.
-            owner: team.clone(),
-            team,
-            target,
-            price,
-        };
-        let (prompt, output) = record.request.tokens.unwrap_or_default();
-        self.usage.count(number, account, outcome, prompt, output);
-    }
-
-    fn close_attempt(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-        record: &RequestRecord,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        let server = match record.phase {
-            RequestPhase::Sent(server) => {
-                self.servers.count_end(now, server, ServerOutcome::Neutral);
-                server
-            }
-            RequestPhase::Placing(server) => server,
-            RequestPhase::Admitting | RequestPhase::Choosing | RequestPhase::Asking(_) => return,
-        };
-        if record.has_grant {
-            self.release_grant(now, number, server, None, false, effects);
-        }
-    }
-
-    pub(super) fn deadline_passed(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        self.refuse(now, number, ErrorKind::DeadlineExceeded, effects);
-    }
-
-    pub(super) fn caller_gone(
-        &mut self,
-        now: ClockTime,
-        number: RequestNumber,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        if let Some(record) = self.requests.remove(&number) {
-            note(effects, "caller_gone", &record.request.attempt, "");
-            if record.runs > 0 || matches!(record.phase, RequestPhase::Sent(_)) {
-                self.count_usage(number, &record, UsageOutcome::Partial);
-            }
-            self.close_attempt(now, number, &record, effects);
-        }
-    }
 }
 
 fn server_outcome(end: AttemptEnd) -> ServerOutcome {
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -27,12 +27,10 @@
         slots: 64,
         cache_tokens: 200_000,
         adapter_slots,
-        weights_mb: 66_000.0,
         event_tokens: 5,
         fetches_prompts: true,
         models: vec![ModelRule {
             name: "base".into(),
-            weights_mb: 65_000.0,
             load_time: Duration::from_millis(1_900),
             adapters: 3_000,
         }],
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -118,7 +118,6 @@
         }],
         services: vec![ServiceRule {
             name: "models".into(),
-            connection_limit: 300,
             cold_time: Duration::ZERO,
             cold_rate: 0.0,
             engine: Some(engine_rule(3)),
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -50,7 +50,6 @@
         ],
         services: vec![ServiceRule {
             name: "desk".into(),
-            connection_limit: 100,
             cold_time: Duration::from_secs(3),
             cold_rate: 0.0,
             engine: None,
