--- a/testutils/src/world/mod.rs
+++ b/testutils/src/world/mod.rs
@@ -35,7 +35,7 @@
 pub use self::{
     engine::{EngineCounts, EngineSlot, WorldEngine},
     observer::LimitObserver,
-    plan::{DeploymentPlan, LoadPlan, TeamPlan},
+    plan::{DeploymentPlan, LoadPlan, NetworkPlan, TeamPlan},
 };
 
 /// Time of one adapter load at full speed.
@@ -49,27 +49,6 @@
 /// Distance between two lives of an instance, as their numbers count milliseconds.
 const LIFE_STEP: u64 = 1_000_000;
 
-/// How messages travel.
-#[derive(Clone, Copy, Debug)]
-pub struct NetworkPlan {
-    /// Shortest delay.
-    pub min_delay: Duration,
-    /// Longest delay.
-    pub max_delay: Duration,
-    /// Messages lost, of a thousand.
-    pub lost_per_mille: u32,
-}
-
-impl Default for NetworkPlan {
-    fn default() -> NetworkPlan {
-        NetworkPlan {
-            min_delay: Duration::from_micros(300),
-            max_delay: Duration::from_micros(1_500),
-            lost_per_mille: 0,
-        }
-    }
-}
-
 /// Identifies a request over all instances and lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId {
--- a/testutils/src/world/plan.rs
+++ b/testutils/src/world/plan.rs
@@ -1,4 +1,4 @@
-//! Configurations of the two deployments, and their load.
+//! Configurations of the two deployments, their load and their network.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -320,3 +320,24 @@
         world.request(self.entries[entry], request, team, output_tokens)
     }
 }
+
+/// How messages travel.
+#[derive(Clone, Copy, Debug)]
+pub struct NetworkPlan {
+    /// Shortest delay.
+    pub min_delay: Duration,
+    /// Longest delay.
+    pub max_delay: Duration,
+    /// Messages lost, of a thousand.
+    pub lost_per_mille: u32,
+}
+
+impl Default for NetworkPlan {
+    fn default() -> NetworkPlan {
+        NetworkPlan {
+            min_delay: Duration::from_micros(300),
+            max_delay: Duration::from_micros(1_500),
+            lost_per_mille: 0,
+        }
+    }
+}
