gateway: log the inputs of a refusal over a team's limit

Cause: a refusal over a team's limit did not say which limit, version and share decided it, so a refusal that was owed could not be told from one that was not. Change: the line has team, cost, what was missing, limit and version, level, share and number of shares; the line of a sent request has team and cost.

--- a/lib/src/gateway/allowance.rs
+++ b/lib/src/gateway/allowance.rs
@@ -86,6 +86,11 @@
         lent
     }
 
+    /// Units that can be taken, as of the last refill.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Units that are missing to cover `cost`.
     pub fn missing(&mut self, now: ClockTime, shape: BucketShape, cost: f64) -> f64 {
         self.refill(now, shape);
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -396,8 +396,10 @@
         let adapter = record.request.model.as_ref();
         let adapter = adapter.and_then(|model| model.adapter.as_deref());
         let detail = format!(
-            "server={} adapter={} prompt={} sends={} waited_ms={} left_ms={}",
+            "server={} team={} cost={} adapter={} prompt={} sends={} waited_ms={} left_ms={}",
             dispatch.id,
+            record.team.as_deref().unwrap_or("-"),
+            record.cost,
             adapter.unwrap_or("-"),
             record.request.tokens.map_or(0, |(prompt, _)| prompt),
             record.sends,
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -16,6 +16,7 @@
     event::{GatewayEffect, RequestNumber},
     message::PeerCall,
     requests::RequestPhase,
+    termination::RefusalReason,
 };
 use crate::{clock::ClockTime, error::ErrorKind};
 
@@ -99,9 +100,7 @@
             .get(&team.name)
             .is_some_and(|until| now < *until);
         if is_paused {
-            let wait = self.refill_time(now, &team, missing);
-            let kind = ErrorKind::RateExceeded;
-            self.refuse_with_retry(now, number, kind, Some(wait), effects);
+            self.refuse_over_quota(now, number, &team, missing, effects);
         } else {
             self.choose_lenders(now, number, &team);
             self.borrow_next(now, number, &team, effects);
@@ -145,11 +144,9 @@
         let (bucket, shape) = self.team_bucket(now, team);
         let wanted = bucket.missing(now, shape, cost);
         let Some(lender) = lender else {
-            let wait = self.refill_time(now, team, wanted);
             let until = now.after(BORROW_PAUSE);
             self.borrow_pauses.insert(team.name.clone(), until);
-            let kind = ErrorKind::RateExceeded;
-            self.refuse_with_retry(now, number, kind, Some(wait), effects);
+            self.refuse_over_quota(now, number, team, wanted, effects);
             return;
         };
         let message = PeerCall::Borrow {
@@ -159,6 +156,42 @@
         self.call_peer(lender, message, CallPurpose::Borrow(number), effects);
     }
 
+    /// Refuses a request whose team has used up the quota that this instance can reach; `missing`
+    /// units would cover it.
+    fn refuse_over_quota(
+        &mut self,
+        now: ClockTime,
+        number: RequestNumber,
+        team: &TeamConfig,
+        missing: f64,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(record) = self.requests.get(&number) else {
+            return;
+        };
+        let retry_after = self.refill_time(now, team, missing);
+        let (bucket, shape) = (self.team_buckets.get(&team.name), self.team_shape(now, team));
+        let inputs = format!(
+            " team={} cost={} missing={missing:.0} wait_ms={} rate={} burst={} config={} \
+             level={:.0} share={:.0} shares={}",
+            team.name,
+            record.cost,
+            retry_after.as_millis(),
+            team.rate,
+            team.burst,
+            self.config_version(),
+            bucket.map_or(0.0, TeamBucket::level),
+            shape.size,
+            self.share_count(now),
+        );
+        let reason = RefusalReason {
+            kind: ErrorKind::RateExceeded,
+            retry_after: Some(retry_after),
+            inputs,
+        };
+        self.refuse_for(now, number, reason, effects);
+    }
+
     /// Handles the answer to a loan request; `lent` is 0 if the peer lent nothing or failed to
     /// answer.
     pub(super) fn quota_lent(
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -21,6 +21,15 @@
 /// Requests with this or a more urgent priority are accounted at the premium price.
 const PREMIUM_PRIORITY: u8 = 1;
 
+/// Why a request is refused.
+pub(super) struct RefusalReason {
+    pub(super) kind: ErrorKind,
+    /// When the caller should retry, if known.
+    pub(super) retry_after: Option<Duration>,
+    /// Inputs of the decision for the log, as `name=value` pairs that each follow a space.
+    pub(super) inputs: String,
+}
+
 impl GatewayReducer {
     /// Ends a request without a server's response.
     pub(super) fn refuse(
@@ -30,18 +39,27 @@
         kind: ErrorKind,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        self.refuse_with_retry(now, number, kind, None, effects);
+        let reason = RefusalReason {
+            kind,
+            retry_after: None,
+            inputs: String::new(),
+        };
+        self.refuse_for(now, number, reason, effects);
     }
 
-    /// Ends a request without a server's response and tells the caller when to retry.
-    pub(super) fn refuse_with_retry(
+    /// Ends a request without a server's response for the given reason.
+    pub(super) fn refuse_for(
         &mut self,
         now: ClockTime,
         number: RequestNumber,
-        kind: ErrorKind,
-        retry_after: Option<Duration>,
+        reason: RefusalReason,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        let RefusalReason {
+            kind,
+            retry_after,
+            inputs,
+        } = reason;
         let Some(record) = self.requests.remove(&number) else {
             return;
         };
@@ -72,7 +90,7 @@
             bucket.deposit(record.cost);
         }
         let detail = format!(
-            "kind={kind:?} route={} service={} sends={} runs={} looks={} held_ms={}",
+            "kind={kind:?} route={} service={} sends={} runs={} looks={} held_ms={}{inputs}",
             record.route,
             record.service,
             record.sends,
