gateway: let shares of a team's limit refill up to the tolerated bound

Cause: a share held the tolerated excess as burst and refilled at the team's rate. A team that asked for 1.8 times its rate was refused from second 10 on, while the bound over any window allowed 2.3 times the rate. Change: the bound is divided into 15 in 100 of burst and the rest of refill; a restarted process still gets 35 in 100 of the burst, and both together stay within the bound. Retry-After follows the actual refill.

--- a/lib/src/gateway/allowance.rs
+++ b/lib/src/gateway/allowance.rs
@@ -22,6 +22,10 @@
 /// instance may have used the rest within the same window.
 const START_FRACTION: f64 = 0.35;
 
+/// Part of the bound over a window that buckets hold when they are full. The rest is refill, so that
+/// a team that asks for more than its rate all the time still gets most of the bound.
+const BUCKET_FRACTION: f64 = 0.15;
+
 /// Fraction of a full bucket that is not lent.
 const KEPT_FRACTION: f64 = 0.25;
 
@@ -52,15 +56,18 @@
     /// Share of one of `instances` instances in a limit of `rate` and `burst`.
     ///
     /// Over a window, the bucket grants `rate * window + size`. That is `1 / instances` of the
-    /// bound, less what a restarted process starts with.
+    /// bound, less what a restarted process starts with. The refill includes the tolerated excess;
+    /// it is never less than the limit's own rate.
     pub fn for_team(rate: f64, burst: f64, bounds: &QuotaBounds, instances: usize) -> BucketShape {
         let share = 1.0 / instances.max(1) as f64;
         let window = bounds.window.as_secs_f64();
         let total = (rate * window + burst) * (1.0 + bounds.overage) + bounds.slack;
-        let size = (total - rate * window) * share / (1.0 + START_FRACTION);
+        let refill = total * (1.0 - BUCKET_FRACTION * (1.0 + START_FRACTION)) / window;
+        let refill = refill.max(rate);
+        let size = (total - refill * window) / (1.0 + START_FRACTION);
         BucketShape {
-            rate: rate * share,
-            size,
+            rate: refill * share,
+            size: size * share,
         }
     }
 }
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -47,6 +47,11 @@
         if !self.members.is_holder(now, &team.name, MAX_HOLDERS) {
             return BucketShape::EMPTY;
         }
+        self.share_shape(now, team)
+    }
+
+    /// Shape of one share of a team's limit.
+    fn share_shape(&self, now: ClockTime, team: &TeamConfig) -> BucketShape {
         let mut bounds = self.options.bounds.quota;
         if team.unit == QuotaUnit::Requests {
             bounds.slack = bounds.slack.min(team.burst);
@@ -56,7 +61,8 @@
 
     /// Time in which one share of the limit is refilled by `missing` units.
     fn refill_time(&self, now: ClockTime, team: &TeamConfig, missing: f64) -> Duration {
-        let seconds = missing * self.share_count(now) as f64 / team.rate.max(1e-9);
+        let shape = self.share_shape(now, team);
+        let seconds = missing / shape.rate.max(1e-9);
         Duration::from_secs_f64(seconds.min(MAX_RETRY_DELAY.as_secs_f64()))
     }
 
