gateway: tell callers of the instances in their data centre

Cause: the answer to an address lookup listed every instance, whatever data centre the caller named, and more than the 64 that callers use on large fleets. Change: the instances of the caller's data centre, others only where these are few, 64 at most.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -272,8 +272,10 @@
         self.lock().requests.len()
     }
 
-    pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
-        self.lock().reducer.caller_addresses(self.clock.now())
+    /// Addresses for a caller in the given data centre.
+    pub(super) fn caller_addresses(&self, data_centre: Option<&str>) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        self.lock().reducer.caller_addresses(now, data_centre)
     }
 
     /// Limits on callers' requests; `None` until a configuration is known.
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -10,7 +10,10 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use tokio::net::TcpListener;
-use wasabistall_platform::{ADDRESSES_PATH, READINESS_PATH, response::encode_addresses};
+use wasabistall_platform::{
+    ADDRESSES_PATH, READINESS_PATH,
+    response::{decode_caller_data_centre, encode_addresses},
+};
 
 use super::{core::GatewayCore, listen::serve_requests};
 
@@ -42,7 +45,9 @@
 pub(super) async fn serve_addresses(listener: TcpListener, core: Arc<GatewayCore>) {
     serve_requests(listener, move |request| {
         let response = if is_get(&request, ADDRESSES_PATH) {
-            let body = encode_addresses(&core.caller_addresses(), ADDRESS_TTL);
+            let data_centre = decode_caller_data_centre(request.uri().query());
+            let addresses = core.caller_addresses(data_centre.as_deref());
+            let body = encode_addresses(&addresses, ADDRESS_TTL);
             build_response(StatusCode::OK, "application/json", body)
         } else {
             not_found()
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! the time and an event, updates the state and appends effects. It reads no clock, socket or
 //! external source of randomness.
 
+mod addresses;
 mod admission;
 pub mod allowance;
 pub mod catalog;
@@ -398,23 +399,6 @@
             .chain(self.members.alive(now))
             .collect()
     }
-
-    /// Caller addresses of the ready instances, or of all live instances if none is ready.
-    pub fn caller_addresses(&self, now: ClockTime) -> Vec<SocketAddr> {
-        let members = self.members(now);
-        let ready = |record: &&MemberRecord| record.phase == MemberPhase::Ready;
-        let mut addresses: Vec<SocketAddr> = members
-            .iter()
-            .copied()
-            .filter(ready)
-            .map(|record| record.caller_address)
-            .collect();
-        if addresses.is_empty() {
-            // An instance that may soon be ready is better than no address.
-            addresses.extend(members.iter().map(|record| record.caller_address));
-        }
-        addresses
-    }
 }
 
 /// Appends an effect that writes a log line.
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -176,7 +176,10 @@
             return;
         };
         let retry_after = self.refill_time(now, team, missing);
-        let (bucket, shape) = (self.team_buckets.get(&team.name), self.team_shape(now, team));
+        let (bucket, shape) = (
+            self.team_buckets.get(&team.name),
+            self.team_shape(now, team),
+        );
         let inputs = format!(
             " team={} cost={} missing={missing:.0} wait_ms={} rate={} burst={} config={} \
              level={:.0} share={:.0} shares={}",
--- a/lib/tests/gateway_fleet.rs
+++ b/lib/tests/gateway_fleet.rs
@@ -44,7 +44,7 @@
     for index in [0, 1, 2, 3, 5] {
         let addresses = world
             .reducer(index)
-            .caller_addresses(world.local_time(index));
+            .caller_addresses(world.local_time(index), None);
         assert_eq!(addresses.len(), 5, "instance {index}");
     }
     world.start(4);
@@ -52,7 +52,7 @@
     for index in 0..6 {
         let addresses = world
             .reducer(index)
-            .caller_addresses(world.local_time(index));
+            .caller_addresses(world.local_time(index), None);
         assert_eq!(addresses.len(), 6, "instance {index}");
     }
 }
@@ -73,7 +73,7 @@
             .map(|record| record.phase)
             .collect();
         assert_eq!(phases, [MemberPhase::Leaving], "instance {index}");
-        assert_eq!(world.reducer(index).caller_addresses(local).len(), 5);
+        assert_eq!(world.reducer(index).caller_addresses(local, None).len(), 5);
     }
 }
 
