gateway: send claims only to peers that lack them

Cause: each gossip message carried the claims of up to 32 members whose claims had changed within four seconds, in both directions; on busy fleets that is all of them. Change: records state which revision of claims the sender holds; the answer has newer ones, and the caller sends what the answer shows to be missing. The view of owners is rebuilt only when claims changed, and shares them instead of copying. Messages between old and new builds are not compatible.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -326,10 +326,10 @@
         } else if let Some(view) = self.owners.get(&record.id) {
             EngineView {
                 residency: AdapterResidency::new(
-                    is_loaded(&view.models, wanted, version),
-                    is_loaded(&view.recently_evicted, wanted, 0),
+                    is_loaded(&view.claim.models, wanted, version),
+                    is_loaded(&view.claim.recently_evicted, wanted, 0),
                 ),
-                active: view.active,
+                active: view.claim.active,
                 scheduled: true,
                 backlog: view.prefill_until.since(now),
             }
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -1,16 +1,17 @@
 //! Scheduling of model servers: which instance schedules which server, and grants between
 //! instances.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use smol_str::SmolStr;
 
 use super::{
     CallPurpose, GatewayReducer, JOIN_TIME, TimerKind,
-    catalog::{EngineConfig, LoadedModel, ServerReport},
+    catalog::{EngineConfig, ServerReport},
+    claims::ServerClaim,
     event::{GatewayEffect, ModelName, RequestNumber},
     log_event,
-    members::{MemberPhase, MemberRecord, ServerClaim},
+    members::{MemberPhase, MemberRecord},
     message::PeerCall,
     server_scheduler::{
         DeclineReason, GrantKey, GrantRelease, GrantReply, GrantRequest, ServerOrderOutcome,
@@ -32,22 +33,22 @@
     /// Name of the instance.
     pub(super) name: SmolStr,
     pub(super) peer: SocketAddr,
-    pub(super) active: bool,
     /// Time at which the server could start on another prompt.
     pub(super) prefill_until: ClockTime,
-    pub(super) models: Vec<LoadedModel>,
-    pub(super) recently_evicted: Vec<LoadedModel>,
+    pub(super) claim: Arc<ServerClaim>,
 }
 
 impl OwnerView {
-    pub(super) fn new(now: ClockTime, record: &MemberRecord, claim: &ServerClaim) -> OwnerView {
+    pub(super) fn new(
+        now: ClockTime,
+        record: &MemberRecord,
+        claim: &Arc<ServerClaim>,
+    ) -> OwnerView {
         OwnerView {
             name: record.name.clone(),
             peer: record.peer_address,
-            active: claim.active,
             prefill_until: now,
-            models: claim.models.clone(),
-            recently_evicted: claim.recently_evicted.clone(),
+            claim: claim.clone(),
         }
     }
 
@@ -58,7 +59,7 @@
 
     /// Rank among claims to `server`. The largest takes precedence.
     fn rank(&self, server: &str) -> (bool, u64) {
-        (self.active, rendezvous::weight(server, &self.name))
+        (self.claim.active, rendezvous::weight(server, &self.name))
     }
 }
 
@@ -249,7 +250,7 @@
             let (is_loaded, backlog) = if let Some(scheduler) = self.schedulers.get(&other) {
                 (scheduler.has_model(), scheduler.backlog(now))
             } else if let Some(view) = self.owners.get(&server.record.id) {
-                (!view.models.is_empty(), view.prefill_until.since(now))
+                (!view.claim.models.is_empty(), view.prefill_until.since(now))
             } else {
                 (!server.record.models.is_empty(), Duration::ZERO)
             };
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -13,7 +13,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use smol_str::SmolStr;
 
-use super::catalog::LoadedModel;
+use super::claims::{ClaimTable, MemberClaims, ServerClaim};
 use crate::{clock::ClockTime, rendezvous};
 
 /// A member whose heartbeat has not grown for this long is considered dead. Less than the three
@@ -36,8 +36,6 @@
 const GOSSIP_FANOUT: usize = 2;
 /// Maximum number of records in a message.
 const RECORDS_PER_MESSAGE: usize = 32;
-/// Changed claims are sent for this long, by which time they should have reached every instance.
-const CLAIMS_RESEND_TIME: Duration = Duration::from_secs(4);
 /// With at least this many other members, most gossip stays within the instance's data centre.
 const LARGE_FLEET: usize = 12;
 /// In such a fleet, one round in this many also contacts another data centre.
@@ -58,24 +56,6 @@
     Leaving,
 }
 
-/// An instance's claim to schedule a model server.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ServerClaim {
-    /// The server's id.
-    pub server: SmolStr,
-    /// Start of the server's process, in Unix milliseconds.
-    pub started: u64,
-    /// Whether the claimant may already send orders to the server.
-    pub active: bool,
-    /// Largest fencing token of an order that the server accepted.
-    pub fence: u64,
-    /// Base models and adapters loaded on the server.
-    pub models: Vec<LoadedModel>,
-    /// Recently evicted adapters, which the server can load again quickly.
-    #[serde(rename = "recent")]
-    pub recently_evicted: Vec<LoadedModel>,
-}
-
 /// An instance's record of itself, spread by gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -97,11 +77,6 @@
     /// Address on which it accepts messages from peers.
     #[serde(rename = "peers")]
     pub peer_address: SocketAddr,
-    /// Incremented when the claims change.
-    pub claims_revision: u64,
-    /// Claims to the model servers that it schedules; omitted from messages if they have not
-    /// changed recently.
-    pub claims: Option<Arc<Vec<ServerClaim>>>,
     /// Requests that were running when their server crashed, as (fingerprint, number of crashes).
     pub suspects: Vec<(u64, u32)>,
 }
@@ -115,14 +90,14 @@
     /// Time since the sender saw the heartbeat grow.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Revision of the member's claims that the sender holds; 0 if it has none.
+    pub claims_revision: u64,
 }
 
 #[derive(Debug)]
 struct MemberState {
     record: MemberRecord,
     last_heartbeat: ClockTime,
-    /// When its claims were last seen to change.
-    claims_changed: ClockTime,
     /// Its host refused a connection, so no process listens at its address.
     refused: bool,
 }
@@ -133,21 +108,6 @@
     }
 }
 
-impl MemberState {
-    /// Replaces the record with a newer one; keeps the known claims if the newer one omits them.
-    fn update(&mut self, now: ClockTime, mut record: MemberRecord) {
-        let known = (self.record.incarnation, self.record.claims_revision);
-        if (record.incarnation, record.claims_revision) == known {
-            if record.claims.is_none() {
-                record.claims = self.record.claims.take();
-            }
-        } else {
-            self.claims_changed = now;
-        }
-        self.record = record;
-    }
-}
-
 /// A member that is newly alive or newly dead.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberChange {
@@ -161,8 +121,8 @@
 #[derive(Debug)]
 pub struct GossipTable {
     local: MemberRecord,
-    local_claims_changed: ClockTime,
     others: BTreeMap<SmolStr, MemberState>,
+    claims: ClaimTable,
     seed_peers: Vec<SocketAddr>,
     min_instances: usize,
     rounds: u64,
@@ -183,8 +143,8 @@
             .collect();
         GossipTable {
             local,
-            local_claims_changed: ClockTime::ZERO,
             others: BTreeMap::new(),
+            claims: ClaimTable::default(),
             seed_peers,
             min_instances,
             rounds: 0,
@@ -324,6 +284,7 @@
             .retain(|_, member| now.since(member.last_heartbeat) < REMOVAL_TIME);
         let others = &self.others;
         self.last_alive.retain(|name, _| others.contains_key(name));
+        self.claims.retain(|name| others.contains_key(name));
         changes
     }
 
@@ -375,15 +336,7 @@
 
     /// Records to send: the local instance's, then those of live members, of which half are chosen
     /// at random and the rest are those with the most recent heartbeats.
-    ///
-    /// Claims that have not changed recently are omitted unless `all_claims` is set, as the
-    /// receiver asked.
-    pub fn records(
-        &self,
-        now: ClockTime,
-        all_claims: bool,
-        random: &mut ChaCha8Rng,
-    ) -> Vec<AgedRecord> {
+    pub fn records(&self, now: ClockTime, random: &mut ChaCha8Rng) -> Vec<AgedRecord> {
         let timeout = self.timeout();
         let mut members: Vec<&MemberState> = self
             .others
@@ -395,20 +348,15 @@
         let mut recent = members.split_off(members.len().min(RECORDS_PER_MESSAGE / 2));
         recent.sort_by_key(|member| now.since(member.last_heartbeat));
         members.extend(recent);
-        let without_old_claims = |record: &MemberRecord, claims_changed: ClockTime| {
-            let mut record = record.clone();
-            if !all_claims && now.since(claims_changed) >= CLAIMS_RESEND_TIME {
-                record.claims = None;
-            }
-            record
-        };
         let local = AgedRecord {
-            record: without_old_claims(&self.local, self.local_claims_changed),
+            record: self.local.clone(),
             age: Duration::ZERO,
+            claims_revision: self.claims.local_revision(),
         };
         let others = members.into_iter().map(|member| AgedRecord {
-            record: without_old_claims(&member.record, member.claims_changed),
+            record: member.record.clone(),
             age: now.since(member.last_heartbeat),
+            claims_revision: self.claims.revision(&member.record),
         });
         [local]
             .into_iter()
@@ -417,18 +365,24 @@
             .collect()
     }
 
-    /// Whether the claims of any live member are unknown.
-    pub fn lacks_claims(&self, now: ClockTime) -> bool {
-        self.alive(now).any(|record| record.claims.is_none())
+    /// Sets the local instance's claims.
+    pub fn set_claims(&mut self, claims: Vec<ServerClaim>) {
+        self.claims.set_local(claims);
     }
 
-    /// Sets the local instance's claims.
-    pub fn set_claims(&mut self, now: ClockTime, claims: Vec<ServerClaim>) {
-        if self.local.claims.as_deref() != Some(&claims) {
-            self.local.claims = Some(Arc::new(claims));
-            self.local.claims_revision += 1;
-            self.local_claims_changed = now;
-        }
+    /// Claims of a member's current process.
+    pub fn claims(&self, record: &MemberRecord) -> &[Arc<ServerClaim>] {
+        self.claims.claims(record)
+    }
+
+    /// Claims that the sender of `records` lacks.
+    pub fn claims_missing_at(&self, records: &[AgedRecord]) -> Vec<MemberClaims> {
+        self.claims.missing_at_sender(&self.local, records)
+    }
+
+    /// Merges claims received from a peer; returns whether any of them were new.
+    pub fn merge_claims(&mut self, claims: Vec<MemberClaims>) -> bool {
+        self.claims.merge(&self.local, claims)
     }
 
     /// Merges the records received from a peer.
@@ -440,7 +394,7 @@
     }
 
     fn merge_record(&mut self, now: ClockTime, aged: AgedRecord) {
-        let AgedRecord { record, age } = aged;
+        let AgedRecord { record, age, .. } = aged;
         if record.name == self.local.name {
             // By its clock, an earlier process with this name started later than this one.
             if record.incarnation > self.local.incarnation {
@@ -458,9 +412,7 @@
                 if (record.incarnation, record.heartbeat) > known {
                     member.last_heartbeat = last_heartbeat.max(member.last_heartbeat);
                     member.refused = false;
-                    member.update(now, record);
-                } else if record.incarnation == known.0 && member.record.claims.is_none() {
-                    member.record.claims = record.claims;
+                    member.record = record;
                 }
             }
             None => {
@@ -470,7 +422,6 @@
                     MemberState {
                         record,
                         last_heartbeat,
-                        claims_changed: now,
                         refused: false,
                     },
                 );
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    claims::MemberClaims,
     members::AgedRecord,
     replica::CatalogPage,
     server_scheduler::{GrantRelease, GrantReply, GrantRequest},
@@ -18,8 +19,8 @@
 pub struct GossipMessage {
     /// Records of live members.
     pub records: Vec<AgedRecord>,
-    /// Whether the sender needs claims of members that were omitted from records.
-    pub wants_claims: bool,
+    /// In an answer, claims that the caller lacks according to its records.
+    pub claims: Vec<MemberClaims>,
     /// Revision up to which the sender's replica of the catalog is complete.
     pub revision: u64,
     /// Revision of the newest change in the sender's replica.
@@ -36,6 +37,8 @@
 pub enum PeerCall {
     /// Exchanges membership records.
     Gossip(GossipMessage),
+    /// Sends claims that the peer lacks according to its answer to a gossip exchange.
+    Claims(Vec<MemberClaims>),
     /// Requests the changes of the catalog after a revision.
     #[serde(rename = "Board")]
     CatalogChanges {
@@ -65,7 +68,7 @@
     CatalogChanges(CatalogPage),
     /// To [`PeerCall::Grant`].
     Grant(GrantReply),
-    /// To [`PeerCall::Releases`].
+    /// To [`PeerCall::Claims`] and [`PeerCall::Releases`].
     #[serde(rename = "Noted")]
     Acknowledged,
     /// To [`PeerCall::Borrow`]: units lent, which the lender has deducted from its own share.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod allowance;
 pub mod catalog;
 mod choice;
+pub mod claims;
 mod engines;
 pub mod event;
 pub mod members;
@@ -120,6 +121,7 @@
 enum CallPurpose {
     Gossip,
     Catalog,
+    Claims,
     Grant(RequestNumber, GatewayServerKey),
     Borrow(RequestNumber),
     Releases,
@@ -192,8 +194,6 @@
             data_centre: options.data_centre.clone(),
             caller_address: options.caller_address,
             peer_address: options.peer_address,
-            claims_revision: 0,
-            claims: Some(Arc::default()),
             suspects: Vec::new(),
         };
         let members = GossipTable::new(local, options.seed_peers.clone(), options.min_instances);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -4,10 +4,11 @@
 
 use super::{
     CallPurpose, GatewayReducer,
+    claims::{MemberClaims, ServerClaim},
     engines::OwnerView,
     event::GatewayEffect,
     log_event,
-    members::ServerClaim,
+    members::AgedRecord,
     message::{GossipMessage, PeerAnswer, PeerCall, PeerError},
 };
 use crate::clock::ClockTime;
@@ -39,7 +40,7 @@
         self.refresh_own_record(now);
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
-            let message = PeerCall::Gossip(self.gossip_message(now, false));
+            let message = PeerCall::Gossip(self.gossip_message(now, Vec::new()));
             self.call_peer(peer, message, CallPurpose::Gossip, effects);
         }
     }
@@ -66,7 +67,7 @@
                 recently_evicted: scheduler.recent_holdings(),
             })
             .collect();
-        self.members.set_claims(now, claims);
+        self.members.set_claims(claims);
         self.share_suspects(now);
     }
 
@@ -74,10 +75,10 @@
         self.members.local_mut().suspects = self.suspects.crash_counts(now);
     }
 
-    fn gossip_message(&mut self, now: ClockTime, all_claims: bool) -> GossipMessage {
+    fn gossip_message(&mut self, now: ClockTime, claims: Vec<MemberClaims>) -> GossipMessage {
         GossipMessage {
-            records: self.members.records(now, all_claims, &mut self.random),
-            wants_claims: self.members.lacks_claims(now),
+            records: self.members.records(now, &mut self.random),
+            claims,
             revision: self.catalog.revision(),
             last_change: self.catalog.last_change(),
             catalog_age: self.catalog_age(now),
@@ -94,10 +95,15 @@
         let answer = match message {
             PeerCall::Gossip(message) => {
                 let sender = message.records.first().map(|aged| aged.record.peer_address);
-                let answer = PeerAnswer::Gossip(self.gossip_message(now, message.wants_claims));
+                let claims = self.members.claims_missing_at(&message.records);
+                let answer = PeerAnswer::Gossip(self.gossip_message(now, claims));
                 self.gossip_received(now, sender, message, effects);
                 answer
             }
+            PeerCall::Claims(claims) => {
+                self.claims_received(now, claims);
+                PeerAnswer::Acknowledged
+            }
             PeerCall::CatalogChanges { after } => {
                 PeerAnswer::CatalogChanges(self.catalog.changes_after(after))
             }
@@ -125,7 +131,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.members.merge(now, message.records);
-        self.update_owners(now);
+        self.claims_received(now, message.claims);
         if message.last_change > self.catalog.revision() {
             if let Some(peer) = sender {
                 let after = self.catalog.revision();
@@ -142,10 +148,30 @@
         }
     }
 
+    fn claims_received(&mut self, now: ClockTime, claims: Vec<MemberClaims>) {
+        if self.members.merge_claims(claims) {
+            self.update_owners(now);
+        }
+    }
+
+    /// Sends the peer at `address` the claims that it lacks according to `records`.
+    fn send_missing_claims(
+        &mut self,
+        address: SocketAddr,
+        records: &[AgedRecord],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let claims = self.members.claims_missing_at(records);
+        if !claims.is_empty() {
+            let message = PeerCall::Claims(claims);
+            self.call_peer(address, message, CallPurpose::Claims, effects);
+        }
+    }
+
     fn update_owners(&mut self, now: ClockTime) {
         let mut owners = std::collections::BTreeMap::new();
         for record in self.members.alive(now) {
-            for claim in record.claims.iter().flat_map(|claims| claims.iter()) {
+            for claim in self.members.claims(record) {
                 let known = self.fencing_tokens.entry(claim.server.clone()).or_default();
                 *known = (*known).max((claim.started, claim.fence));
                 let view = OwnerView::new(now, record, claim);
@@ -197,6 +223,7 @@
         }
         match (purpose, answer) {
             (CallPurpose::Gossip, Ok(PeerAnswer::Gossip(message))) => {
+                self.send_missing_claims(peer, &message.records, effects);
                 self.gossip_received(now, Some(peer), message, effects);
             }
             (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
