gateway: prefer model servers of the own data centre by what a request moves

Cause: a server in another data centre cost 0.004 a prompt token, 2.6 for a short question against 300 for a load, and output was not counted, so that two of three requests crossed. Change: a cost for each request, prompt token and output token, about 35 for a short question.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -28,8 +28,11 @@
 const STORE_LOAD_COST: f64 = 300.0;
 /// Cost per rank in an adapter's rendezvous order, so that the servers at its head are preferred.
 const RANK_COST: f64 = 10.0;
-/// Cost of sending one prompt token to another data centre.
-const CROSS_DATA_CENTRE_COST: f64 = 0.004;
+/// Cost of using a server in another data centre, whose traffic is slower and billed: per request,
+/// per prompt token and per output token. An event of a stream takes more bytes than its tokens.
+const CROSSING_COST: f64 = 10.0;
+const CROSSING_PROMPT_TOKEN_COST: f64 = 0.02;
+const CROSSING_OUTPUT_TOKEN_COST: f64 = 0.15;
 /// Minimum length, in tokens, of prompts whose prefill stalls other streams noticeably.
 const LONG_PROMPT_TOKENS: u64 = 2_000;
 /// Share of a service's servers that are preferred for long prompts.
@@ -261,7 +264,7 @@
         let wanted = record.request.model.as_ref()?;
         let server = self.servers.get(key);
         let view = self.engine_view(now, key, wanted, version);
-        let tokens = record.request.tokens.map_or(0, |(prompt, _)| prompt);
+        let (tokens, output_tokens) = record.request.tokens.unwrap_or_default();
         let shared: u64 = match record.request.prompt_parts.split_last() {
             Some((_, shared)) if prefix_rank == 0 => {
                 shared.iter().map(|part| u64::from(part.tokens)).sum()
@@ -286,7 +289,9 @@
             cost += adapter_rank as f64 * RANK_COST;
         }
         if server.record.data_centre != self.options.data_centre {
-            cost += tokens as f64 * CROSS_DATA_CENTRE_COST;
+            cost += CROSSING_COST
+                + tokens as f64 * CROSSING_PROMPT_TOKEN_COST
+                + output_tokens as f64 * CROSSING_OUTPUT_TOKEN_COST;
         }
         let first_ms = (view.backlog.as_secs_f64() * 1_000.0).max(load_ms) + prefill_ms;
         let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_SHARE;
