gateway: find the capacity of the weight store within a second of the start

Cause: the limit on concurrent loads starts at half a load a server and grows by 3 in 100 each 100 ms. Change: growth by a quarter each 100 ms until the first load is late, which cuts to 0.6.

--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -16,6 +16,10 @@
 /// shrinks after a late load.
 const WINDOW_GROWTH: f64 = 1.03;
 const WINDOW_CUT: f64 = 0.85;
+/// The same until the first late load: at the start every adapter is missing, and the window has to
+/// find the capacity of an unknown store within a second.
+const STARTUP_GROWTH: f64 = 1.25;
+const STARTUP_CUT: f64 = 0.6;
 /// Concurrent loads tend to be late together. A late load within this time of a cut doesn't cut the
 /// window again, and the window doesn't grow meanwhile.
 const LATE_CUT_INTERVAL: Duration = Duration::from_millis(400);
@@ -36,6 +40,8 @@
     /// Whether a load had to wait since the last adjustment.
     was_limited: bool,
     late_until: ClockTime,
+    /// Whether no load has been late yet.
+    starting: bool,
 }
 
 impl Default for LoadLimiter {
@@ -53,6 +59,7 @@
             free_at: Vec::new(),
             was_limited: false,
             late_until: ClockTime::ZERO,
+            starting: true,
         }
     }
 
@@ -87,7 +94,13 @@
     /// Shrinks the window after a load that didn't complete in time.
     pub fn record_late_load(&mut self, now: ClockTime) {
         if now >= self.late_until {
-            self.window = (self.window * WINDOW_CUT).max(MIN_WINDOW);
+            let cut = if self.starting {
+                STARTUP_CUT
+            } else {
+                WINDOW_CUT
+            };
+            self.starting = false;
+            self.window = (self.window * cut).max(MIN_WINDOW);
             self.late_until = now.after(LATE_CUT_INTERVAL);
         }
     }
@@ -95,7 +108,12 @@
     /// Grows the window if a load had to wait and none was late.
     pub fn adjust(&mut self, now: ClockTime) {
         if std::mem::take(&mut self.was_limited) && now >= self.late_until {
-            self.window = (self.window * WINDOW_GROWTH).min(MAX_WINDOW);
+            let growth = if self.starting {
+                STARTUP_GROWTH
+            } else {
+                WINDOW_GROWTH
+            };
+            self.window = (self.window * growth).min(MAX_WINDOW);
         }
     }
 }
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -494,6 +494,51 @@
     );
 }
 
+/// Requests one new adapter at each of eight servers every 200 ms for 1.6 s; returns how many of the
+/// last eight loads start at once.
+fn loads_started_at_once(load_limiter: &mut LoadLimiter) -> usize {
+    let engine = FakeEngine::new(3);
+    let config = engine_config(16);
+    let (mut schedulers, times): (Vec<_>, Vec<_>) =
+        (0..8).map(|_| active_scheduler(&engine)).unzip();
+    load_limiter.set_server_count(schedulers.len());
+    let mut started = 0;
+    for step in 0..9 {
+        let now = times[0].after(Duration::from_millis(200) * step);
+        started = 0;
+        for scheduler in &mut schedulers {
+            // Adapters are known to be loaded once a report lists them.
+            let request = grant_request(u64::from(step), &format!("a{step}"));
+            let reply = scheduler.decide(now, &config, &request, load_limiter);
+            if matches!(reply, GrantReply::Granted { wait, .. } if wait < Duration::from_millis(270))
+            {
+                started += 1;
+            }
+            scheduler.release(now, &release(u64::from(step), Some(Duration::ZERO), false));
+        }
+        load_limiter.adjust(now);
+        load_limiter.set_server_count(schedulers.len());
+    }
+    started
+}
+
+/// Pattern: cold start of all. Every adapter is missing at once, and the store bears more loads than
+/// the limiter assumes at first; it has to find that out within two seconds.
+#[test]
+fn cold_start_of_all_finds_the_capacity_of_the_store() {
+    let started = loads_started_at_once(&mut LoadLimiter::default());
+    assert!(started >= 6, "{started} of 8");
+}
+
+/// The first late load ends the fast growth.
+#[test]
+fn cold_start_of_all_at_a_slow_store_grows_slowly_after_a_late_load() {
+    let mut load_limiter = LoadLimiter::default();
+    load_limiter.record_late_load(ClockTime::from_millis(500));
+    let started = loads_started_at_once(&mut load_limiter);
+    assert!(started <= 4, "{started} of 8");
+}
+
 /// A first event, reported long before the stream ends, moves the start of later prompts.
 #[test]
 fn a_first_event_corrects_the_backlog() {
