gateway: reconcile the claims of every record in a gossip exchange

Change: the answer also names members of which the caller has newer claims, and a second call sends these and asks for the rest. During a process's first four seconds messages have 128 records instead of 32.

--- a/lib/src/gateway/claims.rs
+++ b/lib/src/gateway/claims.rs
@@ -1,7 +1,9 @@
 //! Claims of instances to schedule model servers, with what the servers hold.
 //!
 //! Claims are much larger than membership records and change with each adapter that is loaded. In a
-//! gossip exchange, both sides state which revisions they hold, and only newer ones are sent.
+//! gossip exchange, both sides state which revisions they hold, and each sends the other only what
+//! it lacks: the called one in its answer, the caller in a second call, whose answer has the claims
+//! of members that the first call did not mention.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -75,17 +77,24 @@
         }
     }
 
-    /// Revision of the claims held for a member: those of its current process, else 0.
-    pub fn revision(&self, record: &MemberRecord) -> u64 {
-        self.others
-            .get(&record.name)
-            .filter(|claims| claims.incarnation == record.incarnation)
-            .map_or(0, |claims| claims.revision)
+    /// Revision of the claims held for the process of `record`; 0 if there are none.
+    pub fn revision(&self, local: &MemberRecord, record: &MemberRecord) -> u64 {
+        let (incarnation, revision) = self.version(local, &record.name);
+        if incarnation == record.incarnation {
+            revision
+        } else {
+            0
+        }
     }
 
-    /// Revision of the local instance's claims.
-    pub fn local_revision(&self) -> u64 {
-        self.local_revision
+    /// Incarnation and revision of the claims held for a member.
+    fn version(&self, local: &MemberRecord, member: &str) -> (u64, u64) {
+        if member == local.name {
+            return (local.incarnation, self.local_revision);
+        }
+        self.others
+            .get(member)
+            .map_or((0, 0), MemberClaims::version)
     }
 
     /// Claims of a member's current process.
@@ -96,35 +105,47 @@
             .map_or(&[], |claims| &claims.claims)
     }
 
-    /// Claims that the sender of `records` lacks: newer ones of the members listed there, and those
-    /// of the local instance unless it has them.
-    pub fn missing_at_sender(
+    /// Claims that the sender of `records` lacks, of the members listed there.
+    pub fn newer_than(&self, local: &MemberRecord, records: &[AgedRecord]) -> Vec<MemberClaims> {
+        let newer = records
+            .iter()
+            .filter(|aged| self.version(local, &aged.record.name) > sender_version(aged))
+            .map(|aged| &aged.record.name);
+        self.of_members(local, newer)
+    }
+
+    /// Members of which the sender of `records` has newer claims.
+    pub fn older_than(&self, local: &MemberRecord, records: &[AgedRecord]) -> Vec<SmolStr> {
+        records
+            .iter()
+            .filter(|aged| aged.claims_revision > 0 && aged.record.name != local.name)
+            .filter(|aged| self.version(local, &aged.record.name) < sender_version(aged))
+            .map(|aged| aged.record.name.clone())
+            .collect()
+    }
+
+    /// Claims of the given members, as far as they are known.
+    pub fn of_members<'n>(
         &self,
         local: &MemberRecord,
-        records: &[AgedRecord],
+        members: impl Iterator<Item = &'n SmolStr>,
     ) -> Vec<MemberClaims> {
-        let is_local = |aged: &AgedRecord| aged.record.name == local.name;
-        let known_local = records
-            .iter()
-            .find(|aged| is_local(aged))
-            .map(|aged| (aged.record.incarnation, aged.claims_revision));
-        let own = MemberClaims {
-            member: local.name.clone(),
-            incarnation: local.incarnation,
-            revision: self.local_revision,
-            claims: self.local.clone(),
+        let claims_of = |member: &SmolStr| {
+            if *member != local.name {
+                return self.others.get(member).cloned();
+            }
+            (self.local_revision > 0).then(|| MemberClaims {
+                member: local.name.clone(),
+                incarnation: local.incarnation,
+                revision: self.local_revision,
+                claims: self.local.clone(),
+            })
         };
-        let own = (self.local_revision > 0 && known_local != Some(own.version())).then_some(own);
-        let newer = records.iter().filter_map(|aged| {
-            let held = self.others.get(&aged.record.name)?;
-            let known = (aged.record.incarnation, aged.claims_revision);
-            (held.version() > known).then(|| held.clone())
-        });
-        own.into_iter().chain(newer).collect()
+        members.filter_map(claims_of).collect()
     }
 
     /// Applies claims received from a peer; returns whether any of them were new.
-    pub fn merge(&mut self, local: &MemberRecord, received: Vec<MemberClaims>) -> bool {
+    pub fn merge(&mut self, local: &MemberRecord, received: &[MemberClaims]) -> bool {
         let mut changed = false;
         for claims in received {
             let is_known = claims.member == local.name
@@ -133,7 +154,7 @@
                     .get(&claims.member)
                     .is_some_and(|known| known.version() >= claims.version());
             if !is_known {
-                self.others.insert(claims.member.clone(), claims);
+                self.others.insert(claims.member.clone(), claims.clone());
                 changed = true;
             }
         }
@@ -145,3 +166,11 @@
         self.others.retain(|name, _| is_known(name));
     }
 }
+
+/// Incarnation and revision of the claims that a record's sender holds.
+fn sender_version(aged: &AgedRecord) -> (u64, u64) {
+    if aged.claims_revision == 0 {
+        return (0, 0);
+    }
+    (aged.record.incarnation, aged.claims_revision)
+}
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -36,6 +36,9 @@
 const GOSSIP_FANOUT: usize = 2;
 /// Maximum number of records in a message.
 const RECORDS_PER_MESSAGE: usize = 32;
+/// The same during the first [`SETTLING_TIME`] of a process. After a restart of all instances, each
+/// has to know the claims of all others before the first of them may send orders.
+const SETTLING_RECORDS_PER_MESSAGE: usize = 128;
 /// With at least this many other members, most gossip stays within the instance's data centre.
 const LARGE_FLEET: usize = 12;
 /// In such a fleet, one round in this many also contacts another data centre.
@@ -338,6 +341,11 @@
     /// at random and the rest are those with the most recent heartbeats.
     pub fn records(&self, now: ClockTime, random: &mut ChaCha8Rng) -> Vec<AgedRecord> {
         let timeout = self.timeout();
+        let limit = if now.since(ClockTime::ZERO) < SETTLING_TIME {
+            SETTLING_RECORDS_PER_MESSAGE
+        } else {
+            RECORDS_PER_MESSAGE
+        };
         let mut members: Vec<&MemberState> = self
             .others
             .values()
@@ -345,24 +353,20 @@
             .collect();
         // The random half ensures that every record is eventually refreshed everywhere.
         members.shuffle(random);
-        let mut recent = members.split_off(members.len().min(RECORDS_PER_MESSAGE / 2));
+        let mut recent = members.split_off(members.len().min(limit / 2));
         recent.sort_by_key(|member| now.since(member.last_heartbeat));
         members.extend(recent);
         let local = AgedRecord {
             record: self.local.clone(),
             age: Duration::ZERO,
-            claims_revision: self.claims.local_revision(),
+            claims_revision: self.claims.revision(&self.local, &self.local),
         };
         let others = members.into_iter().map(|member| AgedRecord {
             record: member.record.clone(),
             age: now.since(member.last_heartbeat),
-            claims_revision: self.claims.revision(&member.record),
+            claims_revision: self.claims.revision(&self.local, &member.record),
         });
-        [local]
-            .into_iter()
-            .chain(others)
-            .take(RECORDS_PER_MESSAGE)
-            .collect()
+        [local].into_iter().chain(others).take(limit).collect()
     }
 
     /// Sets the local instance's claims.
@@ -376,24 +380,34 @@
     }
 
     /// Claims that the sender of `records` lacks.
-    pub fn claims_missing_at(&self, records: &[AgedRecord]) -> Vec<MemberClaims> {
-        self.claims.missing_at_sender(&self.local, records)
+    pub fn claims_newer_than(&self, records: &[AgedRecord]) -> Vec<MemberClaims> {
+        self.claims.newer_than(&self.local, records)
+    }
+
+    /// Members of which the sender of `records` has newer claims.
+    pub fn claims_older_than(&self, records: &[AgedRecord]) -> Vec<SmolStr> {
+        self.claims.older_than(&self.local, records)
+    }
+
+    /// Claims of the given members, as far as they are known.
+    pub fn claims_of(&self, members: &[SmolStr]) -> Vec<MemberClaims> {
+        self.claims.of_members(&self.local, members.iter())
     }
 
     /// Merges claims received from a peer; returns whether any of them were new.
-    pub fn merge_claims(&mut self, claims: Vec<MemberClaims>) -> bool {
+    pub fn merge_claims(&mut self, claims: &[MemberClaims]) -> bool {
         self.claims.merge(&self.local, claims)
     }
 
     /// Merges the records received from a peer.
-    pub fn merge(&mut self, now: ClockTime, records: Vec<AgedRecord>) {
+    pub fn merge(&mut self, now: ClockTime, records: &[AgedRecord]) {
         self.last_message = Some(now);
         for aged in records {
             self.merge_record(now, aged);
         }
     }
 
-    fn merge_record(&mut self, now: ClockTime, aged: AgedRecord) {
+    fn merge_record(&mut self, now: ClockTime, aged: &AgedRecord) {
         let AgedRecord { record, age, .. } = aged;
         if record.name == self.local.name {
             // By its clock, an earlier process with this name started later than this one.
@@ -412,7 +426,7 @@
                 if (record.incarnation, record.heartbeat) > known {
                     member.last_heartbeat = last_heartbeat.max(member.last_heartbeat);
                     member.refused = false;
-                    member.record = record;
+                    member.record = record.clone();
                 }
             }
             None => {
@@ -420,7 +434,7 @@
                 self.others.insert(
                     name,
                     MemberState {
-                        record,
+                        record: record.clone(),
                         last_heartbeat,
                         refused: false,
                     },
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -21,6 +21,8 @@
     pub records: Vec<AgedRecord>,
     /// In an answer, claims that the caller lacks according to its records.
     pub claims: Vec<MemberClaims>,
+    /// In an answer, members of which the caller has newer claims.
+    pub wanted: Vec<SmolStr>,
     /// Revision up to which the sender's replica of the catalog is complete.
     pub revision: u64,
     /// Revision of the newest change in the sender's replica.
@@ -37,8 +39,13 @@
 pub enum PeerCall {
     /// Exchanges membership records.
     Gossip(GossipMessage),
-    /// Sends claims that the peer lacks according to its answer to a gossip exchange.
-    Claims(Vec<MemberClaims>),
+    /// Exchanges claims after a gossip exchange.
+    Claims {
+        /// Claims that the peer wanted in its answer.
+        claims: Vec<MemberClaims>,
+        /// Members of which the peer has newer claims.
+        wanted: Vec<SmolStr>,
+    },
     /// Requests the changes of the catalog after a revision.
     #[serde(rename = "Board")]
     CatalogChanges {
@@ -68,7 +75,9 @@
     CatalogChanges(CatalogPage),
     /// To [`PeerCall::Grant`].
     Grant(GrantReply),
-    /// To [`PeerCall::Claims`] and [`PeerCall::Releases`].
+    /// To [`PeerCall::Claims`]: the wanted claims.
+    Claims(Vec<MemberClaims>),
+    /// To [`PeerCall::Releases`].
     #[serde(rename = "Noted")]
     Acknowledged,
     /// To [`PeerCall::Borrow`]: units lent, which the lender has deducted from its own share.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -40,7 +40,7 @@
         self.refresh_own_record(now);
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
-            let message = PeerCall::Gossip(self.gossip_message(now, Vec::new()));
+            let message = PeerCall::Gossip(self.gossip_message(now, &[]));
             self.call_peer(peer, message, CallPurpose::Gossip, effects);
         }
     }
@@ -75,10 +75,12 @@
         self.members.local_mut().suspects = self.suspects.crash_counts(now);
     }
 
-    fn gossip_message(&mut self, now: ClockTime, claims: Vec<MemberClaims>) -> GossipMessage {
+    /// Builds a call, or the answer to a call with the records `received`.
+    fn gossip_message(&mut self, now: ClockTime, received: &[AgedRecord]) -> GossipMessage {
         GossipMessage {
             records: self.members.records(now, &mut self.random),
-            claims,
+            claims: self.members.claims_newer_than(received),
+            wanted: self.members.claims_older_than(received),
             revision: self.catalog.revision(),
             last_change: self.catalog.last_change(),
             catalog_age: self.catalog_age(now),
@@ -95,14 +97,13 @@
         let answer = match message {
             PeerCall::Gossip(message) => {
                 let sender = message.records.first().map(|aged| aged.record.peer_address);
-                let claims = self.members.claims_missing_at(&message.records);
-                let answer = PeerAnswer::Gossip(self.gossip_message(now, claims));
-                self.gossip_received(now, sender, message, effects);
+                let answer = PeerAnswer::Gossip(self.gossip_message(now, &message.records));
+                self.gossip_received(now, sender, &message, effects);
                 answer
             }
-            PeerCall::Claims(claims) => {
-                self.claims_received(now, claims);
-                PeerAnswer::Acknowledged
+            PeerCall::Claims { claims, wanted } => {
+                self.claims_received(now, &claims);
+                PeerAnswer::Claims(self.members.claims_of(&wanted))
             }
             PeerCall::CatalogChanges { after } => {
                 PeerAnswer::CatalogChanges(self.catalog.changes_after(after))
@@ -127,11 +128,11 @@
         &mut self,
         now: ClockTime,
         sender: Option<SocketAddr>,
-        message: GossipMessage,
+        message: &GossipMessage,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        self.members.merge(now, message.records);
-        self.claims_received(now, message.claims);
+        self.members.merge(now, &message.records);
+        self.claims_received(now, &message.claims);
         if message.last_change > self.catalog.revision() {
             if let Some(peer) = sender {
                 let after = self.catalog.revision();
@@ -148,23 +149,27 @@
         }
     }
 
-    fn claims_received(&mut self, now: ClockTime, claims: Vec<MemberClaims>) {
+    fn claims_received(&mut self, now: ClockTime, claims: &[MemberClaims]) {
         if self.members.merge_claims(claims) {
             self.update_owners(now);
         }
     }
 
-    /// Sends the peer at `address` the claims that it lacks according to `records`.
-    fn send_missing_claims(
+    /// Handles the answer to a gossip call: sends the claims that the peer wanted, and asks for those
+    /// that it has newer.
+    fn gossip_answered(
         &mut self,
-        address: SocketAddr,
-        records: &[AgedRecord],
+        now: ClockTime,
+        peer: SocketAddr,
+        message: &GossipMessage,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let claims = self.members.claims_missing_at(records);
-        if !claims.is_empty() {
-            let message = PeerCall::Claims(claims);
-            self.call_peer(address, message, CallPurpose::Claims, effects);
+        self.gossip_received(now, Some(peer), message, effects);
+        let claims = self.members.claims_of(&message.wanted);
+        let wanted = self.members.claims_older_than(&message.records);
+        if !claims.is_empty() || !wanted.is_empty() {
+            let message = PeerCall::Claims { claims, wanted };
+            self.call_peer(peer, message, CallPurpose::Claims, effects);
         }
     }
 
@@ -223,8 +228,10 @@
         }
         match (purpose, answer) {
             (CallPurpose::Gossip, Ok(PeerAnswer::Gossip(message))) => {
-                self.send_missing_claims(peer, &message.records, effects);
-                self.gossip_received(now, Some(peer), message, effects);
+                self.gossip_answered(now, peer, &message, effects);
+            }
+            (CallPurpose::Claims, Ok(PeerAnswer::Claims(claims))) => {
+                self.claims_received(now, &claims);
             }
             (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
                 self.apply_page(now, page, effects);
