gateway: grow concurrent loads by loads in time, and wait where an adapter is late

A request that was rejected because its adapter was late went to another server, which then loaded the adapter as well. Change: until the first late load, the window grows with each load from the store that was in time, by half within a load's time; a rejected request asks the same scheduler again.

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -357,8 +357,8 @@
             return;
         };
         if let Some(scheduler) = self.schedulers.get_mut(&key) {
-            if scheduler.release(now, release) {
-                self.load_limiter.record_late_load(now);
+            if let Some(timing) = scheduler.release(now, release) {
+                self.load_limiter.record_timing(now, timing);
             }
             self.run_scheduler(now, key, effects);
         }
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -587,7 +587,15 @@
             }
         }
         record.selection_deadline = record.selection_deadline.max(now.after(SELECTION_DELAY));
-        self.try_another_server(now, number, server, effects);
+        if matches!(end, AttemptEnd::Rejected { misdirected: true })
+            && record.request.model.is_some()
+        {
+            // The adapter is still loading there. Its scheduler knows by now and says how long to
+            // wait; another server would have to load it as well.
+            self.continue_request(now, number, effects);
+        } else {
+            self.try_another_server(now, number, server, effects);
+        }
     }
 }
 
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -16,14 +16,25 @@
 /// shrinks after a late load.
 const WINDOW_GROWTH: f64 = 1.03;
 const WINDOW_CUT: f64 = 0.85;
-/// The same until the first late load: at the start every adapter is missing, and the window has to
-/// find the capacity of an unknown store within a second.
-const STARTUP_GROWTH: f64 = 1.25;
+/// Until the first late load, each load that was in time grows the window such that it grows by this
+/// share within the time of a load: at the start every adapter is missing, and the window has to
+/// find the capacity of an unknown store quickly.
+const STARTUP_GROWTH: f64 = 0.5;
+/// Factor by which that late load shrinks the window.
 const STARTUP_CUT: f64 = 0.6;
 /// Concurrent loads tend to be late together. A late load within this time of a cut doesn't cut the
 /// window again, and the window doesn't grow meanwhile.
 const LATE_CUT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// What a request shows about a load from the weight store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadTiming {
+    /// The adapter was loaded when it was expected to be.
+    Timely,
+    /// It was not.
+    Late,
+}
+
 /// Limits an instance's concurrent loads from the weight store, which slows down under many of
 /// them.
 ///
@@ -39,6 +50,8 @@
     free_at: Vec<ClockTime>,
     /// Whether a load had to wait since the last adjustment.
     was_limited: bool,
+    /// The same between the last two adjustments.
+    is_limited: bool,
     late_until: ClockTime,
     /// Whether no load has been late yet.
     starting: bool,
@@ -58,6 +71,7 @@
             window,
             free_at: Vec::new(),
             was_limited: false,
+            is_limited: false,
             late_until: ClockTime::ZERO,
             starting: true,
         }
@@ -91,6 +105,18 @@
         Some(start)
     }
 
+    /// Adapts the window to what a request shows about a load.
+    pub fn record_timing(&mut self, now: ClockTime, timing: LoadTiming) {
+        match timing {
+            LoadTiming::Timely if self.starting && self.is_limited => {
+                let growth = 1.0 + STARTUP_GROWTH / self.max_loads().max(1.0);
+                self.window = (self.window * growth).min(MAX_WINDOW);
+            }
+            LoadTiming::Timely => {}
+            LoadTiming::Late => self.record_late_load(now),
+        }
+    }
+
     /// Shrinks the window after a load that didn't complete in time.
     pub fn record_late_load(&mut self, now: ClockTime) {
         if now >= self.late_until {
@@ -107,13 +133,9 @@
 
     /// Grows the window if a load had to wait and none was late.
     pub fn adjust(&mut self, now: ClockTime) {
-        if std::mem::take(&mut self.was_limited) && now >= self.late_until {
-            let growth = if self.starting {
-                STARTUP_GROWTH
-            } else {
-                WINDOW_GROWTH
-            };
-            self.window = (self.window * growth).min(MAX_WINDOW);
+        self.is_limited = std::mem::take(&mut self.was_limited);
+        if self.is_limited && now >= self.late_until {
+            self.window = (self.window * WINDOW_GROWTH).min(MAX_WINDOW);
         }
     }
 }
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -20,7 +20,7 @@
 use self::prefill::PrefillModel;
 pub use self::{
     grant::{DeclineReason, GrantKey, GrantRelease, GrantReply, GrantRequest},
-    load_limiter::LoadLimiter,
+    load_limiter::{LoadLimiter, LoadTiming},
     orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
 };
 use super::{
@@ -82,6 +82,8 @@
     last_used_at: ClockTime,
     /// Whether the adapter is known to be loaded: a request ran on it, or a report lists it.
     confirmed: bool,
+    /// Whether its load was ordered from the weight store.
+    from_store: bool,
 }
 
 impl AdapterSlot {
@@ -438,6 +440,7 @@
             changed_at: now,
             last_used_at: now,
             confirmed: false,
+            from_store: !is_recently_evicted,
         });
         self.start_loads(now, config);
         Ok(ready_at)
@@ -545,46 +548,50 @@
             .count()
     }
 
-    /// Applies the progress or the end of a granted request. Returns whether an adapter that should
-    /// have been loaded was missing.
-    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> bool {
-        let Some(grant) = self.grants.get(&release.key) else {
-            return false;
-        };
+    /// Applies the progress or the end of a granted request. Returns what it shows about a load from
+    /// the weight store, if anything.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) -> Option<LoadTiming> {
+        let grant = self.grants.get(&release.key)?;
         let (model, adapter) = (grant.model.clone(), grant.adapter.clone());
-        if let Some(first) = release.first_event {
-            self.record_first_event(now, &release.key, first);
-        }
+        let timing = release
+            .first_event
+            .and_then(|first| self.record_first_event(now, &release.key, first));
         if !release.ended {
-            return false;
+            return timing;
         }
         self.grants.remove(&release.key);
-        if release.adapter_missing
-            && let Some(adapter) = &adapter
-        {
-            self.record_late_load(now, &model, adapter);
+        match adapter {
+            Some(adapter) if release.adapter_missing => {
+                self.record_late_load(now, &model, &adapter);
+                Some(LoadTiming::Late)
+            }
+            _ => timing,
         }
-        release.adapter_missing && adapter.is_some()
     }
 
     /// Updates the load and prefill estimates after the first event of a request, which came
-    /// `first` after it was sent.
-    fn record_first_event(&mut self, now: ClockTime, key: &GrantKey, first: Duration) {
-        let Some(grant) = self.grants.get_mut(key) else {
-            return;
-        };
+    /// `first` after it was sent. Returns whether it confirms a load from the weight store.
+    fn record_first_event(
+        &mut self,
+        now: ClockTime,
+        key: &GrantKey,
+        first: Duration,
+    ) -> Option<LoadTiming> {
+        let grant = self.grants.get_mut(key)?;
         if std::mem::replace(&mut grant.has_first_event, true) {
-            return;
+            return None;
         }
         let grant = grant.clone();
         self.load_time_factor = 1.0 + (self.load_time_factor - 1.0) * LOAD_TIME_FACTOR_DECAY;
+        let mut timing = None;
         if let Some(adapter) = &grant.adapter
             && let Some(slot) = self.slot(&grant.model, adapter)
         {
-            slot.confirmed = true;
+            let was_confirmed = std::mem::replace(&mut slot.confirmed, true);
+            timing = (slot.from_store && !was_confirmed).then_some(LoadTiming::Timely);
         }
         if grant.uncached_tokens < LONG_PREFILL_TOKENS {
-            return;
+            return timing;
         }
         // Shift the start of queued prompts by the difference between the actual and the expected
         // time.
@@ -604,6 +611,7 @@
         let prefill_time = first.saturating_sub(waited);
         self.prefill_model
             .record(grant.prompt_tokens, grant.uncached_tokens, prefill_time);
+        timing
     }
 
     /// Handles a response that says that the server lacks an adapter which should be loaded by now.
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -239,6 +239,7 @@
                 changed_at: now,
                 last_used_at: now,
                 confirmed: true,
+                from_store: false,
             });
         }
     }
@@ -267,6 +268,7 @@
                     changed_at: ClockTime::ZERO,
                     last_used_at: ClockTime::ZERO,
                     confirmed: true,
+                    from_store: false,
                 });
             }
         }
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -120,6 +120,7 @@
             changed_at: now,
             last_used_at: now,
             confirmed: ready_at <= now,
+            from_store: false,
         });
     }
 
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -12,7 +12,7 @@
     clock::ClockTime,
     gateway::server_scheduler::{
         DeclineReason, FENCE_TIME_BITS, GrantKey, GrantRelease, GrantReply, GrantRequest,
-        LoadLimiter, OrderAction, ServerOrder, ServerOrderOutcome, ServerScheduler,
+        LoadLimiter, LoadTiming, OrderAction, ServerOrder, ServerOrderOutcome, ServerScheduler,
     },
 };
 
@@ -165,7 +165,10 @@
     execute_orders(&mut scheduler, &mut engine, now);
     let later = now.after(Duration::from_millis(300));
     for request in [1, 2, 3] {
-        assert!(!scheduler.release(later, &release(request, None, false)));
+        assert_eq!(
+            scheduler.release(later, &release(request, None, false)),
+            None
+        );
     }
     let reply = scheduler.decide(later, &config, &grant_request(4, "a4"), &mut load_limiter);
     assert_matches!(
@@ -194,7 +197,10 @@
     }
     execute_orders(&mut scheduler, &mut engine, now);
     let later = now.after(Duration::from_millis(800));
-    assert!(scheduler.release(later, &release(1, None, true)));
+    assert_eq!(
+        scheduler.release(later, &release(1, None, true)),
+        Some(LoadTiming::Late)
+    );
     scheduler.decide(later, &config, &grant_request(4, "a4"), &mut load_limiter);
     execute_orders(&mut scheduler, &mut engine, later);
     assert_eq!(engine.overfilled, None);
@@ -506,6 +512,7 @@
     for step in 0..9 {
         let now = times[0].after(Duration::from_millis(200) * step);
         started = 0;
+        let mut timings = Vec::new();
         for scheduler in &mut schedulers {
             // Adapters are known to be loaded once a report lists them.
             let request = grant_request(u64::from(step), &format!("a{step}"));
@@ -514,9 +521,13 @@
             {
                 started += 1;
             }
-            scheduler.release(now, &release(u64::from(step), Some(Duration::ZERO), false));
+            let release = release(u64::from(step), Some(Duration::ZERO), false);
+            timings.extend(scheduler.release(now, &release));
         }
         load_limiter.adjust(now);
+        for timing in timings {
+            load_limiter.record_timing(now, timing);
+        }
         load_limiter.set_server_count(schedulers.len());
     }
     started
