gateway: bound the bodies that a process holds, and end streams that nobody reads

Cause: each answer of a server might take 16 MB, a caller's body was awaited without a limit in time and before its key was checked, and the relay of a stream waited for its caller without looking at the deadline. Change: bodies of requests and responses share a quarter of memory_mb of the settings; route and key are checked on the head; a body has the route's time, then 408, and without memory 503; the deadline ends a stream while a write waits, and a connection without progress for five seconds is closed. A stream needs an explicit end to look complete.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::TryStreamExt;
-use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::BoxBody};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
@@ -22,6 +22,7 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
 };
+use tokio_io_timeout::TimeoutStream;
 use twox_hash::XxHash3_64;
 use wasabistall_lib::{
     error::{ErrorKind, RefusalBody, RunState},
@@ -36,11 +37,11 @@
 
 use super::{
     core::{CommandReceiver, GatewayCore, RequestCommand},
-    forward::{AttemptResult, CallerCall, StreamResponse, StreamRest, run_attempt},
+    forward::{AttemptResult, CallerCall, ServerResponse, StreamResponse, StreamRest, run_attempt},
+    held::{BodyError, HeldBody, read_body},
     listen,
     resume::ResumeBuffer,
 };
-use crate::client::FullResponse;
 
 /// Limits used until a configuration is known.
 const DEFAULT_BOUNDS: CallerBounds = CallerBounds {
@@ -53,7 +54,16 @@
 /// Smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Number of stream chunks buffered for a slow caller.
-const STREAM_QUEUE_CAPACITY: usize = 64;
+const STREAM_QUEUE_CAPACITY: usize = 16;
+/// Time without progress after which a caller that doesn't read its response is disconnected.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest body that is read, and ignored, of a request that its head decides, in bytes. A caller
+/// may miss a response that arrives while it still sends.
+const MAX_IGNORED_BYTES: usize = 64 * 1024;
+/// Time for that.
+const IGNORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Retry delay for a caller whose body found no memory.
+const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 type CallerBody = BoxBody<Bytes, io::Error>;
 
@@ -68,6 +78,8 @@
 async fn serve_connection(stream: TcpStream, core: Arc<GatewayCore>) {
     let bounds = core.caller_bounds().unwrap_or(DEFAULT_BOUNDS);
     let mut closing = core.closing();
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(WRITE_TIMEOUT));
     let service = service_fn(|request| {
         let core = core.clone();
         async move { Ok::<_, Infallible>(handle(core, request).await) }
@@ -78,7 +90,7 @@
         .header_read_timeout(bounds.idle_time + IDLE_MARGIN)
         .max_buf_size((bounds.header_bytes * 2).max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
     let close_requested = async {
         // An error is impossible: the sender lives as long as the process.
@@ -153,16 +165,6 @@
     if header_bytes(&parts.headers) > bounds.header_bytes {
         return refusal(ErrorKind::HeadersTooLarge, None);
     }
-    let body = match Limited::new(body, bounds.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return refusal(ErrorKind::BodyTooLarge, None);
-        }
-        Err(error) => {
-            tracing::debug!(%error, "cannot read the request body");
-            return refusal(ErrorKind::MalformedRequest, None);
-        }
-    };
     let head = decode_request(
         &parts.headers,
         parts
@@ -170,11 +172,32 @@
             .authority()
             .map(hyper::http::uri::Authority::as_str),
     );
+    let timeout = match core.check_head(&head.host, parts.uri.path(), head.key.as_ref()) {
+        Ok(timeout) => head.deadline.unwrap_or(timeout).min(timeout),
+        Err(kind) => {
+            tracing::info!(
+                event = "request_refused",
+                attempt = %head.attempt,
+                detail = %format_args!("kind={kind:?} stage=head config={}", core.config_version())
+            );
+            ignore_body(&core, body).await;
+            return refusal(kind, None);
+        }
+    };
+    let body = read_body(body, bounds.body_bytes, &core.bodies);
+    let body = match tokio::time::timeout(timeout, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return body_refusal(&head.attempt, error),
+        Err(_) => {
+            log_body_refusal(&head.attempt, ErrorKind::BodyTimeout);
+            return refusal(ErrorKind::BodyTimeout, None);
+        }
+    };
     let line_hash = XxHash3_64::oneshot_with_seed(
         XxHash3_64::oneshot(parts.method.as_str().as_bytes()),
         parts.uri.path().as_bytes(),
     );
-    let content_hash = XxHash3_64::oneshot_with_seed(line_hash, &body);
+    let content_hash = XxHash3_64::oneshot_with_seed(line_hash, &body.bytes);
     let origin_form = parts
         .uri
         .path_and_query()
@@ -209,6 +232,32 @@
     run_attempts(request, commands, call).await
 }
 
+/// Reads the rest of a request that is refused whatever its body is.
+async fn ignore_body(core: &GatewayCore, body: Incoming) {
+    let body = read_body(body, MAX_IGNORED_BYTES, &core.bodies);
+    if tokio::time::timeout(IGNORE_TIMEOUT, body).await.is_err() {
+        tracing::debug!("a refused request's body did not arrive in time");
+    }
+}
+
+fn body_refusal(attempt: &str, error: BodyError) -> Response<CallerBody> {
+    let (kind, retry_after) = match error {
+        BodyError::TooLong => (ErrorKind::BodyTooLarge, None),
+        BodyError::NoMemory => (ErrorKind::QueueFull, Some(NO_MEMORY_RETRY_DELAY)),
+        BodyError::Broken => (ErrorKind::MalformedRequest, None),
+    };
+    log_body_refusal(attempt, kind);
+    refusal(kind, retry_after)
+}
+
+fn log_body_refusal(attempt: &str, kind: ErrorKind) {
+    tracing::info!(
+        event = "request_refused",
+        %attempt,
+        detail = %format_args!("kind={kind:?} stage=body")
+    );
+}
+
 /// Size of the headers on the wire: four bytes per line for `: ` and the line end.
 fn header_bytes(headers: &HeaderMap) -> usize {
     headers
@@ -268,8 +317,14 @@
     }
 }
 
-fn full_response(upstream: FullResponse) -> Response<CallerBody> {
-    let mut response = Response::new(full_body(upstream.body));
+fn full_response(upstream: ServerResponse) -> Response<CallerBody> {
+    let HeldBody { bytes, held } = upstream.body;
+    // The closure keeps the share of the budget for as long as the body exists.
+    let body = Full::new(bytes).map_err(move |never| {
+        let _held = &held;
+        match never {}
+    });
+    let mut response = Response::new(body.boxed());
     *response.status_mut() = upstream.status;
     *response.headers_mut() = caller_response_headers(&upstream.headers);
     response
@@ -305,7 +360,11 @@
     response
 }
 
-type ChunkSender = mpsc::Sender<Result<Bytes, io::Error>>;
+/// Part of a stream on its way to the caller. A stream without an end was interrupted.
+enum StreamPart {
+    Data(Bytes),
+    End,
+}
 
 fn stream_response(
     request: OpenRequest,
@@ -325,8 +384,14 @@
         resume_buffer: resumable.then(ResumeBuffer::default),
     };
     tokio::spawn(relay.run(upstream));
-    let chunks = futures_util::stream::unfold(receiver, |mut receiver| async move {
-        receiver.recv().await.map(|chunk| (chunk, receiver))
+    let chunks = futures_util::stream::unfold(Some(receiver), |receiver| async move {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(StreamPart::Data(chunk)) => Some((Ok(chunk), Some(receiver))),
+            Some(StreamPart::End) => None,
+            // An error breaks the connection, so that the response does not look complete.
+            None => Some((Err(io::Error::other("the response was interrupted")), None)),
+        }
     });
     let body = StreamBody::new(chunks.map_ok(Frame::data));
     let mut response = Response::new(BodyExt::boxed(body));
@@ -340,7 +405,7 @@
     request: OpenRequest,
     commands: CommandReceiver,
     call: CallerCall,
-    sender: ChunkSender,
+    sender: mpsc::Sender<StreamPart>,
     resume_buffer: Option<ResumeBuffer>,
 }
 
@@ -364,6 +429,8 @@
                     rest.finish(&self.request.core);
                     self.request
                         .report_end(AttemptEnd::Completed { success: true }, stats);
+                    // Fails if the caller has disconnected, which no longer matters.
+                    let _ = self.sender.send(StreamPart::End).await;
                     self.request.close();
                     return;
                 }
@@ -373,7 +440,7 @@
                 }
                 RelayEnd::Refused(rest) => {
                     rest.close();
-                    self.abort().await;
+                    self.abort();
                     return;
                 }
                 RelayEnd::Interrupted(rest) => {
@@ -388,18 +455,15 @@
                     rest = response.rest;
                 }
                 None => {
-                    self.abort().await;
+                    self.abort();
                     return;
                 }
             }
         }
     }
 
-    /// Breaks the caller's connection, so that the response does not look complete.
-    async fn abort(self) {
-        let error = io::Error::other("the response was interrupted");
-        // The caller may have disconnected already.
-        let _ = self.sender.send(Err(error)).await;
+    /// Ends the stream without its end, which breaks the caller's connection.
+    fn abort(self) {
         self.request.close();
     }
 
@@ -450,9 +514,12 @@
         if chunk.is_empty() {
             return None;
         }
-        match self.sender.send(Ok(chunk)).await {
-            Ok(()) => None,
-            Err(_) => Some(ForwardError::CallerDisconnected),
+        // A caller that doesn't read must not delay the end of the request.
+        tokio::select! {
+            sent = self.sender.send(StreamPart::Data(chunk)) => {
+                sent.err().map(|_| ForwardError::CallerDisconnected)
+            }
+            _ = self.commands.recv() => Some(ForwardError::Refused),
         }
     }
 
@@ -487,6 +554,7 @@
 /// Why a chunk could not be forwarded to the caller.
 enum ForwardError {
     CallerDisconnected,
+    Refused,
     TooLong,
 }
 
@@ -494,6 +562,7 @@
     fn into_relay_end(self, rest: StreamRest) -> RelayEnd {
         match self {
             ForwardError::CallerDisconnected => RelayEnd::CallerDisconnected(rest),
+            ForwardError::Refused => RelayEnd::Refused(rest),
             ForwardError::TooLong => RelayEnd::Interrupted(rest),
         }
     }
--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -16,6 +16,8 @@
 
 use crate::client::{CallError, FullResponse, read_full_response};
 
+/// Largest head, and largest piece of a body that is read at once, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an idle connection is reused, unless the server announces a shorter keep-alive time.
@@ -67,6 +69,7 @@
             return Err(ConnectionError::Refused);
         }
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectionError::Refused)?;
@@ -185,7 +188,7 @@
 }
 
 /// Reads a response body of at most `limit` bytes.
-pub(super) async fn read_response(
+async fn read_response(
     response: Response<Incoming>,
     limit: usize,
 ) -> Result<FullResponse, ConnectionError> {
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -23,8 +23,8 @@
 };
 
 use super::{
-    clock::BootClock, connections::ConnectionPool, logs, metrics::GatewayMetrics, orders, peers,
-    store,
+    clock::BootClock, connections::ConnectionPool, held::BodyBudget, logs, metrics::GatewayMetrics,
+    orders, peers, store,
 };
 
 /// Maximum number of idle connections to one server.
@@ -72,6 +72,8 @@
     pub(super) servers: ConnectionPool<smol_str::SmolStr>,
     pub(super) peers: ConnectionPool<SocketAddr>,
     pub(super) metrics: GatewayMetrics,
+    /// Memory for bodies of requests and responses.
+    pub(super) bodies: BodyBudget,
 }
 
 impl GatewayCore {
@@ -113,6 +115,7 @@
             servers: ConnectionPool::new(MAX_SERVER_IDLE_CONNECTIONS),
             peers: ConnectionPool::new(MAX_PEER_IDLE_CONNECTIONS),
             metrics,
+            bodies: BodyBudget::new(settings.body_memory),
         });
         tokio::spawn(core.clone().run_timers());
         core
@@ -278,6 +281,16 @@
         self.lock().reducer.caller_addresses(now, data_centre)
     }
 
+    /// Checks what the head of a request decides; returns how long the request may take.
+    pub(super) fn check_head(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&wasabistall_lib::key::KeyDigest>,
+    ) -> Result<Duration, wasabistall_lib::error::ErrorKind> {
+        self.lock().reducer.check_head(host, path, key)
+    }
+
     /// Limits on callers' requests; `None` until a configuration is known.
     pub(super) fn caller_bounds(&self) -> Option<wasabistall_lib::gateway::catalog::CallerBounds> {
         self.lock()
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -12,13 +12,15 @@
 };
 
 use super::{
-    connections::{ConnectionError, SendError, ServerConnection, read_response},
+    connections::{ConnectionError, SendError, ServerConnection},
     core::GatewayCore,
+    held::{HeldBody, read_body},
 };
-use crate::client::FullResponse;
 
 /// Largest response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Largest body that is read after a head that already decides the attempt, in bytes.
+const MAX_IGNORED_BYTES: usize = 64 * 1024;
 /// Longest time that a connection may have been idle to carry a request that must run at most once:
 /// when a connection breaks during the send, the request may have run.
 const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_millis(1_500);
@@ -29,10 +31,17 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: HeldBody,
     pub(super) attempt: Bytes,
 }
 
+/// A complete response of a server.
+pub(super) struct ServerResponse {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: HeldBody,
+}
+
 /// A stream whose first chunk has arrived.
 pub(super) struct StreamResponse {
     pub(super) status: StatusCode,
@@ -68,7 +77,7 @@
     /// The attempt ended without a response for the caller.
     Ended(AttemptEnd, AttemptStats),
     /// A complete response.
-    Full(FullResponse, AttemptStats),
+    Full(ServerResponse, AttemptStats),
     /// A stream with its first chunk.
     Stream(Box<StreamResponse>),
 }
@@ -122,7 +131,8 @@
     };
     if head.not_run {
         // The head has all the information; the body is read only to reuse the connection.
-        if let Ok(_response) = read_response(response, MAX_RESPONSE_BYTES).await {
+        let body = read_body(response.into_body(), MAX_IGNORED_BYTES, &core.bodies).await;
+        if body.is_ok() {
             core.servers.put(&dispatch.id, connection, head.keep_alive);
         }
         let end = AttemptEnd::Rejected {
@@ -192,7 +202,7 @@
     started: Instant,
 ) -> Request<Full<Bytes>> {
     let remaining = dispatch.time_left.saturating_sub(started.elapsed());
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.bytes.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() =
@@ -251,19 +261,29 @@
     dispatch: &ServerDispatch,
     started: Instant,
 ) -> AttemptResult {
-    let response = read_response(response, MAX_RESPONSE_BYTES).await;
+    let (parts, body) = response.into_parts();
+    let body = read_body(body, MAX_RESPONSE_BYTES, &core.bodies).await;
     let stats = AttemptStats {
         first_event: Some(started.elapsed()),
         load: head.load,
         ..AttemptStats::default()
     };
-    let Ok(response) = response else {
-        connection.close();
-        return AttemptResult::Ended(AttemptEnd::Broken, stats);
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            tracing::warn!(event = "answer_unreadable", server = %dispatch.id, ?error);
+            connection.close();
+            return AttemptResult::Ended(AttemptEnd::Broken, stats);
+        }
     };
     core.servers.put(&dispatch.id, connection, head.keep_alive);
-    if dispatch.retry_failures && response.status.is_server_error() {
+    if dispatch.retry_failures && parts.status.is_server_error() {
         return AttemptResult::Ended(AttemptEnd::Failed, stats);
     }
+    let response = ServerResponse {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    };
     AttemptResult::Full(response, stats)
 }
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -112,6 +112,9 @@
         register_gauge(&meter, "wasabistall.open_requests", core, |core| {
             core.open_requests() as u64
         });
+        register_gauge(&meter, "wasabistall.body.bytes", core, |core| {
+            core.bodies.used() as u64
+        });
         meter
             .u64_observable_counter("wasabistall.log.dropped_lines")
             .with_callback(move |observer| {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoints;
 mod forward;
+mod held;
 mod listen;
 mod logs;
 mod metrics;
--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -11,9 +11,9 @@
     event::{GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber},
     log_event,
     requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
-    routes::pick_target,
+    routes::{RouteIndex, pick_target},
 };
-use crate::{clock::ClockTime, error::ErrorKind};
+use crate::{clock::ClockTime, error::ErrorKind, key::KeyDigest};
 
 /// Fraction of the route's objective for which a request waits for a server before it is refused.
 const SELECTION_OBJECTIVE_FRACTION: f64 = 0.5;
@@ -26,6 +26,8 @@
 /// streams and other requests.
 const STREAM_GRACE_FRACTION: f64 = 0.34;
 const CALL_GRACE_FRACTION: f64 = 0.75;
+/// Time that a request may take while no configuration is known.
+const UNKNOWN_ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of confirmed server crashes after which a request is considered their cause.
 const MAX_CRASHES: u32 = 2;
 /// Least urgent priority that servers support.
@@ -94,19 +96,9 @@
             ));
         };
         let version = routes.config().version;
-        let Some(route) = routes.route(&request.host, &request.path) else {
-            let detail = format!("config={version}");
-            return Err(refuse(ErrorKind::UnknownRoute, None, detail));
-        };
-        let team = request.key.and_then(|key| routes.team(&key)).cloned();
-        if !route.public && !routes.config().teams.is_empty() && team.is_none() {
-            let kind = match request.key {
-                Some(_) => ErrorKind::InvalidKey,
-                None => ErrorKind::MissingKey,
-            };
-            return Err(refuse(kind, None, format!("config={version}")));
-        }
-        let route = route.clone();
+        let (route, team) = authorize(routes, &request.host, &request.path, request.key.as_ref())
+            .map_err(|kind| refuse(kind, None, format!("config={version}")))?;
+        let (route, team) = (route.clone(), team.cloned());
         if self.is_closed_to(now, route.retry) {
             let detail = format!("route={}", route.name);
             let retry = Some(SHUTDOWN_RETRY_DELAY);
@@ -125,6 +117,24 @@
         Ok(self.new_record(now, request, &route, team.as_ref(), cost, fingerprint))
     }
 
+    /// Checks what the head of a request decides, before its body is read; returns how long the
+    /// request may take.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request would be refused whatever its body is.
+    pub fn check_head(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&KeyDigest>,
+    ) -> Result<Duration, ErrorKind> {
+        match &self.routes {
+            Some(routes) => Ok(authorize(routes, host, path, key)?.0.timeout),
+            None => Ok(UNKNOWN_ROUTE_TIMEOUT),
+        }
+    }
+
     /// Whether the instance is shutting down and might not complete such a request in time.
     fn is_closed_to(&self, now: ClockTime, retry: RetryPolicy) -> bool {
         let fraction = if retry.is_stream() {
@@ -209,6 +219,24 @@
     }
 }
 
+/// Finds the route of a request and the team of its key.
+fn authorize<'r>(
+    routes: &'r RouteIndex,
+    host: &str,
+    path: &str,
+    key: Option<&KeyDigest>,
+) -> Result<(&'r RouteConfig, Option<&'r TeamConfig>), ErrorKind> {
+    let route = routes.route(host, path).ok_or(ErrorKind::UnknownRoute)?;
+    let team = key.and_then(|key| routes.team(key));
+    if !route.public && !routes.config().teams.is_empty() && team.is_none() {
+        return Err(match key {
+            Some(_) => ErrorKind::InvalidKey,
+            None => ErrorKind::MissingKey,
+        });
+    }
+    Ok((route, team))
+}
+
 /// Cost of a request, in the unit of its team's limit.
 fn request_cost(request: &GatewayRequest, team: Option<&TeamConfig>) -> f64 {
     match team {
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -13,6 +13,13 @@
     allowance::{ColdBounds, QuotaBounds, RetryBounds},
 };
 
+/// Memory that the process may use unless the settings say otherwise, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+const BYTES_PER_MB: f64 = 1_000_000.0;
+/// Fraction of this memory for bodies. The rest holds the program, its state and buffers of
+/// connections.
+const BODY_MEMORY_FRACTION: f64 = 0.25;
+
 /// Addresses that a gateway listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayListen {
@@ -50,6 +57,9 @@
     pub bounds: FleetBounds,
     /// Maximum duration of a graceful shutdown.
     pub grace: Duration,
+    /// Memory that bodies of requests and responses may take, in bytes: a quarter of the memory that
+    /// the process may use.
+    pub body_memory: usize,
     /// Settings of logs, traces and metrics.
     pub telemetry: TelemetrySettings,
 }
@@ -90,6 +100,7 @@
     let first_start = root.boolean("first_start", false, errors);
     let bounds = read_bounds(root.optional_object("bounds", errors), errors);
     let grace = read_seconds(&mut root, "grace_s", 8.0, errors);
+    let memory_mb = root.number("memory_mb", DEFAULT_MEMORY_MB, errors);
     let telemetry = read_telemetry(root.optional_object("telemetry", errors), errors);
     root.close(errors);
     Some(GatewaySettings {
@@ -102,6 +113,7 @@
         first_start,
         bounds,
         grace,
+        body_memory: (memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB) as usize,
         telemetry,
     })
 }
--- a/testutils/src/gateway.rs
+++ b/testutils/src/gateway.rs
@@ -15,6 +15,9 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::net::TcpStream;
 
+/// Memory that a gateway's settings allow, in megabytes: that of the smallest instances.
+pub const MEMORY_MB: u64 = 160;
+
 /// Listening addresses of one gateway.
 #[derive(Clone, Copy, Debug)]
 pub struct GatewayPorts {
@@ -81,7 +84,7 @@
                 "peers": ports.peers(), "addresses": ports.addresses(),
                 "operators": ports.operators()},
             "store": store, "first_peers": peers, "first_start": true,
-            "bounds": {"retry_slack": 50}, "grace_s": 4,
+            "bounds": {"retry_slack": 50}, "grace_s": 4, "memory_mb": MEMORY_MB,
             "telemetry": {"log_format": "json", "log_level": "info"},
         });
         let path = folder.join(format!("{name}.jsonc"));
@@ -128,6 +131,20 @@
         }
     }
 
+    /// Largest memory that the running process has taken so far, in megabytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no process is running.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let child = self.child.as_ref().expect("a running gateway");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()))
+            .expect("status of the gateway");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok());
+        kilobytes.unwrap_or(0_u64) / 1_000
+    }
+
     /// Whether no process is running: it has exited or was killed.
     pub fn has_exited(&mut self) -> bool {
         self.child
