gateway: count one late load an adapter

Cause: each request that found an adapter missing after its load counted as a late load. Change: only the first such response counts, and a request that meets a second one goes to another server. Test: requests_for_one_late_adapter_count_as_one_late_load, a pattern without network.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -187,6 +187,7 @@
             uncached_tokens: 0,
             busy_replies: 0,
             excluded: Vec::new(),
+            late_server: None,
             sends: 0,
             runs: 0,
             started: false,
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -101,6 +101,8 @@
     pub(super) busy_replies: u32,
     /// Servers that are not tried again before the next delay.
     pub(super) excluded: Vec<GatewayServerKey>,
+    /// Server that last rejected the request because it lacked the adapter.
+    pub(super) late_server: Option<GatewayServerKey>,
     /// Number of sends.
     pub(super) sends: u32,
     /// Number of sends after which a server may have run the request.
@@ -587,11 +589,11 @@
             }
         }
         record.selection_deadline = record.selection_deadline.max(now.after(SELECTION_DELAY));
-        if matches!(end, AttemptEnd::Rejected { misdirected: true })
-            && record.request.model.is_some()
-        {
-            // The adapter is still loading there. Its scheduler knows by now and says how long to
-            // wait; another server would have to load it as well.
+        let is_late = matches!(end, AttemptEnd::Rejected { misdirected: true })
+            && record.request.model.is_some();
+        if is_late && record.late_server.replace(server) != Some(server) {
+            // The adapter is probably still loading there. Its scheduler knows by now and says how
+            // long to wait; another server would have to load it as well.
             self.continue_request(now, number, effects);
         } else {
             self.try_another_server(now, number, server, effects);
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -84,6 +84,8 @@
     confirmed: bool,
     /// Whether its load was ordered from the weight store.
     from_store: bool,
+    /// Whether a request found the adapter missing after the load should have been complete.
+    late: bool,
 }
 
 impl AdapterSlot {
@@ -441,6 +443,7 @@
             last_used_at: now,
             confirmed: false,
             from_store: !is_recently_evicted,
+            late: false,
         });
         self.start_loads(now, config);
         Ok(ready_at)
@@ -562,8 +565,7 @@
         self.grants.remove(&release.key);
         match adapter {
             Some(adapter) if release.adapter_missing => {
-                self.record_late_load(now, &model, &adapter);
-                Some(LoadTiming::Late)
+                self.record_late_load(now, &model, &adapter)
             }
             _ => timing,
         }
@@ -616,14 +618,23 @@
 
     /// Handles a response that says that the server lacks an adapter which should be loaded by now.
     ///
-    /// The load may still be running, so the slot is kept until a report says otherwise.
-    fn record_late_load(&mut self, now: ClockTime, model: &str, adapter: &str) {
+    /// The load may still be running, so the slot is kept until a report says otherwise. Only the
+    /// first such response counts as a late load: others say nothing new about the weight store.
+    fn record_late_load(
+        &mut self,
+        now: ClockTime,
+        model: &str,
+        adapter: &str,
+    ) -> Option<LoadTiming> {
+        self.order_lease.request_report(now);
+        let slot = self.slot(model, adapter)?;
+        slot.ready_at = now.after(LATE_LOAD_WAIT);
+        if std::mem::replace(&mut slot.late, true) {
+            return None;
+        }
         self.load_time_factor =
             (self.load_time_factor * LOAD_TIME_FACTOR_GROWTH).min(MAX_LOAD_TIME_FACTOR);
-        if let Some(slot) = self.slot(model, adapter) {
-            slot.ready_at = now.after(LATE_LOAD_WAIT);
-        }
-        self.order_lease.request_report(now);
+        Some(LoadTiming::Late)
     }
 }
 
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -240,6 +240,7 @@
                 last_used_at: now,
                 confirmed: true,
                 from_store: false,
+                late: false,
             });
         }
     }
@@ -269,6 +270,7 @@
                     last_used_at: ClockTime::ZERO,
                     confirmed: true,
                     from_store: false,
+                    late: false,
                 });
             }
         }
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -121,6 +121,7 @@
             last_used_at: now,
             confirmed: ready_at <= now,
             from_store: false,
+            late: false,
         });
     }
 
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -550,6 +550,28 @@
     assert!(started <= 4, "{started} of 8");
 }
 
+/// Pattern: retry storm at a server without the adapter. Several requests that find one adapter missing
+/// tell of one late load; counting each of them would stop nearly all loads of the instance.
+#[test]
+fn requests_for_one_late_adapter_count_as_one_late_load() {
+    let engine = FakeEngine::new(3);
+    let config = engine_config(3);
+    let (mut scheduler, now) = active_scheduler(&engine);
+    let mut load_limiter = load_limiter(8);
+    let mut timings = Vec::new();
+    for request in 0..6 {
+        let now = now.after(Duration::from_millis(400) * u32::try_from(request).unwrap());
+        scheduler.decide(
+            now,
+            &config,
+            &grant_request(request, "a1"),
+            &mut load_limiter,
+        );
+        timings.extend(scheduler.release(now, &release(request, None, true)));
+    }
+    assert_eq!(timings, [LoadTiming::Late]);
+}
+
 /// A first event, reported long before the stream ends, moves the start of later prompts.
 #[test]
 fn a_first_event_corrects_the_backlog() {
