--- a/lib/tests/gateway_fleet.rs
+++ b/lib/tests/gateway_fleet.rs
@@ -77,6 +77,27 @@
     }
 }
 
+/// Callers are told of the instances in their data centre, of others only while too few are left
+/// there, and of all others if none is.
+#[test]
+fn callers_are_told_of_the_instances_in_their_data_centre() {
+    let mut world = GatewayWorld::new(9, 6, 2);
+    world.run(secs(4));
+    let count = |world: &GatewayWorld, data_centre| {
+        let local = world.local_time(0);
+        let reducer = world.reducer(0);
+        reducer.caller_addresses(local, Some(data_centre)).len()
+    };
+    assert_eq!(count(&world, "dc-1"), 2);
+    assert_eq!(count(&world, "unknown"), 6);
+    world.kill(1);
+    world.run(secs(4));
+    assert_eq!(count(&world, "dc-1"), 2, "the other one and a remote one");
+    world.kill(4);
+    world.run(secs(4));
+    assert_eq!(count(&world, "dc-1"), 4);
+}
+
 /// Instances whose reads of the store fail apply a new configuration within two seconds.
 #[test]
 fn instances_without_the_store_get_changes_from_peers() {
