daemon: log and count transfers of the catalog, with the bytes that came

Change: an exchange that fails reports how many bytes of the response it had received; catalog_transfer and wasabistall_catalog_bytes_total show them by source. The time-out of calls to peers other than grants and loans no longer covers the connection attempt, which has its own.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -8,13 +8,13 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use crate::client::{CallError, FullResponse, read_full_response};
+use crate::client::FullResponse;
 
 /// Largest head, and largest piece of a body that is read at once, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -187,34 +187,69 @@
     }
 }
 
-/// Reads a response body of at most `limit` bytes.
+/// Limits on one exchange of a request and its response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExchangeLimits {
+    /// Time from sending the request to the end of the response.
+    pub(super) timeout: Duration,
+    /// Largest response body, in bytes.
+    pub(super) max_response_bytes: usize,
+}
+
+/// An exchange without a complete response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ExchangeFailure {
+    /// Why it failed.
+    pub(super) error: ConnectionError,
+    /// Bytes of the response body that had been received by then.
+    pub(super) received_bytes: usize,
+}
+
+/// Reads a response body and counts its bytes in `received_bytes`.
 async fn read_response(
     response: Response<Incoming>,
-    limit: usize,
+    max_bytes: usize,
+    received_bytes: &mut usize,
 ) -> Result<FullResponse, ConnectionError> {
-    read_full_response(response, limit)
-        .await
-        .map_err(|error| match error {
-            CallError::TooLong => ConnectionError::TooLong,
-            CallError::NotConnected | CallError::Broken => ConnectionError::Broken,
-        })
+    let (head, mut body) = response.into_parts();
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ConnectionError::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        *received_bytes += data.len();
+        if *received_bytes > max_bytes {
+            return Err(ConnectionError::TooLong);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(FullResponse {
+        status: head.status,
+        headers: head.headers,
+        body: collected.freeze(),
+    })
 }
 
-/// Sends a request on a pooled connection and reads the complete response within `timeout`.
+/// Sends a request on a pooled connection and reads the complete response.
 ///
-/// `timeout` does not cover the time to connect.
+/// `limits` do not cover the time to connect.
 pub(super) async fn call<K: Hash + Eq + Clone>(
     pool: &ConnectionPool<K>,
     key: &K,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    timeout: Duration,
-    limit: usize,
-) -> Result<FullResponse, ConnectionError> {
-    let mut connection = match pool.take(key, IDLE_TIMEOUT) {
-        Some(connection) => connection,
-        None => ServerConnection::connect(address).await?,
+    limits: ExchangeLimits,
+) -> Result<FullResponse, ExchangeFailure> {
+    let mut received_bytes = 0;
+    let connected = match pool.take(key, IDLE_TIMEOUT) {
+        Some(connection) => Ok(connection),
+        None => ServerConnection::connect(address).await,
     };
+    let mut connection = connected.map_err(|error| ExchangeFailure {
+        error,
+        received_bytes,
+    })?;
     let exchange = async {
         let response = connection
             .send(request)
@@ -223,20 +258,19 @@
                 SendError::NotSent => ConnectionError::Refused,
                 SendError::Broken => ConnectionError::Broken,
             })?;
-        read_response(response, limit).await
+        read_response(response, limits.max_response_bytes, &mut received_bytes).await
     };
-    match tokio::time::timeout(timeout, exchange).await {
+    let error = match tokio::time::timeout(limits.timeout, exchange).await {
         Ok(Ok(response)) => {
             pool.put(key, connection, None);
-            Ok(response)
-        }
-        Ok(Err(error)) => {
-            connection.close();
-            Err(error)
+            return Ok(response);
         }
-        Err(_) => {
-            connection.close();
-            Err(ConnectionError::Silent)
-        }
-    }
+        Ok(Err(error)) => error,
+        Err(_) => ConnectionError::Silent,
+    };
+    connection.close();
+    Err(ExchangeFailure {
+        error,
+        received_bytes,
+    })
 }
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -8,7 +8,7 @@
 use eyre::{Result, WrapErr};
 use opentelemetry::{
     KeyValue,
-    metrics::{Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -37,6 +37,7 @@
     first_event: Histogram<f64>,
     stream_pause: Histogram<f64>,
     peer_call: Histogram<f64>,
+    catalog_bytes: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -80,6 +81,10 @@
                 "wasabistall.peer.call",
                 "Time of a call to another instance, by whether it was answered",
             ),
+            catalog_bytes: meter
+                .u64_counter("wasabistall.catalog.bytes")
+                .with_description("Catalog data received, by source and whether all of it came")
+                .build(),
             registry,
             meter_provider,
         })
@@ -151,6 +156,20 @@
         self.peer_call.record(elapsed.as_secs_f64(), &labels);
     }
 
+    /// Counts the bytes of a transfer of catalog data.
+    pub(super) fn record_catalog_transfer(
+        &self,
+        source: &'static str,
+        is_complete: bool,
+        bytes: usize,
+    ) {
+        let labels = [
+            KeyValue::new("source", source),
+            KeyValue::new("complete", is_complete),
+        ];
+        self.catalog_bytes.add(bytes as u64, &labels);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub(super) fn render(&self) -> Result<Vec<u8>> {
         let mut page = Vec::new();
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod resume;
 mod store;
+mod transfers;
 
 use std::time::Duration;
 
--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -22,14 +22,15 @@
 };
 
 use super::{
-    connections::{self, ConnectionError},
+    connections::{self, ConnectionError, ExchangeLimits},
     core::GatewayCore,
 };
 
-/// Timeout of a call to a server.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest response accepted, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
+/// Limits on orders and reads of reports.
+const CALL_LIMITS: ExchangeLimits = ExchangeLimits {
+    timeout: Duration::from_millis(1_000),
+    max_response_bytes: 1024 * 1024,
+};
 
 fn build_request(
     method: Method,
@@ -61,15 +62,8 @@
     request
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let call = connections::call(
-        &core.servers,
-        &id,
-        address,
-        request,
-        CALL_TIMEOUT,
-        MAX_RESPONSE_BYTES,
-    );
-    let outcome = match call.await {
+    let call = connections::call(&core.servers, &id, address, request, CALL_LIMITS);
+    let outcome = match call.await.map_err(|failure| failure.error) {
         Ok(response) => order_outcome(response.status),
         Err(ConnectionError::Refused | ConnectionError::Unreachable) => ServerOrderOutcome::Refused,
         Err(_) => ServerOrderOutcome::Lost,
@@ -94,22 +88,15 @@
     address: SocketAddr,
 ) -> Option<ServerReport> {
     let request = build_request(Method::GET, REPORT_PATH, id, address, Vec::new());
-    let call = connections::call(
-        &core.servers,
-        id,
-        address,
-        request,
-        CALL_TIMEOUT,
-        MAX_RESPONSE_BYTES,
-    );
+    let call = connections::call(&core.servers, id, address, request, CALL_LIMITS);
     let response = match call.await {
         Ok(response) if response.status.is_success() => response,
         Ok(response) => {
             tracing::info!(event = "report_refused", server = %id, status = %response.status);
             return None;
         }
-        Err(error) => {
-            tracing::info!(event = "report_lost", server = %id, fault = ?error);
+        Err(failure) => {
+            tracing::info!(event = "report_lost", server = %id, fault = ?failure.error);
             return None;
         }
     };
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -20,19 +20,24 @@
 };
 
 use super::{
-    connections::{self, ConnectionError},
+    connections::{self, ConnectionError, ExchangeFailure, ExchangeLimits},
     core::GatewayCore,
     listen::serve_requests,
+    transfers::CatalogTransfer,
 };
 
 const PEER_PATH: &str = "/v1/gateway/peer";
 /// Largest message, in bytes; it fits a configuration of the platform's maximum value size together
 /// with all servers.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
-/// Timeout of calls that a caller's request waits for; the request then proceeds without an answer.
+/// Timeout, including the time to connect, of calls that a caller's request waits for; the request
+/// then proceeds without an answer.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout of all other calls.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Limits on all calls.
+const CALL_LIMITS: ExchangeLimits = ExchangeLimits {
+    timeout: Duration::from_millis(1_000),
+    max_response_bytes: MAX_MESSAGE_BYTES,
+};
 
 /// Calls a peer and reports the outcome to the reducer.
 pub(super) async fn call_peer(
@@ -42,43 +47,55 @@
     message: PeerCall,
 ) {
     let started = Instant::now();
-    let answer = exchange(&core, peer, &message).await;
+    let body = exchange(&core, peer, &message).await;
+    if matches!(message, PeerCall::CatalogChanges { .. }) {
+        let transfer = CatalogTransfer::new("peer", &body, started.elapsed());
+        transfer.record(&core.metrics);
+    }
+    let answer = match body {
+        Ok(body) => decode_answer(peer, &body),
+        Err(failure) => {
+            tracing::debug!(%peer, fault = ?failure, "call to a peer failed");
+            Err(match failure.error {
+                ConnectionError::Refused => PeerError::ConnectionRefused,
+                _ => PeerError::NoAnswer,
+            })
+        }
+    };
     core.metrics
         .record_peer_call(answer.is_ok(), started.elapsed());
-    if let Err(error) = answer {
-        tracing::debug!(%peer, fault = ?error, "call to a peer failed");
-    }
     core.handle_event(GatewayEvent::PeerAnswered { call, peer, answer });
 }
 
+/// Calls a peer and returns the body of its response.
 async fn exchange(
     core: &GatewayCore,
     peer: SocketAddr,
     message: &PeerCall,
-) -> Result<PeerAnswer, PeerError> {
-    let timeout = match message {
-        PeerCall::Grant(_) | PeerCall::Borrow { .. } => GRANT_TIMEOUT,
-        _ => CALL_TIMEOUT,
+) -> Result<Bytes, ExchangeFailure> {
+    let silent = ExchangeFailure {
+        error: ConnectionError::Silent,
+        received_bytes: 0,
     };
-    let request = encode_request(peer, message).ok_or(PeerError::NoAnswer)?;
-    let call = connections::call(
-        &core.peers,
-        &peer,
-        peer,
-        request,
-        timeout,
-        MAX_MESSAGE_BYTES,
-    );
-    // This timeout also covers the time to connect.
-    let response = match tokio::time::timeout(timeout, call).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(ConnectionError::Refused)) => return Err(PeerError::ConnectionRefused),
-        Ok(Err(_)) | Err(_) => {
-            core.peers.remove(&peer);
-            return Err(PeerError::NoAnswer);
-        }
+    let request = encode_request(peer, message).ok_or(silent)?;
+    let call = connections::call(&core.peers, &peer, peer, request, CALL_LIMITS);
+    let response = match message {
+        PeerCall::Grant(_) | PeerCall::Borrow { .. } => tokio::time::timeout(GRANT_TIMEOUT, call)
+            .await
+            .unwrap_or(Err(silent)),
+        _ => call.await,
     };
-    rmp_serde::from_slice(&response.body).map_err(|error| {
+    if response
+        .as_ref()
+        .is_err_and(|failure| failure.error != ConnectionError::Refused)
+    {
+        core.peers.remove(&peer);
+    }
+    response.map(|response| response.body)
+}
+
+fn decode_answer(peer: SocketAddr, body: &[u8]) -> Result<PeerAnswer, PeerError> {
+    rmp_serde::from_slice(body).map_err(|error| {
         tracing::warn!(event = "peer_answer_unreadable", %peer, %error);
         PeerError::NoAnswer
     })
--- a/daemon/src/gateway/store.rs
+++ b/daemon/src/gateway/store.rs
@@ -1,6 +1,10 @@
 //! Reads of the platform's store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,7 +18,11 @@
 };
 use wasabistall_platform::store::{decode_page, join_pages, store_path};
 
-use super::{connections, core::GatewayCore};
+use super::{
+    connections::{self, ExchangeLimits},
+    core::GatewayCore,
+    transfers::CatalogTransfer,
+};
 
 /// Response timeout, in addition to the requested wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -62,18 +70,20 @@
         StoreRead::Watch { wait, .. } => wait,
     };
     let request = store_request(address, path).ok_or(StoreError::Unavailable)?;
-    let call = connections::call(
-        &core.peers,
-        &address,
-        address,
-        request,
-        wait + RESPONSE_TIMEOUT,
-        MAX_RESPONSE_BYTES,
+    let limits = ExchangeLimits {
+        timeout: wait + RESPONSE_TIMEOUT,
+        max_response_bytes: MAX_RESPONSE_BYTES,
+    };
+    let started = Instant::now();
+    let response = connections::call(&core.peers, &address, address, request, limits).await;
+    let body = response.as_ref().map(|response| response.body.clone());
+    let transfer = CatalogTransfer::new(
+        "store",
+        &body.map_err(|failure| *failure),
+        started.elapsed(),
     );
-    let response = call.await.map_err(|error| {
-        tracing::debug!(fault = ?error, "the store did not respond");
-        StoreError::Unavailable
-    })?;
+    transfer.record(&core.metrics);
+    let response = response.map_err(|_| StoreError::Unavailable)?;
     match response.status {
         StatusCode::OK => decode_page(&response.body).map_err(|error| {
             tracing::warn!(event = "store_answer_unreadable", %error);
