tests: a large configuration over slow links, as a known fault

Simulated links share their bandwidth among the messages that use them, and the driver's time-outs apply.

--- a/lib/tests/gateway/mod.rs
+++ b/lib/tests/gateway/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code)]
 
 pub(crate) mod engine;
+pub(crate) mod link;
 pub(crate) mod world;
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -1,5 +1,7 @@
 //! Simulation of a small fleet of gateway reducers with a store and model servers, in virtual time.
 
+mod exchanges;
+
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::{Ipv4Addr, SocketAddr},
@@ -31,17 +33,34 @@
     key::KeyDigest,
 };
 
-use super::engine::{FakeEngine, LEASE, engine_config};
+use self::exchanges::{ExchangeNumber, LinkExchange, message_bytes};
+use super::{
+    engine::{FakeEngine, LEASE, engine_config},
+    link::LinkTable,
+};
 
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(1_000);
+/// Time after which the driver gives up on a read of the store, in addition to the requested wait.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 const RESPONSE_TIME: Duration = Duration::from_millis(120);
 
 /// Action scheduled for some virtual time.
 enum WorldAction {
     Event(usize, u64, GatewayEvent),
-    Deliver(usize, u64, u64, SocketAddr, PeerCall),
-    Watch(usize, u64, u64, ClockTime),
+    Deliver(
+        usize,
+        u64,
+        u64,
+        SocketAddr,
+        PeerCall,
+        Option<ExchangeNumber>,
+    ),
+    Watch(usize, u64, u64, ClockTime, Option<ExchangeNumber>),
+    /// Divides the bandwidth of the links anew.
+    StepLinks,
+    /// Gives up on an exchange, unless it is complete.
+    Timeout(ExchangeNumber),
     Order(
         usize,
         u64,
@@ -90,6 +109,12 @@
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
+    /// Links of limited bandwidth; without them, messages of any size take the same time.
+    links: Option<LinkTable>,
+    exchanges: BTreeMap<ExchangeNumber, LinkExchange>,
+    next_exchange: ExchangeNumber,
+    /// Number of reads of the store.
+    pub(crate) store_reads: u64,
 }
 
 /// Key of the only team.
@@ -188,6 +213,10 @@
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
+            links: None,
+            exchanges: BTreeMap::new(),
+            next_exchange: 0,
+            store_reads: 0,
         };
         world.publish(
             "op/config",
@@ -328,25 +357,32 @@
     fn run_action(&mut self, action: WorldAction) {
         match action {
             WorldAction::Event(index, incarnation, event) => self.handle(index, incarnation, event),
-            WorldAction::Deliver(index, from, call, peer, message) => {
+            WorldAction::Deliver(index, from, call, peer, message, exchange) => {
                 let from_index = from as usize >> 32;
                 let from_incarnation = from & 0xffff_ffff;
                 let answer = self.call(index, message);
+                let size = answer.as_ref().map_or(0, message_bytes);
                 let event = GatewayEvent::PeerAnswered { call, peer, answer };
-                self.push(
-                    self.now.after(NETWORK_DELAY),
-                    WorldAction::Event(from_index, from_incarnation, event),
-                );
+                let action = WorldAction::Event(from_index, from_incarnation, event);
+                match exchange {
+                    Some(exchange) => {
+                        self.transfer(exchange, Some(index), from_index, size, action);
+                    }
+                    None => self.push(self.now.after(NETWORK_DELAY), action),
+                }
             }
-            WorldAction::Watch(index, incarnation, after, until) => {
+            WorldAction::Watch(index, incarnation, after, until, exchange) => {
                 let page = self.store.changes_after(after);
                 if page.changes.is_empty() && self.now < until {
                     let next = self.now.after(Duration::from_millis(40));
-                    self.push(next, WorldAction::Watch(index, incarnation, after, until));
+                    let watch = WorldAction::Watch(index, incarnation, after, until, exchange);
+                    self.push(next, watch);
                 } else {
-                    self.handle(index, incarnation, GatewayEvent::StoreAnswered(Ok(page)));
+                    self.answer_read(index, incarnation, page, exchange);
                 }
             }
+            WorldAction::StepLinks => self.step_links(),
+            WorldAction::Timeout(exchange) => self.give_up_exchange(exchange),
             WorldAction::Order(index, incarnation, server, order) => {
                 let holder = self.nodes[index].name.clone();
                 let outcome = self.engines[server].order_from(self.now, &holder, &order);
@@ -485,10 +521,21 @@
         match target {
             Some(target) if self.nodes[target].is_partitioned == is_partitioned => {
                 let from = (index as u64) << 32 | incarnation;
+                if self.links.is_some() {
+                    let answer = Err(PeerError::NoAnswer);
+                    let event = GatewayEvent::PeerAnswered { call, peer, answer };
+                    let failure = WorldAction::Event(index, incarnation, event);
+                    let exchange = self.begin_exchange(NO_ANSWER_DELAY, failure);
+                    let size = message_bytes(&message);
+                    let arrival =
+                        WorldAction::Deliver(target, from, call, peer, message, Some(exchange));
+                    self.transfer(exchange, Some(index), target, size, arrival);
+                    return;
+                }
                 let time = self.now.after(NETWORK_DELAY);
                 self.push(
                     time,
-                    WorldAction::Deliver(target, from, call, peer, message),
+                    WorldAction::Deliver(target, from, call, peer, message, None),
                 );
             }
             _ => {
@@ -505,17 +552,27 @@
             self.schedule(NO_ANSWER_DELAY, index, incarnation, event);
             return;
         }
+        self.store_reads += 1;
+        let wait = match read {
+            StoreRead::Snapshot => Duration::ZERO,
+            StoreRead::Watch { wait, .. } => wait,
+        };
+        let exchange = self.links.is_some().then(|| {
+            let event = GatewayEvent::StoreAnswered(Err(StoreError::Unavailable));
+            let failure = WorldAction::Event(index, incarnation, event);
+            self.begin_exchange(wait + STORE_TIMEOUT, failure)
+        });
         match read {
             StoreRead::Snapshot => {
                 let mut page = self.store.changes_after(0);
                 page.is_snapshot = true;
-                let event = GatewayEvent::StoreAnswered(Ok(page));
-                self.schedule(NETWORK_DELAY * 4, index, incarnation, event);
+                self.answer_read(index, incarnation, page, exchange);
             }
             StoreRead::Watch { after, wait } => {
                 let until = self.now.after(wait);
                 let time = self.now.after(NETWORK_DELAY * 4);
-                self.push(time, WorldAction::Watch(index, incarnation, after, until));
+                let watch = WorldAction::Watch(index, incarnation, after, until, exchange);
+                self.push(time, watch);
             }
         }
     }
