gateway: fetch changes of the catalog from one peer at a time

Callers were served by an older configuration for 4 s and more after a newer one was acknowledged; ten of 80 instances never got it. Cause: an instance that lacked a change asked every peer that mentioned it, and after 1.7 s the store as well. The copies shared its 10 Mbit/s, each hit its time-out, and all began again: congestion collapse by duplicate, uncoordinated retries of a bulk transfer.

Change: one fetch at a time, from the newest announcement; the store is not read because of age while a fetch runs.

Not solved: the three readers of the store take as long as others wait for news, so that most instances read it as well; transfers still have a time-out for the whole.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod admission;
 pub mod allowance;
 pub mod catalog;
+mod catalog_fetch;
 mod choice;
 pub mod claims;
 mod engines;
@@ -41,6 +42,7 @@
 
 use self::{
     allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
+    catalog_fetch::CatalogFetcher,
     engines::OwnerView,
     event::{GatewayEffect, GatewayEvent, LogEvent, RequestNumber},
     members::{GossipTable, MemberPhase, MemberRecord},
@@ -149,6 +151,7 @@
     members: GossipTable,
     catalog: CatalogReplica,
     catalog_confirmed: Option<ClockTime>,
+    catalog_fetcher: CatalogFetcher,
     routes: Option<RouteIndex>,
     adapter_versions: BTreeMap<(SmolStr, SmolStr), u64>,
     servers: GatewayServers,
@@ -207,6 +210,7 @@
             members,
             catalog: CatalogReplica::default(),
             catalog_confirmed: None,
+            catalog_fetcher: CatalogFetcher::default(),
             routes: None,
             adapter_versions: BTreeMap::new(),
             servers: GatewayServers::default(),
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -135,13 +135,7 @@
         self.claims_received(now, &message.claims);
         if message.last_change > self.catalog.revision() {
             if let Some(peer) = sender {
-                let after = self.catalog.revision();
-                self.call_peer(
-                    peer,
-                    PeerCall::CatalogChanges { after },
-                    CallPurpose::Catalog,
-                    effects,
-                );
+                self.change_announced(peer, message.last_change, effects);
             }
         } else if message.revision >= self.catalog.revision() && message.revision > 0 {
             self.catalog.confirm(message.revision);
@@ -235,7 +229,9 @@
             }
             (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
                 self.apply_page(now, page, effects);
+                self.fetch_ended(effects);
             }
+            (CallPurpose::Catalog, _) => self.fetch_ended(effects),
             (CallPurpose::Grant(request, server), Ok(PeerAnswer::Grant(reply))) => {
                 self.grant_answered(now, request, server, Some(&reply), effects);
             }
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -89,7 +89,10 @@
         if self.store.reading || now < self.store.next_read {
             return;
         }
-        let is_needed = self.catalog.revision() == 0 || self.catalog_age(now) > MAX_CATALOG_AGE;
+        // Changes that are on their way from a peer would arrive later beside a read of the store.
+        let is_outdated =
+            self.catalog_age(now) > MAX_CATALOG_AGE && !self.catalog_fetcher.is_fetching();
+        let is_needed = self.catalog.revision() == 0 || is_outdated;
         if !is_needed && !self.is_store_reader(now) {
             return;
         }
