--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -40,6 +40,8 @@
 /// Fake model server.
 pub(crate) struct FakeEngine {
     slots: usize,
+    /// Time that the next load of an adapter takes.
+    pub(crate) load_time: Duration,
     sequence: u64,
     has_model: bool,
     loading_model: bool,
@@ -68,6 +70,7 @@
     pub(crate) fn new(slots: usize) -> FakeEngine {
         FakeEngine {
             slots,
+            load_time: LOAD_TIME,
             sequence: 0,
             has_model: true,
             loading_model: false,
@@ -197,7 +200,8 @@
             self.overfilled = Some(format!("{:?} with {:?}", self.loaded, adapter));
         }
         self.apply_if_expected(order, ServerOrderOutcome::Accepted, |engine| {
-            engine.loading.insert(adapter.clone(), now.after(LOAD_TIME));
+            let loaded_at = now.after(engine.load_time);
+            engine.loading.insert(adapter.clone(), loaded_at);
         })
     }
 
