gateway: ignore reports that are older than the newest order

Callers saw streams of a model server break: it was ordered to load an adapter without a free slot and crashed. Cause: a report removes the slots that it doesn't list unless they changed within 600 ms before it arrived. Over a slow link a report, or the order before it, takes longer, so that the slot of an accepted load was freed and given to another one. Class: state merged by arrival time instead of by version.

Change: a report counts only if it includes every accepted order, by the server's own count, and no order is in flight. Each order is conditional on that count, so the slots are those that the server had at it. The 600 ms and the list of recent unloads are no longer needed. report_outdated shows what was ignored.

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -275,7 +275,11 @@
             return;
         };
         let was_active = scheduler.is_active();
-        scheduler.observe_report(now, report);
+        if scheduler.observe_report(now, report) {
+            let sequence = report.map_or(0, |report| report.sequence);
+            let detail = format!("server={id} sequence={sequence}");
+            log_event(effects, "report_outdated", "", &detail);
+        }
         if scheduler.is_active() != was_active {
             let detail = format!("server={id} active={}", !was_active);
             log_event(effects, "order_right", "", &detail);
--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -86,6 +86,28 @@
         true
     }
 
+    /// Whether a report was sampled before the newest order that is known to be accepted.
+    pub fn predates_orders(&self, report: &ServerReport) -> bool {
+        match self.phase {
+            LeasePhase::Active { sequence } | LeasePhase::Unsettled { sequence } => {
+                !self.is_restarted(report) && report.sequence < sequence
+            }
+            LeasePhase::Unknown | LeasePhase::Observing { .. } => false,
+        }
+    }
+
+    fn is_restarted(&self, report: &ServerReport) -> bool {
+        self.server_started.is_some()
+            && report.started.is_some()
+            && self.server_started != report.started
+    }
+
+    /// Drops a report whose state is not needed, and schedules the next one.
+    pub fn discard_report(&mut self, now: ClockTime) {
+        self.report_in_flight = false;
+        self.report_due_at = Some(now.after(REPORT_LAG));
+    }
+
     /// Applies a report, or `None` if it could not be read.
     pub fn observe_report(&mut self, now: ClockTime, report: Option<&ServerReport>) {
         self.report_in_flight = false;
@@ -93,9 +115,7 @@
             self.report_due_at = Some(now.after(REPORT_RETRY_DELAY));
             return;
         };
-        let restarted = self.server_started.is_some()
-            && report.started.is_some()
-            && self.server_started != report.started;
+        let restarted = self.is_restarted(report);
         self.server_started = report.started.or(self.server_started);
         self.report_due_at = None;
         let sequence = report.sequence;
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -127,8 +127,6 @@
     models: Vec<SmolStr>,
     adapter_slots: Vec<AdapterSlot>,
     recently_evicted: VecDeque<(SmolStr, SmolStr)>,
-    /// Adapters unloaded so recently that a report may still list them.
-    recently_unloaded: Vec<(SmolStr, SmolStr, ClockTime)>,
     /// Factor on the expected load time, which grows while many loads run across all servers.
     load_time_factor: f64,
     grants: BTreeMap<GrantKey, GrantRecord>,
@@ -160,7 +158,6 @@
             models: Vec::new(),
             adapter_slots: Vec::new(),
             recently_evicted: VecDeque::new(),
-            recently_unloaded: Vec::new(),
             load_time_factor: 1.0,
             grants: BTreeMap::new(),
             prefix_cache: PrefixCache::new(config.cache_tokens),
@@ -508,8 +505,6 @@
             adapter: slot.adapter.clone(),
         };
         self.queue.push_back((slot.model.clone(), action));
-        self.recently_unloaded
-            .push((slot.model.clone(), slot.adapter.clone(), now));
         self.push_recently_evicted(slot.model, slot.adapter);
         Ok(())
     }
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -254,8 +254,6 @@
                     .retain(|slot| !slot.matches_adapter(model, adapter));
             }
             OrderAction::UnloadAdapter { adapter } => {
-                self.recently_unloaded
-                    .retain(|(other_model, other, _)| other_model != model || other != adapter);
                 // The slot may have been reserved for a new load of the same adapter meanwhile.
                 self.adapter_slots
                     .retain(|slot| !slot.matches_adapter(model, adapter));
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -6,7 +6,7 @@
 
 use super::{
     ADAPTER_LOAD_TIME, AdapterSlot, ModelStatus, ServerScheduler, SlotPhase,
-    orders::MODEL_RECHECK_INTERVAL,
+    orders::{MODEL_RECHECK_INTERVAL, OrderAction},
 };
 use crate::{
     clock::ClockTime,
@@ -19,13 +19,25 @@
 const SLOT_RECHECK_INTERVAL: Duration = Duration::from_millis(600);
 
 impl ServerScheduler {
-    /// Applies a report of the server, or `None` if it could not be read.
-    pub fn observe_report(&mut self, now: ClockTime, report: Option<&ServerReport>) {
+    /// Applies a report of the server, or `None` if it could not be read. Returns whether the report
+    /// was discarded as outdated.
+    ///
+    /// Each order is conditional on the server's count of accepted orders, so the slots must be
+    /// those that the server had at that count. A report from before the newest order would free
+    /// the slot of that order, and while an order is in flight, it is not known whether a report
+    /// includes it.
+    pub fn observe_report(&mut self, now: ClockTime, report: Option<&ServerReport>) -> bool {
+        if let Some(report) = report
+            && (self.pending_order.is_some() || self.order_lease.predates_orders(report))
+        {
+            self.order_lease.discard_report(now);
+            return true;
+        }
         self.order_lease.observe_report(now, report);
         if !self.order_lease.is_active() {
             self.clear_queue();
         }
-        let Some(report) = report else { return };
+        let Some(report) = report else { return false };
         self.model_status = Some(ModelStatus {
             busy: report.busy,
             cached_models: report.cached_models.clone(),
@@ -34,8 +46,6 @@
             self.model_status = None;
             self.model_loading_until = now.after(MODEL_RECHECK_INTERVAL);
         }
-        self.recently_unloaded
-            .retain(|(_, _, time)| now.since(*time) < SLOT_RECHECK_INTERVAL);
         self.apply_models(now, &report.models);
         for (model, adapter) in &report.loading_adapters {
             self.apply_adapter(now, model, adapter, now.after(ADAPTER_LOAD_TIME));
@@ -44,6 +54,7 @@
         if self.adapter_slots.iter().any(unloading) {
             self.order_lease.request_report(now);
         }
+        false
     }
 
     /// Resets the state for a server whose process was replaced.
@@ -53,7 +64,6 @@
         self.prefix_cache.clear();
         self.adapter_slots.clear();
         self.models.clear();
-        self.recently_unloaded.clear();
         self.last_fence = 0;
         self.model_status = None;
         self.model_loading_until = now;
@@ -70,6 +80,13 @@
 
     pub(super) fn apply_models(&mut self, now: ClockTime, models: &[LoadedModel]) {
         self.models = models.iter().map(|model| model.name.clone()).collect();
+        let queue = &self.queue;
+        let is_queued = |slot: &AdapterSlot| {
+            queue.iter().any(|(model, action)| {
+                *model == slot.model
+                    && matches!(action, OrderAction::LoadAdapter { adapter, .. } if *adapter == slot.adapter)
+            })
+        };
         self.adapter_slots.retain(|slot| {
             let listed = models.iter().any(|model| {
                 model.name == slot.model
@@ -78,10 +95,7 @@
                         .iter()
                         .any(|adapter| adapter.name == slot.adapter)
             });
-            // A report may be older than the newest order, and a load takes time.
-            matches!(slot.phase, SlotPhase::Reserved { .. })
-                || listed
-                || now.since(slot.changed_at.max(slot.ready_at)) < SLOT_RECHECK_INTERVAL
+            matches!(slot.phase, SlotPhase::Reserved { .. }) || listed || is_queued(slot)
         });
         for model in models {
             for adapter in &model.adapters {
@@ -97,11 +111,11 @@
         adapter: &LoadedAdapter,
         ready_at: ClockTime,
     ) {
-        let is_dropped = self
-            .recently_unloaded
-            .iter()
-            .any(|(other_model, other, _)| other_model == model && *other == adapter.name);
-        if is_dropped {
+        let is_unload_queued = self.queue.iter().any(|(other_model, action)| {
+            other_model == model
+                && matches!(action, OrderAction::UnloadAdapter { adapter: other } if *other == adapter.name)
+        });
+        if is_unload_queued {
             return;
         }
         if let Some(slot) = self.slot(model, &adapter.name) {
