gateway: give up on transfers of the catalog only when they stall

Cause: a read of the store had 1.2 s beyond its wait, and a call to a peer 1 s, for the whole response. Whatever takes longer, because the link is slow or shared, is lost and begun again, so a configuration of a megabyte never arrives over a link that leaves it 0.4 MB/s. Class: a fixed deadline on a transfer of unbounded size.

The limits of all exchanges are in gateway::exchange, so that the simulation uses them too.

Evidence: a_configuration_that_arrives_slowly_is_applied fails with a limit of 1.2 s for the whole (never applied in 20 s of polls) and passes now.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
+use wasabistall_lib::gateway::exchange::ExchangeTimeouts;
 
 use crate::client::FullResponse;
 
@@ -190,8 +191,8 @@
 /// Limits on one exchange of a request and its response.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ExchangeLimits {
-    /// Time from sending the request to the end of the response.
-    pub(super) timeout: Duration,
+    /// Time limits, from sending the request on.
+    pub(super) timeouts: ExchangeTimeouts,
     /// Largest response body, in bytes.
     pub(super) max_response_bytes: usize,
 }
@@ -208,18 +209,22 @@
 /// Reads a response body and counts its bytes in `received_bytes`.
 async fn read_response(
     response: Response<Incoming>,
-    max_bytes: usize,
+    limits: ExchangeLimits,
     received_bytes: &mut usize,
 ) -> Result<FullResponse, ConnectionError> {
     let (head, mut body) = response.into_parts();
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::time::timeout(limits.timeouts.stall, body.frame())
+            .await
+            .map_err(|_| ConnectionError::Silent)?;
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_| ConnectionError::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         *received_bytes += data.len();
-        if *received_bytes > max_bytes {
+        if *received_bytes > limits.max_response_bytes {
             return Err(ConnectionError::TooLong);
         }
         collected.extend_from_slice(&data);
@@ -251,16 +256,16 @@
         received_bytes,
     })?;
     let exchange = async {
-        let response = connection
-            .send(request)
-            .await
+        let head = tokio::time::timeout(limits.timeouts.stall, connection.send(request)).await;
+        let response = head
+            .map_err(|_| ConnectionError::Silent)?
             .map_err(|error| match error {
                 SendError::NotSent => ConnectionError::Refused,
                 SendError::Broken => ConnectionError::Broken,
             })?;
-        read_response(response, limits.max_response_bytes, &mut received_bytes).await
+        read_response(response, limits, &mut received_bytes).await
     };
-    let error = match tokio::time::timeout(limits.timeout, exchange).await {
+    let error = match tokio::time::timeout(limits.timeouts.total, exchange).await {
         Ok(Ok(response)) => {
             pool.put(key, connection, None);
             return Ok(response);
--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -12,6 +12,7 @@
 use wasabistall_lib::gateway::{
     catalog::ServerReport,
     event::GatewayEvent,
+    exchange::ExchangeTimeouts,
     server_scheduler::{ServerOrder, ServerOrderOutcome},
     servers::GatewayServerKey,
 };
@@ -28,7 +29,7 @@
 
 /// Limits on orders and reads of reports.
 const CALL_LIMITS: ExchangeLimits = ExchangeLimits {
-    timeout: Duration::from_millis(1_000),
+    timeouts: ExchangeTimeouts::of_short(Duration::from_millis(1_000)),
     max_response_bytes: 1024 * 1024,
 };
 
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -1,10 +1,6 @@
 //! Calls between instances over HTTP, with MessagePack bodies.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -30,14 +26,6 @@
 /// Largest message, in bytes; it fits a configuration of the platform's maximum value size together
 /// with all servers.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
-/// Timeout, including the time to connect, of calls that a caller's request waits for; the request
-/// then proceeds without an answer.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Limits on all calls.
-const CALL_LIMITS: ExchangeLimits = ExchangeLimits {
-    timeout: Duration::from_millis(1_000),
-    max_response_bytes: MAX_MESSAGE_BYTES,
-};
 
 /// Calls a peer and reports the outcome to the reducer.
 pub(super) async fn call_peer(
@@ -78,11 +66,18 @@
         received_bytes: 0,
     };
     let request = encode_request(peer, message).ok_or(silent)?;
-    let call = connections::call(&core.peers, &peer, peer, request, CALL_LIMITS);
+    let limits = ExchangeLimits {
+        timeouts: message.timeouts(),
+        max_response_bytes: MAX_MESSAGE_BYTES,
+    };
+    let call = connections::call(&core.peers, &peer, peer, request, limits);
     let response = match message {
-        PeerCall::Grant(_) | PeerCall::Borrow { .. } => tokio::time::timeout(GRANT_TIMEOUT, call)
-            .await
-            .unwrap_or(Err(silent)),
+        // A caller's request waits for the answer, and must not wait for a connection as well.
+        PeerCall::Grant(_) | PeerCall::Borrow { .. } => {
+            tokio::time::timeout(limits.timeouts.total, call)
+                .await
+                .unwrap_or(Err(silent))
+        }
         _ => call.await,
     };
     if response
--- a/daemon/src/gateway/store.rs
+++ b/daemon/src/gateway/store.rs
@@ -1,10 +1,6 @@
 //! Reads of the platform's store.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -24,8 +20,6 @@
     transfers::CatalogTransfer,
 };
 
-/// Response timeout, in addition to the requested wait.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Largest response, in bytes; the store itself limits a page to about one megabyte of items.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum number of pages in one full read.
@@ -65,13 +59,9 @@
     read: StoreRead,
     path: &str,
 ) -> Result<wasabistall_platform::store::StorePage, StoreError> {
-    let wait = match read {
-        StoreRead::Snapshot => Duration::ZERO,
-        StoreRead::Watch { wait, .. } => wait,
-    };
     let request = store_request(address, path).ok_or(StoreError::Unavailable)?;
     let limits = ExchangeLimits {
-        timeout: wait + RESPONSE_TIMEOUT,
+        timeouts: read.timeouts(),
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     let started = Instant::now();
--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -8,7 +8,7 @@
 use rustix::process::Signal;
 use wasabistall_testutils::{
     gateway::{CallerConnection, CallerResponse, get, wait_ready},
-    platform::StoreMode,
+    platform::{StoreMode, platform_config},
 };
 
 use self::site::TestSite;
@@ -197,6 +197,27 @@
     }
 }
 
+/// Regression test: a read of the store had a timeout for the whole response. A configuration that
+/// took longer to transfer was never applied, although data kept arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_arrives_slowly_is_applied() {
+    let site = TestSite::start(1).await;
+    site.platform.set_mode(StoreMode::Slow);
+    let mut config = platform_config(2, "key");
+    config["Routes"][1]["Prefix"] = "/moved/".into();
+    site.platform.put("op/config", Some(&config));
+    for attempt in 0..200 {
+        let id = format!("moved-{attempt}");
+        let answer = site.call(0, Method::POST, "/moved/x", &id).await;
+        if answer.status == StatusCode::OK {
+            return;
+        }
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the configuration was never applied");
+}
+
 /// The log lines of a request carry its attempt id and show each step.
 #[tokio::test(flavor = "multi_thread")]
 async fn logs_and_metrics_trace_a_request() {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod claims;
 mod engines;
 pub mod event;
+pub mod exchange;
 pub mod members;
 pub mod message;
 pub mod order_lease;
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -135,7 +135,7 @@
         self.claims_received(now, &message.claims);
         if message.last_change > self.catalog.revision() {
             if let Some(peer) = sender {
-                self.change_announced(peer, message.last_change, effects);
+                self.change_announced(now, peer, message.last_change, effects);
             }
         } else if message.revision >= self.catalog.revision() && message.revision > 0 {
             self.catalog.confirm(message.revision);
@@ -229,9 +229,9 @@
             }
             (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
                 self.apply_page(now, page, effects);
-                self.fetch_ended(effects);
+                self.fetch_ended(now, effects);
             }
-            (CallPurpose::Catalog, _) => self.fetch_ended(effects),
+            (CallPurpose::Catalog, _) => self.fetch_ended(now, effects),
             (CallPurpose::Grant(request, server), Ok(PeerAnswer::Grant(reply))) => {
                 self.grant_answered(now, request, server, Some(&reply), effects);
             }
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -91,7 +91,7 @@
         }
         // Changes that are on their way from a peer would arrive later beside a read of the store.
         let is_outdated =
-            self.catalog_age(now) > MAX_CATALOG_AGE && !self.catalog_fetcher.is_fetching();
+            self.catalog_age(now) > MAX_CATALOG_AGE && !self.catalog_fetcher.is_fetching(now);
         let is_needed = self.catalog.revision() == 0 || is_outdated;
         if !is_needed && !self.is_store_reader(now) {
             return;
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -41,8 +41,6 @@
 
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(1_000);
-/// Time after which the driver gives up on a read of the store, in addition to the requested wait.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 const RESPONSE_TIME: Duration = Duration::from_millis(120);
 
 /// Action scheduled for some virtual time.
@@ -525,7 +523,7 @@
                     let answer = Err(PeerError::NoAnswer);
                     let event = GatewayEvent::PeerAnswered { call, peer, answer };
                     let failure = WorldAction::Event(index, incarnation, event);
-                    let exchange = self.begin_exchange(NO_ANSWER_DELAY, failure);
+                    let exchange = self.begin_exchange(message.timeouts().total, failure);
                     let size = message_bytes(&message);
                     let arrival =
                         WorldAction::Deliver(target, from, call, peer, message, Some(exchange));
@@ -553,14 +551,10 @@
             return;
         }
         self.store_reads += 1;
-        let wait = match read {
-            StoreRead::Snapshot => Duration::ZERO,
-            StoreRead::Watch { wait, .. } => wait,
-        };
         let exchange = self.links.is_some().then(|| {
             let event = GatewayEvent::StoreAnswered(Err(StoreError::Unavailable));
             let failure = WorldAction::Event(index, incarnation, event);
-            self.begin_exchange(wait + STORE_TIMEOUT, failure)
+            self.begin_exchange(read.timeouts().total, failure)
         });
         match read {
             StoreRead::Snapshot => {
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -32,6 +32,11 @@
 /// Duration of a request without a model.
 const RUN_TIME: Duration = Duration::from_millis(20);
 
+/// Number of pieces of a response in [`StoreMode::Slow`], and the time between two of them.
+pub const SLOW_PIECES: usize = 20;
+/// See [`SLOW_PIECES`].
+pub const SLOW_INTERVAL: Duration = Duration::from_millis(200);
+
 type StandinBody = BoxBody<Bytes, std::io::Error>;
 
 /// How the store responds to requests.
@@ -43,6 +48,8 @@
     Busy,
     /// Accepts requests and never responds.
     Silent,
+    /// Sends each response in [`SLOW_PIECES`] pieces with [`SLOW_INTERVAL`] between them.
+    Slow,
 }
 
 /// One execution of a request on a backend server.
@@ -211,18 +218,23 @@
         match mode {
             StoreMode::Busy => return full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
             StoreMode::Silent => std::future::pending().await,
-            StoreMode::Up => {}
+            StoreMode::Up | StoreMode::Slow => {}
         }
-        match request.uri().path() {
-            "/kv-range" => json_response(&self.list_page(0, "items")),
+        let page = match request.uri().path() {
+            "/kv-range" => self.list_page(0, "items"),
             "/kv-watch" => {
                 let number = |name: &str| query.get(name).and_then(|value| value.parse().ok());
                 let after = number("after").unwrap_or(0);
                 let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
                 self.wait_for_change(after, wait).await;
-                json_response(&self.list_page(after, "events"))
+                self.list_page(after, "events")
             }
-            _ => full_response(StatusCode::NOT_FOUND, Vec::new()),
+            _ => return full_response(StatusCode::NOT_FOUND, Vec::new()),
+        };
+        if self.lock().mode == StoreMode::Slow {
+            Response::new(slow_body(page.to_string().as_bytes()))
+        } else {
+            json_response(&page)
         }
     }
 
@@ -428,6 +440,20 @@
     full_response(StatusCode::OK, value.to_string().into_bytes())
 }
 
+fn slow_body(body: &[u8]) -> StandinBody {
+    let piece_bytes = body.len().div_ceil(SLOW_PIECES).max(1);
+    let pieces: Vec<Bytes> = body
+        .chunks(piece_bytes)
+        .map(Bytes::copy_from_slice)
+        .collect();
+    let frames = futures_util::stream::unfold(pieces.into_iter(), |mut pieces| async {
+        let piece = pieces.next()?;
+        tokio::time::sleep(SLOW_INTERVAL).await;
+        Some((Ok(Frame::data(piece)), pieces))
+    });
+    BodyExt::boxed(StreamBody::new(frames))
+}
+
 async fn serve<H, F>(listener: TcpListener, handle: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
