tests: a prompt part that crashes servers, as a known fault

Servers of the simulation crash 50 ms after a request with the part arrives and are back after 3 s, without adapters. Sound requests share all other parts.

--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -42,6 +42,8 @@
     slots: usize,
     /// Time that the next load of an adapter takes.
     pub(crate) load_time: Duration,
+    /// Start of its process, in Unix milliseconds.
+    pub(crate) started: u64,
     sequence: u64,
     has_model: bool,
     loading_model: bool,
@@ -71,6 +73,7 @@
         FakeEngine {
             slots,
             load_time: LOAD_TIME,
+            started: 1,
             sequence: 0,
             has_model: true,
             loading_model: false,
@@ -90,6 +93,14 @@
         }
     }
 
+    /// Replaces the process by a new one, which holds no adapters.
+    pub(crate) fn restart(&mut self) {
+        *self = FakeEngine {
+            started: self.started + 1,
+            ..FakeEngine::new(self.slots)
+        };
+    }
+
     pub(crate) fn remove_model(&mut self) {
         self.has_model = false;
     }
@@ -250,7 +261,7 @@
         });
         ServerReport {
             sequence: self.sequence,
-            started: Some(1),
+            started: Some(self.started),
             busy: self.loading_model,
             models: if self.has_model {
                 vec![models]
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -1,5 +1,6 @@
 //! Simulation of a small fleet of gateway reducers with a store and model servers, in virtual time.
 
+mod crashes;
 mod exchanges;
 
 use std::{
@@ -34,7 +35,10 @@
     key::KeyDigest,
 };
 
-use self::exchanges::{ExchangeNumber, LinkExchange};
+use self::{
+    crashes::{CrashTable, ServerRun},
+    exchanges::{ExchangeNumber, LinkExchange},
+};
 use super::{
     engine::{FakeEngine, LEASE, engine_config},
     link::LinkTable,
@@ -60,6 +64,12 @@
     StepLinks,
     /// Gives up on an exchange, unless it is complete.
     Timeout(ExchangeNumber),
+    /// Completes a run, unless its server has crashed.
+    EndRun(ServerRun),
+    /// Crashes the server of a run.
+    Crash(ServerRun),
+    /// Publishes the record of a server.
+    Publish(usize),
     Order(
         usize,
         u64,
@@ -112,6 +122,7 @@
     links: Option<LinkTable>,
     exchanges: BTreeMap<ExchangeNumber, LinkExchange>,
     next_exchange: ExchangeNumber,
+    pub(crate) crash_table: CrashTable,
     /// Number of reads of the store.
     pub(crate) store_reads: u64,
 }
@@ -215,6 +226,7 @@
             links: None,
             exchanges: BTreeMap::new(),
             next_exchange: 0,
+            crash_table: CrashTable::default(),
             store_reads: 0,
         };
         world.publish(
@@ -256,7 +268,7 @@
             draining: false,
             cold_for: Duration::ZERO,
             sequence: 0,
-            started: 1,
+            started: self.engines[index].started,
             models: self.engines[index].report().models,
         };
         let key = format!("servers/s-{index}");
@@ -385,9 +397,16 @@
             }
             WorldAction::StepLinks => self.step_links(),
             WorldAction::Timeout(exchange) => self.give_up_exchange(exchange),
+            WorldAction::EndRun(run) => self.complete_run(run),
+            WorldAction::Crash(run) => self.crash_server(run),
+            WorldAction::Publish(engine) => self.publish_server(engine),
             WorldAction::Order(index, incarnation, server, order) => {
                 let holder = self.nodes[index].name.clone();
-                let outcome = self.engines[server].order_from(self.now, &holder, &order);
+                let outcome = if self.crash_table.is_up(self.now, server) {
+                    self.engines[server].order_from(self.now, &holder, &order)
+                } else {
+                    wasabistall_lib::gateway::server_scheduler::ServerOrderOutcome::Refused
+                };
                 let lost = self.random.random_bool(self.order_loss);
                 let outcome = if lost {
                     wasabistall_lib::gateway::server_scheduler::ServerOrderOutcome::Lost
@@ -490,7 +509,8 @@
                 let engine = engine_index(&id);
                 let now = self.now;
                 self.engines[engine].advance(now);
-                let report = Some(self.engines[engine].lagging_report(now));
+                let is_up = self.crash_table.is_up(now, engine);
+                let report = is_up.then(|| self.engines[engine].lagging_report(now));
                 let event = GatewayEvent::ReportRead { server, report };
                 self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
             }
@@ -586,6 +606,10 @@
         self.engines[engine].advance(now);
         let adapter = self.adapters.get(&dispatch.request).cloned();
         let holds = adapter.is_some_and(|adapter| self.engines[engine].holds(&adapter));
+        if self.crash_table.deadly_part.is_some() {
+            self.run_on_server(index, incarnation, dispatch, holds);
+            return;
+        }
         let (end, first_event) = if holds {
             self.outcomes
                 .push((now, dispatch.request, RequestEnd::Served));
@@ -615,6 +639,7 @@
         self.next_request += 1;
         let number = self.next_request;
         self.adapters.insert(number, adapter.into());
+        self.crash_table.record_parts(number, &self.prompt_parts);
         let request = GatewayRequest {
             number,
             attempt: format_smolstr!("{number:x}"),
--- a/lib/tests/gateway_slow_links.rs
+++ b/lib/tests/gateway_slow_links.rs
@@ -77,5 +77,9 @@
             }
         }
     }
-    assert_eq!(failures, [], "(seed, version, outdated instances, reads of the store)");
+    assert_eq!(
+        failures,
+        [],
+        "(seed, version, outdated instances, reads of the store)"
+    );
 }
--- /dev/null
+++ b/lib/tests/gateway_suspects.rs
@@ -0,0 +1,170 @@
+//! Requests that crash the servers that run them.
+
+mod gateway;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use gateway::world::{GatewayWorld, RequestEnd};
+use rand::Rng;
+use wasabistall_lib::{clock::ClockTime, gateway::prompt::PromptPart};
+
+/// Part of prompts on which servers crash.
+const DEADLY_PART: u64 = 666;
+/// Crashes after which requests with the part may no longer reach servers, given some time.
+const BUDGETED_CRASHES: usize = 5;
+/// Requests with the part that may reach servers later than that.
+const LATE_ARRIVALS: usize = 3;
+const STEP: Duration = Duration::from_millis(20);
+
+/// A fleet that receives sound requests, and some with a part that crashes servers.
+struct TaintedFleet {
+    world: GatewayWorld,
+    instances: usize,
+    sound_per_s: f64,
+    deadly_per_s: f64,
+    /// Sound requests with the times at which they were sent.
+    sound: BTreeMap<u64, ClockTime>,
+}
+
+impl TaintedFleet {
+    fn send(&mut self, is_deadly: bool) {
+        let part = |id, tokens| PromptPart { id, tokens };
+        let index = self.world.random().random_range(0..self.instances);
+        let subject = self.world.random().random_range(1_000..1_034);
+        let adapter = format!("a{}", self.world.random().random_range(0..12));
+        // Sound requests share all other parts with those that crash servers.
+        let mut parts = vec![part(1, 300), part(subject, 100)];
+        if is_deadly {
+            parts.push(part(DEADLY_PART, 100));
+        }
+        let own = self.world.random().random_range(1 << 32..1 << 40);
+        parts.push(part(own, 100));
+        self.world.prompt_parts = parts;
+        let number = self.world.request(index, &adapter, 600);
+        if !is_deadly {
+            self.sound.insert(number, self.world.now);
+        }
+    }
+
+    fn run(&mut self, time: Duration, with_deadly: bool) {
+        let end = self.world.now.after(time);
+        while self.world.now < end {
+            let step = STEP.as_secs_f64();
+            let sound = self.sound_per_s * step;
+            let deadly = if with_deadly {
+                self.deadly_per_s * step
+            } else {
+                0.0
+            };
+            for (rate, is_deadly) in [(sound, false), (deadly, true)] {
+                let draw = self.world.random().random_range(0.0..1.0);
+                let count = rate.floor() + f64::from(draw < rate.fract());
+                for _ in 0..count as usize {
+                    self.send(is_deadly);
+                }
+            }
+            self.world.run(STEP);
+        }
+    }
+
+    /// Share of the sound requests sent in a span that were served.
+    fn served_share(&self, from: ClockTime, to: ClockTime) -> f64 {
+        let sent: Vec<u64> = self
+            .sound
+            .iter()
+            .filter(|(_, time)| (from..to).contains(time))
+            .map(|(number, _)| *number)
+            .collect();
+        let served = self
+            .world
+            .outcomes
+            .iter()
+            .filter(|(_, number, end)| *end == RequestEnd::Served && sent.contains(number))
+            .count();
+        served as f64 / sent.len() as f64
+    }
+}
+
+/// What a fleet did under requests with a part that crashes servers.
+#[derive(Debug)]
+struct TaintedOutcome {
+    late_arrivals: usize,
+    served_before: f64,
+    served_after: f64,
+}
+
+/// Plays 25 s of such requests. `contact_time` is the time within which instances learn of each
+/// other's state.
+fn play(
+    seed: u64,
+    instances: usize,
+    engines: usize,
+    sound_per_s: f64,
+    contact_time: Duration,
+) -> TaintedOutcome {
+    let mut world = GatewayWorld::new(seed, instances, engines);
+    world.crash_table.deadly_part = Some(DEADLY_PART);
+    world.run(Duration::from_secs(8));
+    let mut fleet = TaintedFleet {
+        world,
+        instances,
+        sound_per_s,
+        deadly_per_s: sound_per_s / 20.0,
+        sound: BTreeMap::new(),
+    };
+    // The first seconds load the adapters.
+    fleet.run(Duration::from_secs(4), false);
+    let measured_from = fleet.world.now;
+    fleet.run(Duration::from_secs(6), false);
+    let tainted_from = fleet.world.now;
+    fleet.run(Duration::from_secs(25), true);
+    let tainted_to = fleet.world.now;
+    fleet.world.run(Duration::from_secs(6));
+    let table = &fleet.world.crash_table;
+    let fifth = table
+        .crashes
+        .get(BUDGETED_CRASHES - 1)
+        .copied()
+        .unwrap_or(tainted_from);
+    let late = fifth.after(contact_time);
+    TaintedOutcome {
+        late_arrivals: table
+            .deadly_arrivals
+            .iter()
+            .filter(|time| **time > late)
+            .count(),
+        served_before: fleet.served_share(measured_from, tainted_from),
+        served_after: fleet.served_share(fifth.after(contact_time * 2), tainted_to),
+    }
+}
+
+fn check(outcome: &TaintedOutcome, seed: u64) {
+    println!("seed {seed}: {outcome:?}");
+    assert!(
+        outcome.late_arrivals <= LATE_ARRIVALS,
+        "seed {seed}: {outcome:?}"
+    );
+    assert!(
+        outcome.served_after >= outcome.served_before * 0.5,
+        "seed {seed}: {outcome:?}"
+    );
+}
+
+/// Regression test: requests that differ, but share a part on which servers crash, crashed one server
+/// after the other.
+#[test]
+fn a_part_that_crashes_servers_is_refused() {
+    for seed in 0..10 {
+        let outcome = play(seed, 7, 12, 36.0, Duration::from_millis(3_000));
+        check(&outcome, seed);
+    }
+}
+
+/// The same in a fleet where each instance sees only a few of the crashes.
+#[test]
+fn a_part_that_crashes_servers_is_refused_by_a_large_fleet() {
+    for seed in 0..2 {
+        let outcome = play(seed, 80, 60, 120.0, Duration::from_millis(4_000));
+        check(&outcome, seed);
+    }
+}
