daemon: break off streams that end within an event

Callers got a stream as complete although its server had failed: a response without a length ends with its connection, and hyper reports that as the end of the body. Cause: only streams that may be resumed were checked for an incomplete event at their end. Change: all streams are. Evidence: a_stream_that_ends_within_an_event_does_not_look_complete fails before (the answer ends with the last chunk) and passes now.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -42,6 +42,7 @@
     listen,
     resume::ResumeBuffer,
 };
+use crate::sse::EventTail;
 
 /// Limits used until a configuration is known.
 const DEFAULT_BOUNDS: CallerBounds = CallerBounds {
@@ -382,6 +383,7 @@
         call,
         sender,
         resume_buffer: resumable.then(ResumeBuffer::default),
+        tail: EventTail::default(),
     };
     tokio::spawn(relay.run(upstream));
     let chunks = futures_util::stream::unfold(Some(receiver), |receiver| async move {
@@ -407,6 +409,8 @@
     call: CallerCall,
     sender: mpsc::Sender<StreamPart>,
     resume_buffer: Option<ResumeBuffer>,
+    /// End of what the current server has sent.
+    tail: EventTail,
 }
 
 /// How relaying from one server ended.
@@ -491,19 +495,15 @@
                     }
                 }
                 Some(Err(_)) => return RelayEnd::Interrupted(rest),
-                None if self
-                    .resume_buffer
-                    .as_ref()
-                    .is_some_and(ResumeBuffer::has_partial_event) =>
-                {
-                    return RelayEnd::Interrupted(rest);
-                }
+                // A response without a length ends with its connection, also when the server fails.
+                None if self.tail.is_within_event() => return RelayEnd::Interrupted(rest),
                 None => return RelayEnd::Complete(rest),
             }
         }
     }
 
     async fn forward_chunk(&mut self, data: &Bytes) -> Option<ForwardError> {
+        self.tail.push(data);
         let chunk = match &mut self.resume_buffer {
             Some(buffer) => match buffer.push(data) {
                 Ok(chunk) => chunk,
@@ -533,6 +533,7 @@
             };
             let buffer = self.resume_buffer.as_mut()?;
             buffer.discard_partial_event();
+            self.tail = EventTail::default();
             let last_id = buffer.last_id().map(smol_str::SmolStr::new);
             let result = tokio::select! {
                 result = run_attempt(&core, &self.call, &dispatch, last_id.as_deref()) => result,
--- a/daemon/src/gateway/resume.rs
+++ b/daemon/src/gateway/resume.rs
@@ -32,11 +32,6 @@
         self.last_id.as_deref()
     }
 
-    /// Whether part of an incomplete event is buffered.
-    pub(super) fn has_partial_event(&self) -> bool {
-        self.pending.has_partial_event()
-    }
-
     /// Discards an incomplete event, which the next server sends again.
     pub(super) fn discard_partial_event(&mut self) {
         self.pending = EventBuffer::default();
--- a/daemon/src/sse.rs
+++ b/daemon/src/sse.rs
@@ -43,6 +43,39 @@
     }
 }
 
+/// Tracks whether the bytes of a stream so far end within an event.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EventTail {
+    /// Number of line ends at the end of the stream, at most two.
+    line_ends: usize,
+}
+
+impl Default for EventTail {
+    fn default() -> EventTail {
+        EventTail {
+            line_ends: EVENT_TERMINATOR.len(),
+        }
+    }
+}
+
+impl EventTail {
+    /// Appends bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' => self.line_ends = (self.line_ends + 1).min(EVENT_TERMINATOR.len()),
+                b'\r' => {}
+                _ => self.line_ends = 0,
+            }
+        }
+    }
+
+    /// Whether the stream ends within an event.
+    pub(crate) fn is_within_event(self) -> bool {
+        self.line_ends < EVENT_TERMINATOR.len()
+    }
+}
+
 /// The data of an event that has a single line; `None` for comments and other fields.
 pub(crate) fn event_data(event: &[u8]) -> Option<&[u8]> {
     event.strip_prefix(DATA_PREFIX).map(<[u8]>::trim_ascii)
--- a/daemon/tests/gateway_input.rs
+++ b/daemon/tests/gateway_input.rs
@@ -25,24 +25,26 @@
 
 /// How a server answers every request.
 #[derive(Clone, Copy)]
-enum EndlessAnswer {
+enum FaultyAnswer {
     /// With a body that never ends.
     Body,
     /// With a stream of events that never ends.
     Events,
     /// With a head that never ends.
     Head,
+    /// With a stream without a length, whose connection is closed within an event.
+    TornEvent,
 }
 
-/// A server whose answers never end.
-struct EndlessServer {
+/// A server whose answers are faulty.
+struct FaultyServer {
     address: SocketAddr,
     /// Number of answers that the gateway has not broken off.
     running: Arc<AtomicUsize>,
 }
 
-impl EndlessServer {
-    async fn start(ip: std::net::IpAddr, answer: EndlessAnswer) -> EndlessServer {
+impl FaultyServer {
+    async fn start(ip: std::net::IpAddr, answer: FaultyAnswer) -> FaultyServer {
         let listener = TcpListener::bind((ip, 0)).await.expect("bind a server");
         let address = listener.local_addr().expect("address");
         let running = Arc::new(AtomicUsize::new(0));
@@ -52,7 +54,7 @@
                 tokio::spawn(answer_without_end(stream, answer, counter.clone()));
             }
         });
-        EndlessServer { address, running }
+        FaultyServer { address, running }
     }
 
     /// Waits until every answer was broken off.
@@ -69,7 +71,7 @@
 
 async fn answer_without_end(
     mut stream: TcpStream,
-    answer: EndlessAnswer,
+    answer: FaultyAnswer,
     running: Arc<AtomicUsize>,
 ) {
     let mut request = Vec::new();
@@ -99,13 +101,22 @@
     running.fetch_add(1, Ordering::SeqCst);
     let head = format!("HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nresponse-seal: seal\r\n");
     let (head, piece) = match answer {
-        EndlessAnswer::Body => (format!("{head}\r\n"), "x".repeat(CHUNK_BYTES)),
-        EndlessAnswer::Events => {
+        FaultyAnswer::Body => (format!("{head}\r\n"), "x".repeat(CHUNK_BYTES)),
+        FaultyAnswer::Events => {
             let event = format!("data: {}\n\n", "x".repeat(CHUNK_BYTES));
             let piece = format!("{:x}\r\n{event}\r\n", event.len());
             (format!("{head}transfer-encoding: chunked\r\n\r\n"), piece)
         }
-        EndlessAnswer::Head => (head, format!("x-more: {}\r\n", "x".repeat(1_000))),
+        FaultyAnswer::TornEvent => {
+            let events = "id: 0\ndata: token\n\nid: 1\ndata: tok";
+            // The gateway may have closed the connection.
+            let _ = stream
+                .write_all(format!("{head}connection: close\r\n\r\n{events}").as_bytes())
+                .await;
+            running.fetch_sub(1, Ordering::SeqCst);
+            return;
+        }
+        FaultyAnswer::Head => (head, format!("x-more: {}\r\n", "x".repeat(1_000))),
     };
     if stream.write_all(head.as_bytes()).await.is_ok() {
         while stream.write_all(piece.as_bytes()).await.is_ok() {}
@@ -113,15 +124,15 @@
     running.fetch_sub(1, Ordering::SeqCst);
 }
 
-/// Replaces the servers of `service` with one whose answers never end.
+/// Replaces the servers of `service` with one whose answers are faulty.
 async fn replace_servers(
     site: &TestSite,
     service: &str,
     old: [&str; 2],
-    answer: EndlessAnswer,
-) -> EndlessServer {
+    answer: FaultyAnswer,
+) -> FaultyServer {
     let is_engine = service == "models";
-    let server = EndlessServer::start(site.gateways[0].ports.ip, answer).await;
+    let server = FaultyServer::start(site.gateways[0].ports.ip, answer).await;
     site.platform
         .register("s-9", service, server.address, is_engine, "ready");
     for id in old {
@@ -225,7 +236,7 @@
 
 /// Calls a service whose answers never end 60 times at once. Each caller gets a failure, each answer is
 /// broken off, and the process stays within its memory.
-async fn call_endless_service(answer: EndlessAnswer) {
+async fn call_endless_service(answer: FaultyAnswer) {
     let site = TestSite::start(1).await;
     let server = replace_servers(&site, "desk", ["s-3", "s-4"], answer).await;
     let mut callers = Vec::new();
@@ -245,12 +256,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_without_end_stay_within_the_memory() {
-    call_endless_service(EndlessAnswer::Body).await;
+    call_endless_service(FaultyAnswer::Body).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_stay_within_the_memory() {
-    call_endless_service(EndlessAnswer::Head).await;
+    call_endless_service(FaultyAnswer::Head).await;
 }
 
 /// A caller that stops reading its stream loses it at its deadline: the server's run ends, the
@@ -258,7 +269,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_stops_reading_does_not_hold_its_stream() {
     let site = TestSite::start(1).await;
-    let server = replace_servers(&site, "models", ["s-1", "s-2"], EndlessAnswer::Events).await;
+    let server = replace_servers(&site, "models", ["s-1", "s-2"], FaultyAnswer::Events).await;
     let mut callers = Vec::new();
     for number in 0..20 {
         let head = post("/chat/x", &format!("chat-{number}"), "key", 0)
@@ -287,3 +298,16 @@
     let peak = site.gateways[0].peak_memory_mb();
     assert!(peak < MEMORY_MB, "{peak} MB");
 }
+
+/// Regression test: a stream without a length whose connection was closed within an event reached
+/// the caller as complete, unless its route allowed to resume it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_within_an_event_does_not_look_complete() {
+    let site = TestSite::start(1).await;
+    let _server = replace_servers(&site, "models", ["s-1", "s-2"], FaultyAnswer::TornEvent).await;
+    let head = post("/chat/x", "torn", "key", 0)
+        + "deadline-ms: 3000\r\nmodel: base\r\ntoken-usage: 100,20\r\n\r\n";
+    let answer = read_to_close(open(&site, &head).await).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "the answer looks complete");
+}
