gateway: recover the lease after an order that was not counted

Cause: a server answers the unload of an adapter that it does not hold without counting it, so that the scheduler's count is too high. Since reports with a lower count are ignored as outdated, none was accepted any more, and the scheduler never ordered again. Change: a report that was requested later than the newest order by more than reports lag behind counts in any case, and the next order is conditional on the count of that report, so that its slots and its count always belong together.

--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -41,6 +41,10 @@
     /// Time at which the next report is to be read.
     report_due_at: Option<ClockTime>,
     report_in_flight: bool,
+    /// Time at which the newest report was requested.
+    report_requested_at: ClockTime,
+    /// Time at which the outcome of the newest order was known.
+    last_order_at: ClockTime,
 }
 
 impl OrderLease {
@@ -52,6 +56,8 @@
             lease_time,
             report_due_at: Some(now),
             report_in_flight: false,
+            report_requested_at: now,
+            last_order_at: now,
         }
     }
 
@@ -83,14 +89,20 @@
             return false;
         }
         self.report_in_flight = true;
+        self.report_requested_at = now;
         true
     }
 
-    /// Whether a report was sampled before the newest order that is known to be accepted.
+    /// Whether a report may have been sampled before the newest order that counts as accepted.
+    ///
+    /// One that was requested later than that, by more than reports lag behind, shows that an order
+    /// was not counted.
     pub fn predates_orders(&self, report: &ServerReport) -> bool {
         match self.phase {
             LeasePhase::Active { sequence } | LeasePhase::Unsettled { sequence } => {
-                !self.is_restarted(report) && report.sequence < sequence
+                !self.is_restarted(report)
+                    && report.sequence < sequence
+                    && self.report_requested_at < self.last_order_at.after(REPORT_LAG)
             }
             LeasePhase::Unknown | LeasePhase::Observing { .. } => false,
         }
@@ -139,7 +151,10 @@
                     self.phase
                 }
             }
-            LeasePhase::Active { sequence: own } if sequence <= own => self.phase,
+            // The next order must be conditional on the count that belongs to the reported state.
+            LeasePhase::Active { sequence: own } if sequence <= own => {
+                LeasePhase::Active { sequence }
+            }
             LeasePhase::Unsettled { sequence: own } if sequence <= own + 1 => {
                 LeasePhase::Active { sequence }
             }
@@ -160,7 +175,8 @@
     }
 
     /// Records that an order was accepted.
-    pub fn record_accepted(&mut self) {
+    pub fn record_accepted(&mut self, now: ClockTime) {
+        self.last_order_at = now;
         if let LeasePhase::Active { sequence } = self.phase {
             self.phase = LeasePhase::Active {
                 sequence: sequence + 1,
@@ -170,6 +186,7 @@
 
     /// Records that it is unknown whether an order was accepted.
     pub fn mark_unsettled(&mut self, now: ClockTime) {
+        self.last_order_at = now;
         if let LeasePhase::Active { sequence } = self.phase {
             self.phase = LeasePhase::Unsettled { sequence };
             self.report_due_at = Some(now.after(REPORT_LAG));
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -194,12 +194,12 @@
         }
         match outcome {
             ServerOrderOutcome::Done if matches!(action, OrderAction::UnloadAdapter { .. }) => {
-                self.order_lease.record_accepted();
+                self.order_lease.record_accepted(now);
             }
             // The server also answers this if the adapter was already loaded.
             ServerOrderOutcome::Done => self.order_lease.request_report(now),
             ServerOrderOutcome::Accepted => {
-                self.order_lease.record_accepted();
+                self.order_lease.record_accepted(now);
                 if matches!(action, OrderAction::UnloadAdapter { .. }) {
                     // The unload waits for requests that this scheduler doesn't know of.
                     self.clear_queue();
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -101,6 +101,11 @@
         };
     }
 
+    /// Drops an adapter without counting an order.
+    pub(crate) fn lose_adapter(&mut self, adapter: &str) {
+        self.loaded.retain(|loaded| loaded != adapter);
+    }
+
     pub(crate) fn remove_model(&mut self) {
         self.has_model = false;
     }
--- a/lib/tests/gateway_slow_orders.rs
+++ b/lib/tests/gateway_slow_orders.rs
@@ -221,3 +221,35 @@
     }
     assert_eq!(overfilled, [], "(maximum delay in milliseconds, seed)");
 }
+
+/// A server answers an unload of an adapter that it doesn't hold without counting it. The scheduler,
+/// whose count is then too high, must be able to order again.
+#[test]
+fn an_order_that_was_not_counted_does_not_end_the_lease() {
+    let mut link = SlowLink::new(1, Duration::from_millis(20));
+    for request in 0..1_000 {
+        link.step();
+        link.request(request);
+        link.end_requests();
+    }
+    let held: Vec<String> = (0..ADAPTERS)
+        .map(|number| format!("a{number}"))
+        .filter(|adapter| link.engine.holds(adapter))
+        .collect();
+    for adapter in &held {
+        link.engine.lose_adapter(adapter);
+    }
+    for request in 1_000..2_000 {
+        link.step();
+        link.request(request);
+        link.end_requests();
+    }
+    let orders = link.engine.report().sequence;
+    for request in 2_000..3_000 {
+        link.step();
+        link.request(request);
+        link.end_requests();
+    }
+    assert!(link.engine.report().sequence > orders + 10);
+    assert_eq!(link.engine.overfilled, None);
+}
