gateway: log the fencing token of orders, and orders that are given up

The logs could not tell an order that was still under way when its sender gave up on it from one that was sent twice. order_sent now has the fencing token, and order_abandoned names the token, the fault and the local port of the connection that was closed.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -55,6 +55,7 @@
 pub(super) struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    local_port: u16,
 }
 
 impl ServerConnection {
@@ -69,6 +70,7 @@
         if stream.set_nodelay(true).is_err() {
             return Err(ConnectionError::Refused);
         }
+        let local_port = stream.local_addr().map_or(0, |address| address.port());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -82,6 +84,7 @@
         Ok(ServerConnection {
             sender,
             task: task.abort_handle(),
+            local_port,
         })
     }
 
@@ -204,6 +207,8 @@
     pub(super) error: ConnectionError,
     /// Bytes of the response body that had been received by then.
     pub(super) received_bytes: usize,
+    /// Local port of the connection, if there was one; 0 if it is unknown.
+    pub(super) local_port: Option<u16>,
 }
 
 /// Reads a response body and counts its bytes in `received_bytes`.
@@ -254,6 +259,7 @@
     let mut connection = connected.map_err(|error| ExchangeFailure {
         error,
         received_bytes,
+        local_port: None,
     })?;
     let exchange = async {
         let head = tokio::time::timeout(limits.timeouts.stall, connection.send(request)).await;
@@ -273,9 +279,11 @@
         Ok(Err(error)) => error,
         Err(_) => ConnectionError::Silent,
     };
+    let local_port = Some(connection.local_port);
     connection.close();
     Err(ExchangeFailure {
         error,
         received_bytes,
+        local_port,
     })
 }
--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -64,14 +64,32 @@
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let call = connections::call(&core.servers, &id, address, request, CALL_LIMITS);
-    let outcome = match call.await.map_err(|failure| failure.error) {
+    let outcome = match call.await {
         Ok(response) => order_outcome(response.status),
-        Err(ConnectionError::Refused | ConnectionError::Unreachable) => ServerOrderOutcome::Refused,
-        Err(_) => ServerOrderOutcome::Lost,
+        Err(failure) => {
+            tracing::info!(
+                event = "order_abandoned",
+                server = %id,
+                fence = order.fence,
+                fault = ?failure.error,
+                local_port = failure.local_port
+            );
+            abandoned_outcome(failure.error)
+        }
     };
     core.handle_event(GatewayEvent::OrderEnded { server, outcome });
 }
 
+/// Outcome of an order that has no response.
+fn abandoned_outcome(error: ConnectionError) -> ServerOrderOutcome {
+    match error {
+        ConnectionError::Refused | ConnectionError::Unreachable => ServerOrderOutcome::Refused,
+        ConnectionError::Broken | ConnectionError::Silent | ConnectionError::TooLong => {
+            ServerOrderOutcome::Lost
+        }
+    }
+}
+
 /// Reads a server's report and passes it to the reducer.
 pub(super) async fn read_report(
     core: Arc<GatewayCore>,
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -62,6 +62,7 @@
     message: &PeerCall,
 ) -> Result<FullResponse, ExchangeFailure> {
     let silent = ExchangeFailure {
+        local_port: None,
         error: ConnectionError::Silent,
         received_bytes: 0,
     };
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -216,8 +216,8 @@
         if let Some(order) = scheduler.next_order(now, &engine_config, unix_millis) {
             self.stats.orders += 1;
             let detail = format!(
-                "server={id} action={:?} expected={}",
-                order.action, order.expected
+                "server={id} action={:?} expected={} fence={}",
+                order.action, order.expected, order.fence
             );
             log_event(effects, "order_sent", "", &detail);
             effects.push(GatewayEffect::Order {
