--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -69,6 +69,19 @@
     pub finished: bool,
 }
 
+/// An order that arrived at a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderRecord {
+    /// Id of the server.
+    pub server: SmolStr,
+    /// Adapter to load or unload; empty for a base model.
+    pub adapter: String,
+    /// Fencing token.
+    pub fence: u64,
+    /// Status of the response.
+    pub status: StatusCode,
+}
+
 struct StoreItem {
     value: Option<Vec<u8>>,
     revision: u64,
@@ -87,6 +100,7 @@
     items: BTreeMap<String, StoreItem>,
     revision: u64,
     runs: Vec<RunRecord>,
+    orders: Vec<OrderRecord>,
     engines: BTreeMap<SmolStr, EngineState>,
     violations: Vec<String>,
 }
@@ -115,6 +129,7 @@
                 items: BTreeMap::new(),
                 revision: 1,
                 runs: Vec::new(),
+                orders: Vec::new(),
                 engines: BTreeMap::new(),
                 violations: Vec::new(),
             })),
@@ -157,6 +172,11 @@
         self.lock().runs.clone()
     }
 
+    /// All orders that arrived at servers, in the order of their arrival.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.lock().orders.clone()
+    }
+
     /// Violations of the order lease or of the adapter slots, as seen by the servers.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -170,13 +190,19 @@
         service: &str,
         is_engine: bool,
     ) -> SocketAddr {
+        let address = self.start_unregistered_server(ip, id).await;
+        self.register(id, service, address, is_engine, "ready");
+        address
+    }
+
+    /// Starts a backend server without an entry in the store; returns its address.
+    pub async fn start_unregistered_server(&self, ip: std::net::IpAddr, id: &str) -> SocketAddr {
         let listener = TcpListener::bind((ip, 0)).await.expect("bind a server");
         let address = listener.local_addr().expect("address of a server");
         let id = SmolStr::new(id);
         self.lock()
             .engines
             .insert(id.clone(), EngineState::default());
-        self.register(&id, service, address, is_engine, "ready");
         let standin = self.clone();
         tokio::spawn(serve(listener, move |request| {
             let (standin, id) = (standin.clone(), id.clone());
@@ -287,7 +313,14 @@
                     .map(http_body_util::Collected::to_bytes)
                     .unwrap_or_default();
                 let order: Value = serde_json::from_slice(&body).unwrap_or_default();
-                full_response(self.execute_order(id, &order), Vec::new())
+                let status = self.execute_order(id, &order);
+                self.lock().orders.push(OrderRecord {
+                    server: id.clone(),
+                    adapter: order["Adapter"].as_str().unwrap_or("").to_owned(),
+                    fence: order["Fence"].as_u64().unwrap_or(0),
+                    status,
+                });
+                full_response(status, Vec::new())
             }
             _ => self.run_request(id, request, &headers).await,
         }
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -19,6 +19,8 @@
 
 /// Delay of each chunk in [`ProxyMode::Delay`].
 const DELAY: Duration = Duration::from_millis(150);
+/// Time between the end of a connection and that of its other side.
+const CLOSE_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which connections check for a change of mode.
 const MODE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -32,7 +34,8 @@
     Delay,
     /// Closes open and new connections.
     Reset,
-    /// Forwards nothing and keeps connections open.
+    /// Forwards nothing and keeps connections open. Once the mode changes, the data that was held is
+    /// forwarded, unless its sender has reset the connection.
     Silent,
     /// Forwards data to the target and nothing back.
     OneWay,
@@ -104,7 +107,12 @@
                 () = self.wait_for_reset() => return,
             };
             let count = match read {
-                Ok(0) | Err(_) => return,
+                Ok(0) => {
+                    // The receiver handles what was forwarded before it notices the end.
+                    tokio::time::sleep(CLOSE_DELAY).await;
+                    return;
+                }
+                Err(_) => return,
                 Ok(count) => count,
             };
             while self.mode() == ProxyMode::Silent
@@ -115,7 +123,7 @@
             if self.mode() == ProxyMode::Delay {
                 tokio::time::sleep(DELAY).await;
             }
-            if to.write_all(&buffer[..count]).await.is_err() {
+            if is_reset(&from) || to.write_all(&buffer[..count]).await.is_err() {
                 return;
             }
         }
@@ -127,3 +135,7 @@
         }
     }
 }
+
+fn is_reset(connection: &OwnedReadHalf) -> bool {
+    !matches!(connection.as_ref().take_error(), Ok(None))
+}
