gateway: reset connections to servers and peers when they are closed

Cause: an order that is given up was not withdrawn. Its connection was closed in order, and the operating system goes on delivering what was written for as long as it retries, also after the link was cut for seconds. The order arrived 6.2 s later, when the same adapter was loading again, and an order that already holds is accepted whatever its count.

Evidence: order_abandoned shows one connection and one close for the order (token), so that it was not sent twice, and no order with that count was sent after the cut, so that its token was not computed late.

Connections are now reset when they are closed, also by the end of the process. What has not been delivered is lost.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -67,7 +67,9 @@
             Ok(Err(_)) => return Err(ConnectionError::Refused),
             Err(_) => return Err(ConnectionError::Unreachable),
         };
-        if stream.set_nodelay(true).is_err() {
+        // Closing the connection resets it. Otherwise the operating system would go on delivering what
+        // was written, also after a long outage of the link.
+        if stream.set_nodelay(true).is_err() || stream.set_zero_linger().is_err() {
             return Err(ConnectionError::Refused);
         }
         let local_port = stream.local_addr().map_or(0, |address| address.port());
@@ -102,7 +104,7 @@
             })
     }
 
-    /// Closes the connection, even with a request in progress.
+    /// Closes the connection, even with a request in progress. What has not been delivered is lost.
     pub(super) fn close(self) {
         drop(self);
     }
