gateway: give all orders of one lease the same fencing token

A model server accepts an order whose effect already holds whatever its count. Each order had a token of its own, so one that arrived late, for example because the server read it late, had a lower one than the orders that the same instance had given since.

The token now belongs to the lease, which is what it is to tell apart: all orders under one lease have the token of its first. An order of an earlier lease is at least the lease time older.

--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -66,6 +66,15 @@
         matches!(self.phase, LeasePhase::Active { .. })
     }
 
+    /// Whether no other instance may give orders, as far as this one knows. While the outcome of an
+    /// order is unknown, the lease is held but no order may be given.
+    pub fn is_held(&self) -> bool {
+        matches!(
+            self.phase,
+            LeasePhase::Active { .. } | LeasePhase::Unsettled { .. }
+        )
+    }
+
     /// Count of accepted orders that the next order is conditional on.
     pub fn expected(&self) -> Option<u64> {
         match self.phase {
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -137,7 +137,8 @@
     pending_order: Option<(SmolStr, OrderAction)>,
     /// Largest fencing token of an accepted order, including orders of earlier schedulers.
     last_fence: u64,
-    pending_fence: u64,
+    /// Fencing token of the lease that is held, once an order was given under it.
+    lease_fence: Option<u64>,
     model_loading_until: ClockTime,
     /// State of the base models according to the last report, if there was one.
     model_status: Option<ModelStatus>,
@@ -166,7 +167,7 @@
             queue: VecDeque::new(),
             pending_order: None,
             last_fence: 0,
-            pending_fence: 0,
+            lease_fence: None,
             model_loading_until: now,
             model_status: None,
         };
@@ -201,6 +202,7 @@
     /// state they were based on may have changed.
     pub fn suspend(&mut self, now: ClockTime) {
         self.clear_queue();
+        self.lease_fence = None;
         self.order_lease.suspend(now);
     }
 
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -46,7 +46,8 @@
     pub model: SmolStr,
     /// Number of accepted orders that the server must have counted for the order to be accepted.
     pub expected: u64,
-    /// Fencing token. Increases with the number of accepted orders and differs between instances.
+    /// Fencing token of the sender's lease. It differs between leases and increases from one to the
+    /// next.
     pub fence: u64,
 }
 
@@ -83,8 +84,11 @@
         self.start_loads(now, config);
         let (model, action) = self.queue.pop_front()?;
         self.pending_order = Some((model.clone(), action.clone()));
-        let fence = self.fence(expected, unix_millis);
-        self.pending_fence = fence;
+        // An order that arrives late must not have a lower token than those given since.
+        let fence = self
+            .lease_fence
+            .unwrap_or_else(|| self.fence(expected, unix_millis));
+        self.lease_fence = Some(fence);
         Some(ServerOrder {
             action,
             model,
@@ -93,7 +97,7 @@
         })
     }
 
-    /// Computes the fencing token of the next order.
+    /// Computes the fencing token of a lease.
     ///
     /// The count of accepted orders makes up the high bits, so tokens keep increasing even if all
     /// instances lose their state. The server accepts an order without counting it if it is in the
@@ -185,7 +189,7 @@
             outcome,
             ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused
         ) {
-            self.last_fence = self.last_fence.max(self.pending_fence);
+            self.last_fence = self.last_fence.max(self.lease_fence.unwrap_or_default());
         }
         if action == OrderAction::LoadModel {
             // Only a report taken from now on tells whether the model must be ordered again.
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -37,6 +37,9 @@
         if !self.order_lease.is_active() {
             self.clear_queue();
         }
+        if !self.order_lease.is_held() {
+            self.lease_fence = None;
+        }
         let Some(report) = report else { return false };
         self.model_status = Some(ModelStatus {
             busy: report.busy,
@@ -65,6 +68,7 @@
         self.adapter_slots.clear();
         self.models.clear();
         self.last_fence = 0;
+        self.lease_fence = None;
         self.model_status = None;
         self.model_loading_until = now;
         self.apply_models(now, models);
