gateway: acquire the order lease anew after an order of another instance

Two instances ordered one model server in turn within the lease time (seen in a simulation; reports from a fleet name the same rule).

Cause: after an order that failed, a count of one more than expected passed for that order. But an order that the server rejects was not counted, so the count shows an order of another instance; and while the outcome of a lost order is unknown, another instance may have acquired the lease and ordered. The instance went on with the new count, which made its next order succeed within the lease time of the other.

A rejected order now accounts for nothing. A lost one accounts for one more only until the lease time after the last order that certainly changed the count, in which no other instance can have observed it for long enough. Otherwise the lease is acquired anew, which also waits until a lost order cannot arrive any more, because the new lease has a higher token.

--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -17,6 +17,8 @@
 /// Time by which reports lag behind the server, some hundred milliseconds. It is added to the lease
 /// time, and a report that settles the outcome of an unanswered order is read only after it.
 pub const REPORT_LAG: Duration = Duration::from_millis(400);
+/// Time after which an order without a response does not arrive any more.
+const ORDER_LIFETIME: Duration = Duration::from_millis(10_000);
 /// Delay after a report that could not be read.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -28,8 +30,12 @@
     Observing { sequence: u64, since: ClockTime },
     /// Orders may be given, conditional on this count.
     Active { sequence: u64 },
-    /// The outcome of an order is unknown. It accounts for a count of at most `sequence + 1`.
-    Unsettled { sequence: u64 },
+    /// An order failed. It accounts for a count of at most `sequence`, or of `sequence + 1` if its
+    /// outcome is unknown and no other instance can have given an order before `counted_until`.
+    Unsettled {
+        sequence: u64,
+        counted_until: ClockTime,
+    },
 }
 
 /// Lease for giving orders to one server, from the view of one instance.
@@ -45,6 +51,13 @@
     report_requested_at: ClockTime,
     /// Time at which the outcome of the newest order was known.
     last_order_at: ClockTime,
+    /// Time at which the newest order was sent.
+    order_sent_at: ClockTime,
+    /// Time until which an order without a response may arrive.
+    late_until: ClockTime,
+    /// Time until which no other instance can have observed the count for the lease time, because an
+    /// order of this one has changed it.
+    exclusive_until: ClockTime,
 }
 
 impl OrderLease {
@@ -58,6 +71,9 @@
             report_in_flight: false,
             report_requested_at: now,
             last_order_at: now,
+            order_sent_at: now,
+            late_until: ClockTime::ZERO,
+            exclusive_until: ClockTime::ZERO,
         }
     }
 
@@ -108,7 +124,7 @@
     /// was not counted.
     pub fn predates_orders(&self, report: &ServerReport) -> bool {
         match self.phase {
-            LeasePhase::Active { sequence } | LeasePhase::Unsettled { sequence } => {
+            LeasePhase::Active { sequence } | LeasePhase::Unsettled { sequence, .. } => {
                 !self.is_restarted(report)
                     && report.sequence < sequence
                     && self.report_requested_at < self.last_order_at.after(REPORT_LAG)
@@ -153,10 +169,13 @@
                 sequence: seen,
                 since,
             } if seen == sequence => {
-                if now.since(since) >= self.quiet_time() {
+                // Another lease has another token, and a late order would have a lower one.
+                let active_at = since.after(self.quiet_time()).max(self.late_until);
+                if now >= active_at {
+                    self.exclusive_until = ClockTime::ZERO;
                     LeasePhase::Active { sequence }
                 } else {
-                    self.report_due_at = Some(since.after(self.quiet_time()));
+                    self.report_due_at = Some(active_at);
                     self.phase
                 }
             }
@@ -164,7 +183,14 @@
             LeasePhase::Active { sequence: own } if sequence <= own => {
                 LeasePhase::Active { sequence }
             }
-            LeasePhase::Unsettled { sequence: own } if sequence <= own + 1 => {
+            LeasePhase::Unsettled { sequence: own, .. } if sequence <= own => {
+                LeasePhase::Active { sequence }
+            }
+            LeasePhase::Unsettled {
+                sequence: own,
+                counted_until,
+            } if sequence == own + 1 && now < counted_until => {
+                self.exclusive_until = self.order_sent_at.after(self.quiet_time());
                 LeasePhase::Active { sequence }
             }
             _ => self.start_observing(now, sequence),
@@ -183,9 +209,15 @@
         }
     }
 
-    /// Records that an order was accepted.
+    /// Records that an order was sent.
+    pub fn record_sent(&mut self, now: ClockTime) {
+        self.order_sent_at = now;
+    }
+
+    /// Records that the order was accepted.
     pub fn record_accepted(&mut self, now: ClockTime) {
         self.last_order_at = now;
+        self.exclusive_until = self.order_sent_at.after(self.quiet_time());
         if let LeasePhase::Active { sequence } = self.phase {
             self.phase = LeasePhase::Active {
                 sequence: sequence + 1,
@@ -193,11 +225,24 @@
         }
     }
 
-    /// Records that it is unknown whether an order was accepted.
+    /// Records that it is unknown whether the order was accepted.
     pub fn mark_unsettled(&mut self, now: ClockTime) {
+        self.late_until = self.order_sent_at.after(ORDER_LIFETIME);
+        self.unsettle(now, self.exclusive_until);
+    }
+
+    /// Records that the order was not accepted.
+    pub fn mark_rejected(&mut self, now: ClockTime) {
+        self.unsettle(now, ClockTime::ZERO);
+    }
+
+    fn unsettle(&mut self, now: ClockTime, counted_until: ClockTime) {
         self.last_order_at = now;
         if let LeasePhase::Active { sequence } = self.phase {
-            self.phase = LeasePhase::Unsettled { sequence };
+            self.phase = LeasePhase::Unsettled {
+                sequence,
+                counted_until,
+            };
             self.report_due_at = Some(now.after(REPORT_LAG));
         }
     }
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -84,6 +84,7 @@
         self.start_loads(now, config);
         let (model, action) = self.queue.pop_front()?;
         self.pending_order = Some((model.clone(), action.clone()));
+        self.order_lease.record_sent(now);
         // An order that arrives late must not have a lower token than those given since.
         let fence = self
             .lease_fence
@@ -214,7 +215,7 @@
             ServerOrderOutcome::Conflict | ServerOrderOutcome::Refused => {
                 self.clear_queue();
                 self.revert_order(&model, &action);
-                self.order_lease.mark_unsettled(now);
+                self.order_lease.mark_rejected(now);
             }
             ServerOrderOutcome::Lost => {
                 self.clear_queue();
--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -318,18 +318,7 @@
             return;
         }
         let adapter = format!("a{}", self.random.random_range(0..ADAPTERS));
-        let grant = GrantRequest {
-            key: grant_key(request),
-            server: "s-1".into(),
-            model: "base".into(),
-            adapter: Some(adapter.as_str().into()),
-            version: 0,
-            prompt_tokens: 1_000,
-            output_tokens: 50,
-            parts: Vec::new(),
-            max_wait: Duration::from_secs(10),
-            lifetime: Duration::from_secs(10),
-        };
+        let grant = grant_request(request, &adapter);
         let config = engine_config(ADAPTER_SLOTS);
         let holder = &mut self.holders[number];
         let Some(scheduler) = &mut holder.scheduler else {
@@ -369,6 +358,21 @@
     }
 }
 
+fn grant_request(request: u64, adapter: &str) -> GrantRequest {
+    GrantRequest {
+        key: grant_key(request),
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: Some(adapter.into()),
+        version: 0,
+        prompt_tokens: 1_000,
+        output_tokens: 50,
+        parts: Vec::new(),
+        max_wait: Duration::from_secs(10),
+        lifetime: Duration::from_secs(10),
+    }
+}
+
 fn grant_key(request: u64) -> GrantKey {
     GrantKey {
         instance: "a-1".into(),
@@ -429,6 +433,44 @@
     );
 }
 
+/// Gives one order, which ends with `outcome` after another instance has given one, and returns whether
+/// the scheduler then still holds the lease.
+fn holds_lease_after_other_order(outcome: ServerOrderOutcome) -> bool {
+    let config = engine_config(ADAPTER_SLOTS);
+    let mut engine = FakeEngine::new(ADAPTER_SLOTS);
+    let start = ClockTime::from_millis(1_000);
+    let mut scheduler = ServerScheduler::new(start, LEASE, &config, &engine.report().models);
+    scheduler.observe_report(start, Some(&engine.report()));
+    let active = start.after(LEASE + Duration::from_millis(500));
+    scheduler.observe_report(active, Some(&engine.report()));
+    assert!(scheduler.is_active());
+    let mut load_limiter = LoadLimiter::new(1.0);
+    load_limiter.set_server_count(8);
+    let grant = grant_request(1, "a1");
+    scheduler.decide(active, &config, &grant, &mut load_limiter);
+    assert!(scheduler.next_order(active, &config, UNIX_MILLIS).is_some());
+    engine.order_by_other_instance(active);
+    scheduler.order_ended(active, outcome);
+    let settled = active.after(Duration::from_millis(500));
+    assert!(scheduler.begin_report_read(settled));
+    scheduler.observe_report(settled, Some(&engine.report()));
+    scheduler.order_lease().is_active()
+}
+
+/// Regression test: an instance whose order was rejected, because another one had given an order,
+/// took that order for its own and went on within the lease time of the other.
+#[test]
+fn a_rejected_order_does_not_account_for_an_order_of_another_instance() {
+    assert!(!holds_lease_after_other_order(ServerOrderOutcome::Conflict));
+}
+
+/// Regression test: an instance whose order was lost, and whose lease another one may have taken over
+/// meanwhile, took an order of the other for its own.
+#[test]
+fn a_lost_order_does_not_account_for_an_order_of_another_instance() {
+    assert!(!holds_lease_after_other_order(ServerOrderOutcome::Lost));
+}
+
 fn play_faults(network: &mut LateNetwork) {
     let number = network.random.random_range(0..2_usize);
     let pause = Duration::from_millis(network.random.random_range(500..6_000));
