tests: an uncounted unload that passes for an order of another instance

Two instances that both hold the order lease unload the same adapter. The server answers the second unload with 200 and does not count it, because the adapter is gone. Its sender counts it all the same (record_accepted for every unload that is done), so that its count equals the server's, which counted the order of the other instance. Its next order is accepted within the lease time of the other.

--- /dev/null
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -0,0 +1,92 @@
+//! Orders to a model server around takeovers, one step at a time.
+
+mod gateway;
+
+use std::time::Duration;
+
+use gateway::engine::{FakeEngine, engine_config};
+use smol_str::SmolStr;
+use wasabistall_lib::{
+    clock::ClockTime,
+    gateway::server_scheduler::{
+        FENCE_TIME_BITS, GrantKey, GrantRequest, LoadLimiter, OrderAction, ServerOrder,
+        ServerOrderOutcome, ServerScheduler,
+    },
+};
+
+const LEASE: Duration = Duration::from_millis(3_000);
+const ADAPTER_SLOTS: usize = 1;
+const UNIX_MILLIS: u64 = 1_770_000_000_000;
+
+fn request_adapter(scheduler: &mut ServerScheduler, now: ClockTime, request: u64, adapter: &str) {
+    let mut load_limiter = LoadLimiter::new(1.0);
+    load_limiter.set_server_count(8);
+    let request = GrantRequest {
+        key: GrantKey {
+            instance: "a-1".into(),
+            incarnation: 1,
+            request,
+        },
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: Some(adapter.into()),
+        version: 0,
+        prompt_tokens: 1_000,
+        output_tokens: 50,
+        parts: Vec::new(),
+        max_wait: Duration::from_secs(10),
+        lifetime: Duration::from_secs(10),
+    };
+    let config = engine_config(ADAPTER_SLOTS);
+    scheduler.decide(now, &config, &request, &mut load_limiter);
+}
+
+fn order_of_other_instance(action: OrderAction, expected: u64) -> ServerOrder {
+    ServerOrder {
+        action,
+        model: "base".into(),
+        expected,
+        fence: (expected + 1) << FENCE_TIME_BITS,
+    }
+}
+
+/// Regression test: two instances that both held the lease unloaded the same adapter. The server did not
+/// count the second unload, but its sender did, and so took the first one for its own and went on
+/// within the lease time of the other.
+#[test]
+fn an_uncounted_unload_does_not_account_for_an_order_of_another_instance() {
+    let config = engine_config(ADAPTER_SLOTS);
+    let mut engine = FakeEngine::new(ADAPTER_SLOTS);
+    let start = ClockTime::from_millis(1_000);
+    let load = |adapter: &str| OrderAction::LoadAdapter {
+        adapter: adapter.into(),
+        version: 0,
+    };
+    engine.order(start, &order_of_other_instance(load("a1"), 0));
+    let begin = start.after(Duration::from_millis(1_000));
+    engine.advance(begin);
+    let mut scheduler = ServerScheduler::new(begin, LEASE, &config, &engine.report().models);
+    scheduler.observe_report(begin, Some(&engine.report()));
+    let active = begin.after(LEASE + Duration::from_millis(500));
+    scheduler.observe_report(active, Some(&engine.report()));
+    assert!(scheduler.is_active());
+    // The other instance acquires the lease while this one gives no order.
+    let (own, other) = (SmolStr::new("a-1"), SmolStr::new("b-1"));
+    let taken_over = active.after(LEASE + Duration::from_millis(500));
+    let unload = OrderAction::UnloadAdapter {
+        adapter: "a1".into(),
+    };
+    let other_order = order_of_other_instance(unload.clone(), 1);
+    let outcome = engine.order_from(taken_over, &other, &other_order);
+    assert_eq!(outcome, ServerOrderOutcome::Done);
+    let now = taken_over.after(Duration::from_millis(20));
+    request_adapter(&mut scheduler, now, 1, "a2");
+    let first = scheduler
+        .next_order(now, &config, UNIX_MILLIS)
+        .expect("an order");
+    assert_eq!(first.action, unload);
+    scheduler.order_ended(now, engine.order_from(now, &own, &first));
+    let second = scheduler.next_order(now, &config, UNIX_MILLIS);
+    let outcome = second.map(|order| engine.order_from(now, &own, &order));
+    assert_ne!(outcome, Some(ServerOrderOutcome::Accepted));
+}
