tests: tokens of a server's process before, kept without an order

An instance claims a server and requests its first report at the same time. Whether an order was sent since a report is told by comparing two times, both of which are then the time of the claim, so that an order counts as sent although none was. After a restart of the server the token of its process before is kept, and the instance goes on from it, which is what others do not know when the instance is killed.

--- a/lib/tests/gateway_order_takeovers.rs
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -90,3 +90,30 @@
     let outcome = second.map(|order| engine.order_from(now, &own, &order));
     assert_ne!(outcome, Some(ServerOrderOutcome::Accepted));
 }
+
+/// Regression test: an instance that had not given any order to a server kept the high token of the
+/// server's process before for its new one.
+#[test]
+fn tokens_of_a_process_that_got_no_order_are_forgotten_after_its_restart() {
+    let config = engine_config(ADAPTER_SLOTS);
+    let mut engine = FakeEngine::new(ADAPTER_SLOTS);
+    let start = ClockTime::from_millis(1_000);
+    let mut scheduler = ServerScheduler::new(start, LEASE, &config, &engine.report().models);
+    let high_token = 1_000 << FENCE_TIME_BITS;
+    scheduler.raise_fence(high_token);
+    // As in the gateway, the first report is requested at the time at which the server is claimed.
+    assert!(scheduler.begin_report_read(start));
+    scheduler.observe_report(start, Some(&engine.report()));
+    engine.restart();
+    let restarted = start.after(LEASE + Duration::from_millis(500));
+    assert!(scheduler.begin_report_read(restarted));
+    scheduler.observe_report(restarted, Some(&engine.report()));
+    let active = restarted.after(LEASE + Duration::from_millis(500));
+    assert!(scheduler.begin_report_read(active));
+    scheduler.observe_report(active, Some(&engine.report()));
+    request_adapter(&mut scheduler, active, 1, "a1");
+    let order = scheduler
+        .next_order(active, &config, UNIX_MILLIS)
+        .expect("an order");
+    assert!(order.fence < high_token, "{} is not lower", order.fence);
+}
