tests: orders of paused processes that arrive after a takeover

In the simulation of late orders, a paused instance gave up its orders and reset their connections in time, which a process that does not run cannot do. Its events now wait until it runs again, while the operating system goes on delivering what was written.

--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -296,8 +296,27 @@
         self.push(now.after(CALL_TIMEOUT), NetworkEvent::OrderTimedOut(key));
     }
 
+    /// Instance that must run for the event to happen.
+    fn actor(&self, event: &NetworkEvent) -> Option<usize> {
+        match event {
+            NetworkEvent::OrderAnswered(key, _) | NetworkEvent::OrderTimedOut(key) => {
+                self.orders.get(key).map(|sent| sent.holder)
+            }
+            NetworkEvent::ReportAnswered { holder, .. } => Some(*holder),
+            NetworkEvent::OrderArrived(_) | NetworkEvent::RestartPublished => None,
+        }
+    }
+
     fn handle(&mut self, event: NetworkEvent) {
         let now = self.now;
+        // A paused process neither reads what has arrived nor resets a connection.
+        if let Some(holder) = self.actor(&event)
+            && self.holders[holder].paused_until > now
+        {
+            let resumed = self.holders[holder].paused_until.after(STEP * 2);
+            self.push(resumed, event);
+            return;
+        }
         match event {
             NetworkEvent::OrderArrived(key) => {
                 let Some(sent) = self.orders.get_mut(&key) else {
@@ -501,6 +520,60 @@
     );
 }
 
+/// Regression test: an instance was paused with an order under way, which its operating system went on
+/// delivering. It arrived after an order of the instance that took over meanwhile.
+#[test]
+fn orders_of_paused_processes_do_not_arrive_after_a_takeover() {
+    let mut violations = Vec::new();
+    for seed in 0..200 {
+        let mut network = LateNetwork::new(seed, AbandonedOrders::Dropped, &["a-1", "b-1"]);
+        network.claim(0);
+        for request in 0..2_000 {
+            network.step();
+            network.request(usize::from(request % 2 == 1), request);
+            play_pauses(&mut network);
+        }
+        let found = network.violations.into_iter();
+        violations.extend(found.map(|violation| format!("seed {seed}: {violation}")));
+    }
+    assert!(
+        violations.is_empty(),
+        "{} violations, the first: {}",
+        violations.len(),
+        violations[0]
+    );
+}
+
+/// Pauses the instance that schedules the server, for at most ten seconds. The other one claims the
+/// server after two, and the first one yields when it resumes.
+fn play_pauses(network: &mut LateNetwork) {
+    for number in 0..2 {
+        let (now, other) = (network.now, 1 - number);
+        let is_paused = network.holders[number].paused_until > now;
+        let has_rival = network.holders[other].scheduler.is_some();
+        if !is_paused && has_rival && network.holders[other].paused_until <= now {
+            let resumed = network.holders[number].paused_until;
+            if resumed > ClockTime::ZERO && now.since(resumed) < STEP * 10 {
+                network.holders[number].scheduler = None;
+            }
+        }
+        if is_paused && !has_rival {
+            let left = network.holders[number].paused_until.since(now);
+            if left <= Duration::from_secs(8) {
+                network.claim(other);
+            }
+        }
+        if !is_paused
+            && !has_rival
+            && network.holders[number].scheduler.is_some()
+            && network.random.random_bool(0.01)
+        {
+            let pause = Duration::from_secs(10);
+            network.holders[number].paused_until = now.after(pause);
+        }
+    }
+}
+
 /// Gives one order, which ends with `outcome` after another instance has given one, and returns whether
 /// the scheduler then still holds the lease.
 fn holds_lease_after_other_order(outcome: ServerOrderOutcome) -> bool {
