gateway: forget the tokens of a server's process that got no order

An instance that had claimed a server without ordering anything kept the high token of the server's process before for its new one, because the time of the claim passed for the time of an order. The next holder did not know that token.

--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -74,7 +74,7 @@
             report_requested_at: now,
             applied_report_at: ClockTime::ZERO,
             last_order_at: now,
-            order_sent_at: now,
+            order_sent_at: ClockTime::ZERO,
             late_until: ClockTime::ZERO,
             exclusive_until: ClockTime::ZERO,
         }
