gateway: have undelivered orders dropped while the process is paused

Found in review: an instance that is paused cannot reset the connection of an order that it gave up. Its operating system goes on delivering the order, which arrives after orders of the instance that has taken over.

Orders and reports now have connections of their own, on which the operating system gives up after the timeout of an order.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::{net::TcpStream, task::AbortHandle};
 use wasabistall_lib::gateway::exchange::ExchangeTimeouts;
 
@@ -61,6 +62,15 @@
 impl ServerConnection {
     /// Connects to an address. Fails with `Refused` or `Unreachable`.
     pub(super) async fn connect(address: SocketAddr) -> Result<ServerConnection, ConnectionError> {
+        ServerConnection::connect_with(address, None).await
+    }
+
+    /// Connects to an address. The operating system drops the connection when data has not been
+    /// delivered for `delivery_timeout`, even while the process does not run.
+    async fn connect_with(
+        address: SocketAddr,
+        delivery_timeout: Option<Duration>,
+    ) -> Result<ServerConnection, ConnectionError> {
         let connect = TcpStream::connect(address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(stream)) => stream,
@@ -72,6 +82,10 @@
         if stream.set_nodelay(true).is_err() || stream.set_zero_linger().is_err() {
             return Err(ConnectionError::Refused);
         }
+        if let Some(timeout) = delivery_timeout {
+            let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+            set_tcp_user_timeout(&stream, millis).map_err(|_| ConnectionError::Refused)?;
+        }
         let local_port = stream.local_addr().map_or(0, |address| address.port());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -127,6 +141,7 @@
 pub(super) struct ConnectionPool<K> {
     idle: Mutex<HashMap<K, Vec<IdleConnection>>>,
     max_per_key: usize,
+    delivery_timeout: Option<Duration>,
 }
 
 impl<K: Hash + Eq + Clone> ConnectionPool<K> {
@@ -134,9 +149,16 @@
         ConnectionPool {
             idle: Mutex::new(HashMap::new()),
             max_per_key,
+            delivery_timeout: None,
         }
     }
 
+    /// Makes the operating system drop connections on which data has not been delivered for `timeout`.
+    pub(super) fn with_delivery_timeout(mut self, timeout: Duration) -> ConnectionPool<K> {
+        self.delivery_timeout = Some(timeout);
+        self
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<K, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -256,7 +278,7 @@
     let mut received_bytes = 0;
     let connected = match pool.take(key, IDLE_TIMEOUT) {
         Some(connection) => Ok(connection),
-        None => ServerConnection::connect(address).await,
+        None => ServerConnection::connect_with(address, pool.delivery_timeout).await,
     };
     let mut connection = connected.map_err(|error| ExchangeFailure {
         error,
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -29,6 +29,8 @@
 
 /// Maximum number of idle connections to one server.
 const MAX_SERVER_IDLE_CONNECTIONS: usize = 16;
+/// Maximum number of idle connections for orders and reports of one server.
+const MAX_ORDER_IDLE_CONNECTIONS: usize = 2;
 /// Maximum number of idle connections to one peer.
 const MAX_PEER_IDLE_CONNECTIONS: usize = 4;
 /// Number of usage records in one response.
@@ -70,6 +72,8 @@
     incarnation: u64,
     store_address: SocketAddr,
     pub(super) servers: ConnectionPool<smol_str::SmolStr>,
+    /// Connections for orders and reports of model servers.
+    pub(super) orders: ConnectionPool<smol_str::SmolStr>,
     pub(super) peers: ConnectionPool<SocketAddr>,
     pub(super) metrics: GatewayMetrics,
     /// Memory for bodies of requests and responses.
@@ -113,6 +117,8 @@
             incarnation,
             store_address: settings.store,
             servers: ConnectionPool::new(MAX_SERVER_IDLE_CONNECTIONS),
+            orders: ConnectionPool::new(MAX_ORDER_IDLE_CONNECTIONS)
+                .with_delivery_timeout(orders::CALL_TIMEOUT),
             peers: ConnectionPool::new(MAX_PEER_IDLE_CONNECTIONS),
             metrics,
             bodies: BodyBudget::new(settings.body_memory),
@@ -225,7 +231,10 @@
             } => {
                 tokio::spawn(orders::send_order(self.clone(), server, id, address, order));
             }
-            GatewayEffect::CloseConnections(id) => self.servers.remove(&id),
+            GatewayEffect::CloseConnections(id) => {
+                self.servers.remove(&id);
+                self.orders.remove(&id);
+            }
             GatewayEffect::Log(event) => logs::write_event(&event),
             GatewayEffect::WakeAt(time) => {
                 state.wake_at = Some(time);
--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -27,9 +27,11 @@
     core::GatewayCore,
 };
 
+/// Timeout of an order or of the read of a report.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Limits on orders and reads of reports.
 const CALL_LIMITS: ExchangeLimits = ExchangeLimits {
-    timeouts: ExchangeTimeouts::of_short(Duration::from_millis(1_000)),
+    timeouts: ExchangeTimeouts::of_short(CALL_TIMEOUT),
     max_response_bytes: 1024 * 1024,
 };
 
@@ -63,7 +65,7 @@
     request
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let call = connections::call(&core.servers, &id, address, request, CALL_LIMITS);
+    let call = connections::call(&core.orders, &id, address, request, CALL_LIMITS);
     let outcome = match call.await {
         Ok(response) => order_outcome(response.status),
         Err(failure) => {
@@ -124,7 +126,7 @@
     address: SocketAddr,
 ) -> Option<ServerReport> {
     let request = build_request(Method::GET, REPORT_PATH, id, address, Vec::new());
-    let call = connections::call(&core.servers, id, address, request, CALL_LIMITS);
+    let call = connections::call(&core.orders, id, address, request, CALL_LIMITS);
     let response = match call.await {
         Ok(response) if response.status.is_success() => response,
         Ok(response) => {
