gateway: log the store's era and answers that bring nothing new

The logs of a store that came back older show configurations that stop spreading, but not which revisions were compared, nor which history of the store they belong to. The store states its history in a header of all answers. A change of it is logged with the status of the answer and the revision of the replica (`store_era`), and an answer of the store or an instance that brings nothing new with its revision and the known one (`catalog_unchanged`). Gauges show the era and the replica's revision.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -69,6 +72,8 @@
     instance: smol_str::SmolStr,
     incarnation: u64,
     store_address: SocketAddr,
+    /// Era in the store's last answer.
+    store_era: AtomicU64,
     pub(super) servers: ConnectionPool<smol_str::SmolStr>,
     pub(super) peers: ConnectionPool<SocketAddr>,
     pub(super) metrics: GatewayMetrics,
@@ -112,6 +117,7 @@
             instance: settings.instance.clone(),
             incarnation,
             store_address: settings.store,
+            store_era: AtomicU64::new(0),
             servers: ConnectionPool::new(MAX_SERVER_IDLE_CONNECTIONS),
             peers: ConnectionPool::new(MAX_PEER_IDLE_CONNECTIONS),
             metrics,
@@ -330,6 +336,30 @@
         self.lock().reducer.stats()
     }
 
+    /// Records the era that the store stated in an answer, and logs a change.
+    pub(super) fn record_store_era(&self, era: u64, status: hyper::StatusCode) {
+        let known = self.store_era.swap(era, Ordering::Relaxed);
+        if known != era {
+            tracing::info!(
+                event = "store_era",
+                era,
+                known,
+                status = status.as_u16(),
+                catalog = %self.catalog_revision(),
+            );
+        }
+    }
+
+    /// Era in the store's last answer; 0 if it stated none.
+    pub(super) fn store_era(&self) -> u64 {
+        self.store_era.load(Ordering::Relaxed)
+    }
+
+    /// Revision up to which the replica of the catalog is complete.
+    pub(super) fn catalog_revision(&self) -> u64 {
+        self.lock().reducer.catalog_revision()
+    }
+
     /// Version of the configuration in force; 0 while there is none.
     pub(super) fn config_version(&self) -> u64 {
         self.lock().reducer.config_version()
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -114,6 +114,12 @@
         register_gauge(&meter, "wasabistall.config.version", core, |core| {
             core.config_version()
         });
+        register_gauge(&meter, "wasabistall.store.era", core, |core| {
+            core.store_era()
+        });
+        register_gauge(&meter, "wasabistall.catalog.revision", core, |core| {
+            core.catalog_revision()
+        });
         register_gauge(&meter, "wasabistall.open_requests", core, |core| {
             core.open_requests() as u64
         });
--- a/daemon/src/gateway/store.rs
+++ b/daemon/src/gateway/store.rs
@@ -12,7 +12,7 @@
     event::{GatewayEvent, StoreError, StoreRead},
     replica::CatalogPage,
 };
-use wasabistall_platform::store::{decode_page, join_pages, store_path};
+use wasabistall_platform::store::{decode_era, decode_page, join_pages, store_path};
 
 use super::{
     connections::{self, ExchangeLimits},
@@ -69,6 +69,11 @@
     let transfer = CatalogTransfer::new("store", &response, started.elapsed());
     transfer.record(&core.metrics);
     let response = response.map_err(|_| StoreError::Unavailable)?;
+    let era = decode_era(&response.headers).map_err(|error| {
+        tracing::warn!(event = "store_answer_unreadable", %error);
+        StoreError::Unavailable
+    })?;
+    core.record_store_era(era, response.status);
     match response.status {
         StatusCode::OK => decode_page(&response.body).map_err(|error| {
             tracing::warn!(event = "store_answer_unreadable", %error);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -399,6 +399,11 @@
             .map_or(0, |routes| routes.config().version)
     }
 
+    /// Revision up to which the replica of the catalog is complete; 0 while it is empty.
+    pub fn catalog_revision(&self) -> u64 {
+        self.catalog.revision()
+    }
+
     /// The current configuration.
     pub fn config(&self) -> Option<&Arc<catalog::ServingConfig>> {
         self.routes.as_ref().map(RouteIndex::config)
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -224,7 +224,7 @@
                 self.claims_received(now, &claims);
             }
             (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
-                self.apply_page(now, page, effects);
+                self.apply_page(now, "peer", page, effects);
                 self.fetch_ended(now, effects);
             }
             (CallPurpose::Catalog, _) => self.fetch_ended(now, effects),
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -178,18 +178,27 @@
             }
         }
         self.catalog_confirmed = Some(now);
-        self.apply_page(now, page, effects);
+        self.apply_page(now, "store", page, effects);
     }
 
     /// Applies changes received from the store or a peer.
     pub(super) fn apply_page(
         &mut self,
         now: ClockTime,
+        source: &str,
         page: CatalogPage,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let revision = self.catalog.revision();
+        let detail = format!(
+            "source={source} revision={} known={revision} changes={}",
+            page.revision,
+            page.changes.len()
+        );
         let applied = self.catalog.apply(page);
+        if self.catalog.revision() == revision && applied.is_empty() {
+            log_event(effects, "catalog_unchanged", "", &detail);
+        }
         for change in &applied {
             self.apply_change(now, change, effects);
         }
