gateway: tests of a store that is restored from an older copy

The simulated store keeps its history and can be restored from a copy of some age: revisions go back and are given out again, and a watch from a revision that it does not have fails.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -404,6 +404,18 @@
         self.catalog.revision()
     }
 
+    /// Whether the backend server with this id may receive requests; `None` if it is unknown.
+    pub fn is_server_in_service(&self, id: &str) -> Option<bool> {
+        let key = self.servers.key(id)?;
+        Some(self.servers.is_in_service(key))
+    }
+
+    /// Newest known version of an adapter; 0 if none was announced.
+    pub fn adapter_version(&self, model: &str, adapter: &str) -> u64 {
+        let key = (model.into(), adapter.into());
+        self.adapter_versions.get(&key).copied().unwrap_or(0)
+    }
+
     /// The current configuration.
     pub fn config(&self) -> Option<&Arc<catalog::ServingConfig>> {
         self.routes.as_ref().map(RouteIndex::config)
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod exchanges;
+mod store;
 
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -20,8 +21,8 @@
         FleetBounds, GatewayOptions, GatewayReducer,
         allowance::{ColdBounds, QuotaBounds, RetryBounds},
         catalog::{
-            CallerBounds, PublishedChange, PublishedItem, QuotaUnit, RetryPolicy, RouteConfig,
-            RouteTarget, ServerRecord, ServiceConfig, ServingConfig, TeamConfig,
+            CallerBounds, PublishedItem, QuotaUnit, RetryPolicy, RouteConfig, RouteTarget,
+            ServerRecord, ServiceConfig, ServingConfig, TeamConfig,
         },
         encoding::{encode_answer, encode_call},
         event::{
@@ -30,7 +31,6 @@
         },
         message::{PeerAnswer, PeerCall, PeerError},
         prompt::PromptPart,
-        replica::{CatalogPage, CatalogReplica},
     },
     key::KeyDigest,
 };
@@ -38,6 +38,7 @@
 use self::{
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
+    store::FakeStore,
 };
 use super::{
     engine::{FakeEngine, LEASE, engine_config},
@@ -102,8 +103,7 @@
     random: ChaCha8Rng,
     pub(crate) nodes: Vec<WorldNode>,
     pub(crate) engines: Vec<FakeEngine>,
-    store: CatalogReplica,
-    revision: u64,
+    pub(crate) store: FakeStore,
     queue: BinaryHeap<std::cmp::Reverse<(ClockTime, u64)>>,
     actions: BTreeMap<u64, WorldAction>,
     next_action: u64,
@@ -210,8 +210,7 @@
                 })
                 .collect(),
             engines: (0..engines).map(|_| FakeEngine::new(3)).collect(),
-            store: CatalogReplica::default(),
-            revision: 0,
+            store: FakeStore::default(),
             queue: BinaryHeap::new(),
             actions: BTreeMap::new(),
             next_action: 0,
@@ -246,16 +245,7 @@
     }
 
     pub(crate) fn publish(&mut self, key: &str, item: Option<PublishedItem>) {
-        self.revision += 1;
-        self.store.apply(CatalogPage {
-            changes: vec![PublishedChange {
-                key: key.into(),
-                revision: self.revision,
-                item,
-            }],
-            is_snapshot: false,
-            revision: self.revision,
-        });
+        self.store.write(self.now, key, item);
     }
 
     fn publish_server(&mut self, index: usize) {
@@ -386,13 +376,14 @@
                 }
             }
             WorldAction::Watch(index, incarnation, after, until, exchange) => {
-                let page = self.store.changes_after(after);
-                if page.changes.is_empty() && self.now < until {
+                let answer = self.store.changes_after(after);
+                let is_empty = answer.as_ref().is_ok_and(|page| page.changes.is_empty());
+                if is_empty && self.now < until {
                     let next = self.now.after(Duration::from_millis(40));
                     let watch = WorldAction::Watch(index, incarnation, after, until, exchange);
                     self.push(next, watch);
                 } else {
-                    self.answer_read(index, incarnation, page, exchange);
+                    self.answer_read(index, incarnation, answer, exchange);
                 }
             }
             WorldAction::StepLinks => self.step_links(),
@@ -596,9 +587,8 @@
         });
         match read {
             StoreRead::Snapshot => {
-                let mut page = self.store.changes_after(0);
-                page.is_snapshot = true;
-                self.answer_read(index, incarnation, page, exchange);
+                let answer = self.store.snapshot();
+                self.answer_read(index, incarnation, answer, exchange);
             }
             StoreRead::Watch { after, wait } => {
                 let until = self.now.after(wait);
@@ -671,6 +661,11 @@
         number
     }
 
+    /// Number of processes that an instance has had, including the current one.
+    pub(crate) fn incarnation(&self, index: usize) -> u64 {
+        self.nodes[index].incarnation
+    }
+
     pub(crate) fn random(&mut self) -> &mut ChaCha8Rng {
         &mut self.random
     }
--- a/lib/tests/gateway/world/exchanges.rs
+++ b/lib/tests/gateway/world/exchanges.rs
@@ -3,7 +3,11 @@
 
 use std::time::Duration;
 
-use wasabistall_lib::gateway::{event::GatewayEvent, replica::CatalogPage};
+use rand::Rng;
+use wasabistall_lib::gateway::{
+    event::{GatewayEvent, StoreError},
+    replica::CatalogPage,
+};
 
 use super::{GatewayWorld, NETWORK_DELAY, WorldAction};
 use crate::gateway::link::{LINK_STEP, LinkTable, TransferNumber};
@@ -29,20 +33,26 @@
         &mut self,
         index: usize,
         incarnation: u64,
-        page: CatalogPage,
+        answer: Result<CatalogPage, StoreError>,
         exchange: Option<ExchangeNumber>,
     ) {
-        let size = rmp_serde::to_vec(&page)
-            .expect("pages always serialize")
-            .len()
-            * STORE_SIZE_FACTOR;
-        let event = GatewayEvent::StoreAnswered(Ok(page));
+        let size = answer.as_ref().map_or(0, |page| {
+            let bytes = rmp_serde::to_vec(page).expect("pages always serialize");
+            bytes.len() * STORE_SIZE_FACTOR
+        });
+        let event = GatewayEvent::StoreAnswered(answer);
         match exchange {
             Some(exchange) => {
                 let arrival = WorldAction::Event(index, incarnation, event);
                 self.transfer(exchange, None, index, size, arrival);
             }
-            None => self.schedule(NETWORK_DELAY * 4, index, incarnation, event),
+            None => {
+                let mut delay = NETWORK_DELAY * 4;
+                if self.store.late_share > 0.0 && self.random.random_bool(self.store.late_share) {
+                    delay += Duration::from_millis(self.random.random_range(100..1_500));
+                }
+                self.schedule(delay, index, incarnation, event);
+            }
         }
     }
 
