gateway: order revisions of the store by era

What callers saw: once the store had come back from a copy some seconds old, most instances never applied another configuration. Routes that were added got 404, others were handled by an older version, and a server that had left got requests.

Cause: everything that compares states of the store (replica, watch, gossip, pages and confirmations between instances) compared revisions by number alone. A restored store goes back to an older revision and gives the following ones out again, so that the numbers of two histories were compared. The class of fault is an order over values of two histories.

Change: `StoreRevision` is an era, as the store states it, and a number, ordered in this way. Pages, announcements, confirmations and requests for changes carry the era, and none counts in another one.

- items that the copy lacks are kept until their writers have had the time to write them again;
- the configuration's version does not decrease, and neither do versions of adapters, as before;
- a server that is known to be draining or gone (same start) is not taken back from the copy, nor is an evacuation that has ended; both wait for a newer write, or for a time.

An era that skips others needs a second answer, so that one garbled header does not lock an instance out; an earlier era is believed after ten seconds in which there was no other. Messages have field names at the outer level, so that builds without eras read them and are read.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -20,6 +20,7 @@
             ServerDispatch,
         },
         message::{PeerAnswer, PeerCall},
+        revision::StoreRevision,
     },
     operator::UsageView,
     settings::GatewaySettings,
@@ -356,7 +357,7 @@
     }
 
     /// Revision up to which the replica of the catalog is complete.
-    pub(super) fn catalog_revision(&self) -> u64 {
+    pub(super) fn catalog_revision(&self) -> StoreRevision {
         self.lock().reducer.catalog_revision()
     }
 
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -118,7 +118,7 @@
             core.store_era()
         });
         register_gauge(&meter, "wasabistall.catalog.revision", core, |core| {
-            core.catalog_revision()
+            core.catalog_revision().number
         });
         register_gauge(&meter, "wasabistall.open_requests", core, |core| {
             core.open_requests() as u64
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -37,7 +37,7 @@
 ) {
     let started = Instant::now();
     let response = exchange(&core, peer, &message).await;
-    if matches!(message, PeerCall::CatalogChanges { .. }) {
+    if matches!(message, PeerCall::CatalogChanges(_)) {
         let transfer = CatalogTransfer::new("peer", &response, started.elapsed());
         transfer.record(&core.metrics);
     }
--- a/daemon/src/gateway/store.rs
+++ b/daemon/src/gateway/store.rs
@@ -50,7 +50,7 @@
             break;
         }
     }
-    Ok(join_pages(read, pages))
+    join_pages(read, pages)
 }
 
 async fn read_page(
@@ -75,7 +75,7 @@
     })?;
     core.record_store_era(era, response.status);
     match response.status {
-        StatusCode::OK => decode_page(&response.body).map_err(|error| {
+        StatusCode::OK => decode_page(era, &response.body).map_err(|error| {
             tracing::warn!(event = "store_answer_unreadable", %error);
             StoreError::Unavailable
         }),
--- a/lib/src/gateway/catalog_fetch.rs
+++ b/lib/src/gateway/catalog_fetch.rs
@@ -2,7 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{CallPurpose, GatewayReducer, event::GatewayEffect, message::PeerCall};
+use super::{
+    CallPurpose, GatewayReducer,
+    event::GatewayEffect,
+    message::{ChangesQuery, PeerCall},
+    revision::StoreRevision,
+};
 use crate::clock::ClockTime;
 
 /// Time for which a fetch keeps the instance from reading the store, which would share its link.
@@ -14,7 +19,7 @@
 pub(super) struct CatalogFetcher {
     fetching_since: Option<ClockTime>,
     /// Newest change that a peer has announced since the last fetch began, and that peer.
-    announced: Option<(u64, SocketAddr)>,
+    announced: Option<(StoreRevision, SocketAddr)>,
 }
 
 impl CatalogFetcher {
@@ -31,7 +36,7 @@
         &mut self,
         now: ClockTime,
         peer: SocketAddr,
-        last_change: u64,
+        last_change: StoreRevision,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let announced = &mut self.catalog_fetcher.announced;
@@ -54,7 +59,7 @@
             return;
         }
         self.catalog_fetcher.fetching_since = Some(now);
-        let message = PeerCall::CatalogChanges { after };
+        let message = PeerCall::CatalogChanges(ChangesQuery::new(after));
         self.call_peer(peer, message, CallPurpose::Catalog, effects);
     }
 
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -101,6 +101,8 @@
 pub enum StoreError {
     /// It no longer has the changes after the requested revision.
     HistoryGone,
+    /// It was restored from an older copy while its pages were read.
+    MixedEras,
     /// It did not answer, or answered with a failure.
     Unavailable,
 }
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -40,7 +40,7 @@
             PeerCall::Grant(_) | PeerCall::Borrow { .. } => {
                 ExchangeTimeouts::of_short(GRANT_TIMEOUT)
             }
-            PeerCall::CatalogChanges { .. } => ExchangeTimeouts {
+            PeerCall::CatalogChanges(_) => ExchangeTimeouts {
                 stall: CALL_TIMEOUT,
                 total: TRANSFER_TIMEOUT,
             },
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -2,20 +2,21 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeMap};
+use serde_with::{DurationMilliSeconds, ser::SerializeAsWrap, serde_as};
 use smol_str::SmolStr;
 
 use super::{
     claims::MemberClaims,
     members::AgedRecord,
     replica::CatalogPage,
+    revision::StoreRevision,
     server_scheduler::{GrantRelease, GrantReply, GrantRequest},
 };
 
 /// Membership and state of the catalog, as seen by one side of a gossip exchange.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GossipMessage {
     /// Records of live members.
     pub records: Vec<AgedRecord>,
@@ -23,15 +24,81 @@
     pub claims: Vec<MemberClaims>,
     /// In an answer, members of which the caller has newer claims.
     pub wanted: Vec<SmolStr>,
-    /// Revision up to which the sender's replica of the catalog is complete.
+    /// Number of the revision up to which the sender's replica of the catalog is complete.
     pub revision: u64,
-    /// Revision of the newest change in the sender's replica.
+    /// Number of the revision of the newest change in the sender's replica.
     #[serde(rename = "changed")]
     pub last_change: u64,
     /// Time since the sender's replica was last known to be current.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "board_age")]
     pub catalog_age: Duration,
+    /// Era of both revisions.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl GossipMessage {
+    /// Revision up to which the sender's replica of the catalog is complete.
+    pub fn complete_to(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
+
+    /// Revision of the newest change in the sender's replica.
+    pub fn newest_change(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.last_change)
+    }
+}
+
+// With field names, builds that do not know the era ignore it.
+impl Serialize for GossipMessage {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
+        let mut map = serializer.serialize_map(Some(7))?;
+        map.serialize_entry("records", &self.records)?;
+        map.serialize_entry("claims", &self.claims)?;
+        map.serialize_entry("wanted", &self.wanted)?;
+        map.serialize_entry("revision", &self.revision)?;
+        map.serialize_entry("changed", &self.last_change)?;
+        map.serialize_entry("board_age", &age)?;
+        map.serialize_entry("era", &self.era)?;
+        map.end()
+    }
+}
+
+/// A request for the changes of the catalog after a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct ChangesQuery {
+    /// Number of the revision.
+    pub after: u64,
+    /// Its era.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl ChangesQuery {
+    /// Requests the changes after `revision`.
+    pub const fn new(revision: StoreRevision) -> ChangesQuery {
+        ChangesQuery {
+            after: revision.number,
+            era: revision.era,
+        }
+    }
+
+    /// The revision.
+    pub const fn revision(self) -> StoreRevision {
+        StoreRevision::new(self.era, self.after)
+    }
+}
+
+// With field names, builds that do not know the era ignore it.
+impl Serialize for ChangesQuery {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(2))?;
+        map.serialize_entry("after", &self.after)?;
+        map.serialize_entry("era", &self.era)?;
+        map.end()
+    }
 }
 
 /// A call to a peer.
@@ -48,10 +115,7 @@
     },
     /// Requests the changes of the catalog after a revision.
     #[serde(rename = "Board")]
-    CatalogChanges {
-        /// The revision.
-        after: u64,
-    },
+    CatalogChanges(ChangesQuery),
     /// Asks the scheduler of a model server for a grant to send a request.
     Grant(GrantRequest),
     /// Releases grants.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod prompt;
 pub mod replica;
 mod requests;
+pub mod revision;
 pub mod routes;
 pub mod server_scheduler;
 pub mod servers;
@@ -50,10 +51,11 @@
     members::{GossipTable, MemberPhase, MemberRecord},
     replica::CatalogReplica,
     requests::RequestRecord,
+    revision::StoreRevision,
     routes::RouteIndex,
     server_scheduler::{GrantRelease, LoadLimiter, ServerScheduler},
     servers::{GatewayServerKey, GatewayServers},
-    store::StoreReader,
+    store::{DoubtedChanges, StoreReader},
     suspects::SuspectList,
 };
 use crate::{clock::ClockTime, usage::UsageMeter};
@@ -158,6 +160,7 @@
     adapter_versions: BTreeMap<(SmolStr, SmolStr), u64>,
     servers: GatewayServers,
     store: StoreReader,
+    doubted_changes: DoubtedChanges,
     requests: BTreeMap<RequestNumber, RequestRecord>,
     team_buckets: BTreeMap<SmolStr, TeamBucket>,
     /// Per team, the time until which no peer is asked for quota.
@@ -218,6 +221,7 @@
             adapter_versions: BTreeMap::new(),
             servers: GatewayServers::default(),
             store: StoreReader::default(),
+            doubted_changes: DoubtedChanges::default(),
             requests: BTreeMap::new(),
             team_buckets: BTreeMap::new(),
             borrow_pauses: BTreeMap::new(),
@@ -320,6 +324,7 @@
         self.check_members(now, effects);
         self.update_suspects(now, effects);
         self.read_store(now, effects);
+        self.end_restore(now, effects);
         self.sync_schedulers(now, effects);
         self.load_limiter.adjust(now);
         self.run_schedulers(now, effects);
@@ -399,8 +404,8 @@
             .map_or(0, |routes| routes.config().version)
     }
 
-    /// Revision up to which the replica of the catalog is complete; 0 while it is empty.
-    pub fn catalog_revision(&self) -> u64 {
+    /// Revision up to which the replica of the catalog is complete; number 0 while it is empty.
+    pub fn catalog_revision(&self) -> StoreRevision {
         self.catalog.revision()
     }
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -77,9 +77,10 @@
             records: self.members.records(now, &mut self.random),
             claims: self.members.claims_newer_than(received),
             wanted: self.members.claims_older_than(received),
-            revision: self.catalog.revision(),
-            last_change: self.catalog.last_change(),
+            revision: self.catalog.revision().number,
+            last_change: self.catalog.last_change().number,
             catalog_age: self.catalog_age(now),
+            era: self.catalog.revision().era,
         }
     }
 
@@ -101,8 +102,8 @@
                 self.claims_received(now, &claims);
                 PeerAnswer::Claims(self.members.claims_of(&wanted))
             }
-            PeerCall::CatalogChanges { after } => {
-                PeerAnswer::CatalogChanges(self.catalog.changes_after(after))
+            PeerCall::CatalogChanges(query) => {
+                PeerAnswer::CatalogChanges(self.catalog.changes_after(query.revision()))
             }
             PeerCall::Grant(request) => {
                 PeerAnswer::Grant(self.handle_grant_request(now, &request, effects))
@@ -129,12 +130,16 @@
     ) {
         self.members.merge(now, &message.records);
         self.claims_received(now, &message.claims);
-        if message.last_change > self.catalog.revision() {
+        let known = self.catalog.revision();
+        if !self.trusts_peer_era(now, message.era) {
+            return;
+        }
+        if message.newest_change() > known {
             if let Some(peer) = sender {
-                self.change_announced(now, peer, message.last_change, effects);
+                self.change_announced(now, peer, message.newest_change(), effects);
             }
-        } else if message.revision >= self.catalog.revision() && message.revision > 0 {
-            self.catalog.confirm(message.revision);
+        } else if message.complete_to() >= known && message.revision > 0 {
+            self.catalog.confirm(message.complete_to());
             self.confirm_catalog(now, message.catalog_age);
         }
     }
@@ -223,7 +228,9 @@
             (CallPurpose::Claims, Ok(PeerAnswer::Claims(claims))) => {
                 self.claims_received(now, &claims);
             }
-            (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page))) => {
+            (CallPurpose::Catalog, Ok(PeerAnswer::CatalogChanges(page)))
+                if self.trusts_peer_era(now, page.era) =>
+            {
                 self.apply_page(now, "peer", page, effects);
                 self.fetch_ended(now, effects);
             }
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -3,13 +3,20 @@
 //!
 //! Instances that read the platform's store forward changes to those that do not. The revision of
 //! an entry only increases, so late and duplicate answers have no effect.
+//!
+//! A snapshot of a later era replaces the entries of earlier ones, except those that it lacks: they
+//! may have been written after the copy from which the store was restored, and are kept until their
+//! writers have had time to write them again.
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeMap};
 use smol_str::SmolStr;
 
-use super::catalog::{PublishedChange, PublishedItem, ServingConfig};
+use super::{
+    catalog::{PublishedChange, PublishedItem, ServingConfig},
+    revision::StoreRevision,
+};
 
 /// Maximum number of removed entries kept for peers that lag behind. A peer that lags further gets
 /// a snapshot.
@@ -17,48 +24,88 @@
 
 #[derive(Clone, Debug)]
 struct CatalogEntry {
-    revision: u64,
+    revision: StoreRevision,
     item: Option<PublishedItem>,
 }
 
-/// Changes of the catalog after some revision, or a snapshot of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// Changes of the catalog after some revision, or a snapshot of it. All revisions are of one era.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct CatalogPage {
     /// The changes.
     pub changes: Vec<PublishedChange>,
     /// Whether the changes are a snapshot, so that all other items have been removed.
     #[serde(rename = "whole")]
     pub is_snapshot: bool,
-    /// Revision up to which a replica is complete once these changes are applied.
+    /// Number of the revision up to which a replica is complete once these changes are applied.
     pub revision: u64,
+    /// Era of all revisions.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl CatalogPage {
+    /// Revision up to which a replica is complete once these changes are applied.
+    pub fn complete_to(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
+}
+
+// With field names, builds that do not know the era ignore it.
+impl Serialize for CatalogPage {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(4))?;
+        map.serialize_entry("changes", &self.changes)?;
+        map.serialize_entry("whole", &self.is_snapshot)?;
+        map.serialize_entry("revision", &self.revision)?;
+        map.serialize_entry("era", &self.era)?;
+        map.end()
+    }
+}
+
+/// What a page did to a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PageOutcome {
+    /// The changes that were new.
+    Applied(Vec<PublishedChange>),
+    /// The page is of an earlier era.
+    Outdated,
+    /// The page is of a later era and no snapshot, so that changes before it are unknown.
+    Incomplete,
 }
 
 /// Replica of all published items with their revisions.
 #[derive(Debug, Default)]
 pub struct CatalogReplica {
     entries: BTreeMap<SmolStr, CatalogEntry>,
-    revision: u64,
-    last_change: u64,
+    revision: StoreRevision,
+    last_change: StoreRevision,
     /// Removals up to this revision have been dropped from the entries.
-    dropped_removals: u64,
+    dropped_removals: StoreRevision,
     config: Option<Arc<ServingConfig>>,
 }
 
 impl CatalogReplica {
-    /// Revision up to which the replica is complete; 0 if nothing has been received yet.
-    pub fn revision(&self) -> u64 {
+    /// Revision up to which the replica is complete; number 0 if nothing has been received yet.
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
     /// Revision of the newest change.
-    pub fn last_change(&self) -> u64 {
+    pub fn last_change(&self) -> StoreRevision {
         self.last_change
     }
 
+    /// Whether nothing has been received yet.
+    pub fn is_empty(&self) -> bool {
+        self.revision.number == 0
+    }
+
     /// Marks the replica as complete up to `revision`: there is no change between the newest known
     /// one and that revision.
-    pub fn confirm(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    pub fn confirm(&mut self, revision: StoreRevision) {
+        if revision.era == self.revision.era {
+            self.revision = self.revision.max(revision);
+        }
     }
 
     /// The current configuration.
@@ -73,65 +120,118 @@
             .filter_map(|(key, entry)| Some((key, entry.item.as_ref()?)))
     }
 
-    /// Applies a page and returns the changes that were new.
-    pub fn apply(&mut self, page: CatalogPage) -> Vec<PublishedChange> {
+    /// Whether the item with this key is known to have been removed.
+    pub fn is_removed(&self, key: &str) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.item.is_none())
+    }
+
+    /// Applies a page.
+    pub fn apply(&mut self, page: CatalogPage) -> PageOutcome {
+        if page.era < self.revision.era {
+            return PageOutcome::Outdated;
+        }
+        if page.era > self.revision.era {
+            if !page.is_snapshot {
+                return PageOutcome::Incomplete;
+            }
+            self.revision = StoreRevision::new(page.era, 0);
+            self.last_change = page.complete_to();
+            self.dropped_removals = self.revision;
+        }
         let mut applied = Vec::new();
         if page.is_snapshot {
             self.remove_missing(&page, &mut applied);
         }
+        let complete_to = page.complete_to();
         for change in page.changes {
-            if self.apply_change(&change) {
+            if self.apply_change(page.era, &change) {
                 applied.push(change);
             }
         }
-        self.revision = self.revision.max(page.revision);
+        self.revision = self.revision.max(complete_to);
         self.drop_old_removals();
-        applied
+        PageOutcome::Applied(applied)
     }
 
     fn remove_missing(&mut self, page: &CatalogPage, applied: &mut Vec<PublishedChange>) {
         let listed: std::collections::BTreeSet<&SmolStr> =
             page.changes.iter().map(|change| &change.key).collect();
+        let revision = page.complete_to();
         for (key, entry) in &mut self.entries {
-            if entry.item.is_some() && entry.revision <= page.revision && !listed.contains(key) {
+            let is_older = entry.revision.era == revision.era && entry.revision <= revision;
+            if entry.item.is_some() && is_older && !listed.contains(key) {
                 entry.item = None;
-                entry.revision = page.revision;
-                self.last_change = self.last_change.max(page.revision);
+                entry.revision = revision;
+                self.last_change = self.last_change.max(revision);
                 applied.push(PublishedChange {
                     key: key.clone(),
-                    revision: page.revision,
+                    revision: revision.number,
                     item: None,
                 });
             }
         }
     }
 
-    fn apply_change(&mut self, change: &PublishedChange) -> bool {
+    fn apply_change(&mut self, era: u64, change: &PublishedChange) -> bool {
+        let revision = StoreRevision::new(era, change.revision);
         if let Some(entry) = self.entries.get(&change.key)
-            && entry.revision >= change.revision
+            && entry.revision >= revision
         {
             return false;
         }
+        let mut item = change.item.clone();
+        let mut is_new = true;
         if let Some(PublishedItem::Config(config)) = &change.item {
             // The configuration's version never decreases while the process runs.
-            if self
-                .config
-                .as_ref()
-                .is_some_and(|known| known.version >= config.version)
-            {
-                return false;
+            match &self.config {
+                Some(known) if known.version >= config.version => {
+                    item = Some(PublishedItem::Config(known.clone()));
+                    is_new = false;
+                }
+                _ => self.config = Some(config.clone()),
+            }
+        }
+        self.last_change = self.last_change.max(revision);
+        self.entries
+            .insert(change.key.clone(), CatalogEntry { revision, item });
+        is_new
+    }
+
+    /// Removes the items of earlier eras that the snapshot of the current one lacked, except the
+    /// configuration. Returns their removals.
+    pub fn remove_earlier_eras(&mut self) -> Vec<PublishedChange> {
+        let era = self.revision.era;
+        let number = self.revision.number;
+        let mut removals = Vec::new();
+        self.entries.retain(|key, entry| {
+            if entry.revision.era == era {
+                return true;
+            }
+            if matches!(entry.item, Some(PublishedItem::Config(_))) {
+                return true;
+            }
+            if entry.item.is_some() {
+                removals.push(PublishedChange {
+                    key: key.clone(),
+                    revision: number,
+                    item: None,
+                });
             }
-            self.config = Some(config.clone());
+            false
+        });
+        removals
+    }
+
+    /// Goes back to an earlier era, whose next snapshot replaces all entries.
+    pub fn lower_era(&mut self, era: u64) {
+        for entry in self.entries.values_mut() {
+            entry.revision = StoreRevision::new(era, 0);
         }
-        self.last_change = self.last_change.max(change.revision);
-        self.entries.insert(
-            change.key.clone(),
-            CatalogEntry {
-                revision: change.revision,
-                item: change.item.clone(),
-            },
-        );
-        true
+        self.revision = StoreRevision::new(era, 0);
+        self.last_change = self.revision;
+        self.dropped_removals = self.revision;
     }
 
     fn drop_old_removals(&mut self) {
@@ -143,7 +243,7 @@
         if removed().count() <= MAX_KEPT_REMOVALS {
             return;
         }
-        let mut removals: Vec<(u64, SmolStr)> = removed()
+        let mut removals: Vec<(StoreRevision, SmolStr)> = removed()
             .map(|(key, entry)| (entry.revision, key.clone()))
             .collect();
         removals.sort_unstable();
@@ -153,12 +253,15 @@
         }
     }
 
-    /// Changes that are missing in a replica that is complete up to `after`.
-    pub fn changes_after(&self, after: u64) -> CatalogPage {
-        let is_snapshot = after <= self.dropped_removals;
+    /// Changes that are missing in a replica that is complete up to `after`. Entries of earlier eras
+    /// are left out, because the store may not have them.
+    pub fn changes_after(&self, after: StoreRevision) -> CatalogPage {
+        let era = self.revision.era;
+        let is_snapshot = after.era != era || after <= self.dropped_removals;
         let changes = self
             .entries
             .iter()
+            .filter(|(_, entry)| entry.revision.era == era)
             .filter(|(_, entry)| {
                 if is_snapshot {
                     entry.item.is_some()
@@ -168,14 +271,15 @@
             })
             .map(|(key, entry)| PublishedChange {
                 key: key.clone(),
-                revision: entry.revision,
+                revision: entry.revision.number,
                 item: entry.item.clone(),
             })
             .collect();
         CatalogPage {
             changes,
             is_snapshot,
-            revision: self.revision,
+            revision: self.revision.number,
+            era,
         }
     }
 }
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -175,6 +175,14 @@
             && !self.evacuated.contains(&server.record.data_centre)
     }
 
+    /// Whether the process of a server that started at `started` is draining or no longer published.
+    pub fn has_left(&self, id: &str, started: u64) -> bool {
+        self.key(id).is_some_and(|key| {
+            let server = &self.servers[key];
+            server.record.started == started && (server.record.draining || !server.listed)
+        })
+    }
+
     /// Whether the server may receive requests.
     pub fn is_in_service(&self, key: GatewayServerKey) -> bool {
         self.accepts_requests(&self.servers[key])
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -3,7 +3,10 @@
 //! A few instances watch the store and the others get changes from them. An instance whose replica
 //! no peer has confirmed recently reads the store itself.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use smol_str::SmolStr;
 
@@ -13,7 +16,7 @@
     event::{GatewayEffect, StoreError, StoreRead},
     log_event,
     members::MemberPhase,
-    replica::CatalogPage,
+    replica::{CatalogPage, PageOutcome},
     routes::RouteIndex,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -43,6 +46,14 @@
 /// Delay between snapshot reads during that time.
 const REGISTER_READ_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time after a restore of the store for which entries of servers that are known to have left are
+/// ignored. By then the store drops the entries of servers that no longer write.
+const LEFT_SERVER_DOUBT: Duration = Duration::from_secs(15);
+/// The same for evacuations that are known to have ended, which the operator ends again sooner.
+const EVACUATION_DOUBT: Duration = REGISTER_TIME;
+/// Time for which all answers of the store have to be of an earlier era until they are believed.
+const LOWER_ERA_PATIENCE: Duration = Duration::from_secs(10);
+
 /// State of this instance's reads of the store.
 #[derive(Debug, Default)]
 pub(super) struct StoreReader {
@@ -53,8 +64,21 @@
     unavailable_since: Option<ClockTime>,
     /// Removals are ignored until then, because servers may not have registered again yet.
     ignore_removals_until: Option<ClockTime>,
+    /// Items of earlier eras are kept until then, because they may not have been written again yet.
+    keep_earlier_eras_until: Option<ClockTime>,
+    /// Era that skips others, and has to be confirmed by another answer.
+    unconfirmed_era: Option<u64>,
+    /// Since when all answers have been of an earlier era.
+    outdated_since: Option<ClockTime>,
+    /// Highest era that peers are believed until a time, after an era has turned out to be wrong.
+    max_peer_era: Option<(u64, ClockTime)>,
 }
 
+/// Changes in the copy from which the store was restored that contradict what this instance knew
+/// before: a server that has left is listed as ready, or an evacuation that ended is in force.
+/// They are ignored until their writers have written the keys again, or until a time.
+pub(super) type DoubtedChanges = BTreeMap<SmolStr, (ClockTime, PublishedChange)>;
+
 impl StoreReader {
     /// Makes the next read due immediately.
     pub(super) fn read_now(&mut self, now: ClockTime) {
@@ -99,11 +123,11 @@
         let later_ranks = u32::try_from(rank.saturating_sub(PROMPT_RANKS)).unwrap_or(u32::MAX);
         let max_age = MAX_CATALOG_AGE + RANK_DELAY.saturating_mul(later_ranks).min(MAX_RANK_DELAY);
         let is_outdated = self.catalog_age(now) > max_age && !self.catalog_fetcher.is_fetching(now);
-        let is_needed = self.catalog.revision() == 0 || is_outdated;
+        let is_needed = self.catalog.is_empty() || is_outdated;
         if !is_needed && rank >= STORE_READERS {
             return;
         }
-        let needs_snapshot = self.catalog.revision() == 0
+        let needs_snapshot = self.catalog.is_empty()
             || self.store.needs_snapshot
             || self.store.ignore_removals_until.is_some();
         self.store.reading = true;
@@ -111,7 +135,7 @@
             StoreRead::Snapshot
         } else {
             StoreRead::Watch {
-                after: self.catalog.revision(),
+                after: self.catalog.revision().number,
                 wait: WATCH_WAIT,
             }
         };
@@ -129,14 +153,22 @@
             Ok(page) => self.store_page_read(now, page, effects),
             Err(StoreError::HistoryGone) => {
                 log_event(effects, "store_history_gone", "", "");
-                self.store.needs_snapshot = true;
-                self.store.next_read = now;
+                self.read_snapshot_now(now);
+            }
+            Err(StoreError::MixedEras) => {
+                log_event(effects, "store_answer_ignored", "", "reason=mixed_eras");
+                self.read_snapshot_now(now);
             }
             Err(StoreError::Unavailable) => self.store_failed(now, effects),
         }
         self.read_store(now, effects);
     }
 
+    fn read_snapshot_now(&mut self, now: ClockTime) {
+        self.store.needs_snapshot = true;
+        self.store.next_read = now;
+    }
+
     fn store_failed(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
         if self.store.unavailable_since.is_none() {
             self.store.unavailable_since = Some(now);
@@ -154,20 +186,26 @@
         mut page: CatalogPage,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        if !self.check_era(now, &page, effects) {
+            return;
+        }
+        let is_restored = page.era > self.catalog.revision().era && !self.catalog.is_empty();
         self.store.failures = 0;
         self.store.next_read = now.after(MIN_READ_INTERVAL);
         if let Some(since) = self.store.unavailable_since.take() {
             let outage = now.since(since);
             let detail = format!("outage_ms={}", outage.as_millis());
             log_event(effects, "store_regained", "", &detail);
-            if outage >= LONG_OUTAGE && self.catalog.revision() > 0 {
+            if outage >= LONG_OUTAGE && !self.catalog.is_empty() {
                 self.store.ignore_removals_until = Some(now.after(REGISTER_TIME));
             }
         }
         if page.is_snapshot {
             self.store.needs_snapshot = false;
         }
-        if let Some(until) = self.store.ignore_removals_until {
+        if let Some(until) = self.store.ignore_removals_until
+            && !is_restored
+        {
             if now < until {
                 page.is_snapshot = false;
                 page.revision = 0;
@@ -181,6 +219,62 @@
         self.apply_page(now, "store", page, effects);
     }
 
+    /// Whether peers that are in this era are believed.
+    pub(super) fn trusts_peer_era(&self, now: ClockTime, era: u64) -> bool {
+        let limit = self.store.max_peer_era;
+        limit.is_none_or(|(max, until)| era <= max || now >= until)
+    }
+
+    /// Whether an answer of the store is of the known era, or a snapshot of a later one.
+    fn check_era(
+        &mut self,
+        now: ClockTime,
+        page: &CatalogPage,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> bool {
+        let known = self.catalog.revision();
+        let ignore = |effects: &mut Vec<GatewayEffect>, reason: &str| {
+            let revision = page.complete_to();
+            let detail = format!("reason={reason} revision={revision} known={known}");
+            log_event(effects, "store_answer_ignored", "", &detail);
+        };
+        if page.era < known.era {
+            ignore(effects, "earlier_era");
+            let since = *self.store.outdated_since.get_or_insert(now);
+            if now.since(since) < LOWER_ERA_PATIENCE {
+                self.store_failed(now, effects);
+                return false;
+            }
+            self.lower_era(now, page.era, effects);
+            return page.is_snapshot;
+        }
+        self.store.outdated_since = None;
+        if page.era > known.era + 1 && self.store.unconfirmed_era != Some(page.era) {
+            ignore(effects, "unconfirmed_era");
+            self.store.unconfirmed_era = Some(page.era);
+            self.read_snapshot_now(now);
+            return false;
+        }
+        self.store.unconfirmed_era = None;
+        if page.era > known.era && !page.is_snapshot {
+            ignore(effects, "later_era");
+            self.read_snapshot_now(now);
+            return false;
+        }
+        true
+    }
+
+    /// Goes back to an earlier era, because the known one was wrong or the store was replaced by one
+    /// that counts anew.
+    fn lower_era(&mut self, now: ClockTime, era: u64, effects: &mut Vec<GatewayEffect>) {
+        let detail = format!("era={era} known={}", self.catalog.revision());
+        log_event(effects, "store_era_lowered", "", &detail);
+        self.catalog.lower_era(era);
+        self.store.outdated_since = None;
+        self.store.max_peer_era = Some((era, now.after(LOWER_ERA_PATIENCE * 2)));
+        self.read_snapshot_now(now);
+    }
+
     /// Applies changes received from the store or a peer.
     pub(super) fn apply_page(
         &mut self,
@@ -189,27 +283,89 @@
         page: CatalogPage,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let revision = self.catalog.revision();
+        let known = self.catalog.revision();
+        let revision = page.complete_to();
         let detail = format!(
-            "source={source} revision={} known={revision} changes={}",
-            page.revision,
+            "source={source} revision={revision} known={known} changes={}",
             page.changes.len()
         );
-        let applied = self.catalog.apply(page);
-        if self.catalog.revision() == revision && applied.is_empty() {
+        let has_changes = !page.changes.is_empty();
+        let is_restored = revision.era > known.era && !self.catalog.is_empty();
+        let doubted = if is_restored {
+            self.contradicting_keys(&page)
+        } else {
+            BTreeSet::new()
+        };
+        let applied = match self.catalog.apply(page) {
+            PageOutcome::Applied(applied) => applied,
+            outcome @ (PageOutcome::Outdated | PageOutcome::Incomplete) => {
+                let detail = format!("{detail} reason={outcome:?}");
+                log_event(effects, "catalog_page_ignored", "", &detail);
+                return;
+            }
+        };
+        if is_restored {
+            log_event(effects, "store_restored", "", &detail);
+            self.store.keep_earlier_eras_until = Some(now.after(REGISTER_TIME));
+            self.store.ignore_removals_until = self.store.keep_earlier_eras_until;
+        } else if has_changes && applied.is_empty() {
             log_event(effects, "catalog_unchanged", "", &detail);
         }
         for change in &applied {
-            self.apply_change(now, change, effects);
+            if doubted.contains(&change.key) {
+                log_event(effects, "item_doubted", "", &change.key);
+                let time = match change.item {
+                    Some(PublishedItem::Evacuation(_)) => EVACUATION_DOUBT,
+                    _ => LEFT_SERVER_DOUBT,
+                };
+                let doubt = (now.after(time), change.clone());
+                self.doubted_changes.insert(change.key.clone(), doubt);
+            } else {
+                self.doubted_changes.remove(&change.key);
+                self.apply_change(now, change, effects);
+            }
         }
         if !applied.is_empty() {
             self.sync_schedulers(now, effects);
         }
-        if self.catalog.revision() > revision && !applied.is_empty() {
+        if self.catalog.revision() > known && (is_restored || !applied.is_empty()) {
             self.spread_change(now, effects);
         }
     }
 
+    /// Keys of items that contradict what is known from an earlier era.
+    fn contradicting_keys(&self, page: &CatalogPage) -> BTreeSet<SmolStr> {
+        let contradicts = |change: &&PublishedChange| match &change.item {
+            Some(PublishedItem::Server(record)) => {
+                !record.draining && self.servers.has_left(&record.id, record.started)
+            }
+            Some(PublishedItem::Evacuation(_)) => self.catalog.is_removed(&change.key),
+            _ => false,
+        };
+        let changes = page.changes.iter().filter(contradicts);
+        changes.map(|change| change.key.clone()).collect()
+    }
+
+    /// Believes the store, once its writers have had the time to correct it.
+    pub(super) fn end_restore(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        if let Some(until) = self.store.keep_earlier_eras_until
+            && self.catalog_confirmed >= Some(until)
+        {
+            self.store.keep_earlier_eras_until = None;
+            for change in self.catalog.remove_earlier_eras() {
+                self.doubted_changes.remove(&change.key);
+                self.apply_change(now, &change, effects);
+            }
+        }
+        let due = self
+            .doubted_changes
+            .extract_if(.., |_, (until, _)| now >= *until);
+        for (_, (_, change)) in due.collect::<Vec<_>>() {
+            log_event(effects, "item_believed", "", &change.key);
+            self.apply_change(now, &change, effects);
+        }
+    }
+
     fn apply_change(
         &mut self,
         now: ClockTime,
--- a/lib/tests/gateway/world/store.rs
+++ b/lib/tests/gateway/world/store.rs
@@ -75,6 +75,7 @@
             changes: changes.collect(),
             is_snapshot,
             revision: self.revision,
+            era: self.era,
         }
     }
 
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -1,19 +1,149 @@
 //! Encoding of messages between instances.
 
-use std::io::Write;
+use std::{io::Write, time::Duration};
 
 use flate2::{Compression, write::DeflateEncoder};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
 };
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use wasabistall_lib::gateway::{
     catalog::PublishedChange,
-    encoding::{MAX_MESSAGE_BYTES, decode_answer, decode_call, encode_answer},
-    message::PeerAnswer,
+    claims::MemberClaims,
+    encoding::{MAX_MESSAGE_BYTES, decode_answer, decode_call, encode_answer, encode_call},
+    members::AgedRecord,
+    message::{ChangesQuery, GossipMessage, PeerAnswer, PeerCall},
     replica::CatalogPage,
+    revision::StoreRevision,
 };
 
+/// Gossip of builds that do not know eras of the store.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierGossip {
+    records: Vec<AgedRecord>,
+    claims: Vec<MemberClaims>,
+    wanted: Vec<SmolStr>,
+    revision: u64,
+    changed: u64,
+    board_age: u64,
+}
+
+/// Page of such builds.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierPage {
+    changes: Vec<PublishedChange>,
+    whole: bool,
+    revision: u64,
+}
+
+/// Calls and answers of such builds.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierMessage {
+    Gossip(EarlierGossip),
+    Board { after: u64 },
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierAnswer {
+    Gossip(EarlierGossip),
+    Board(EarlierPage),
+}
+
+fn gossip(era: u64) -> GossipMessage {
+    GossipMessage {
+        records: Vec::new(),
+        claims: Vec::new(),
+        wanted: vec!["n-1".into()],
+        revision: 40,
+        last_change: 39,
+        catalog_age: Duration::from_millis(120),
+        era,
+    }
+}
+
+fn earlier_gossip() -> EarlierGossip {
+    EarlierGossip {
+        records: Vec::new(),
+        claims: Vec::new(),
+        wanted: vec!["n-1".into()],
+        revision: 40,
+        changed: 39,
+        board_age: 120,
+    }
+}
+
+/// During a rolling update, builds with and without eras read each other's messages.
+#[test]
+fn messages_are_readable_by_builds_that_do_not_know_eras() {
+    let sent = |call| encode_call(&call).unwrap().body;
+    let read = |body: &[u8]| rmp_serde::from_slice::<EarlierMessage>(body).unwrap();
+    assert_eq!(
+        read(&sent(PeerCall::Gossip(gossip(3)))),
+        EarlierMessage::Gossip(earlier_gossip())
+    );
+    let query = ChangesQuery::new(StoreRevision::new(3, 17));
+    assert_eq!(
+        read(&sent(PeerCall::CatalogChanges(query))),
+        EarlierMessage::Board { after: 17 }
+    );
+    let page = CatalogPage {
+        changes: Vec::new(),
+        is_snapshot: true,
+        revision: 8,
+        era: 3,
+    };
+    let body = encode_answer(&PeerAnswer::CatalogChanges(page))
+        .unwrap()
+        .body;
+    let expected = EarlierPage {
+        changes: Vec::new(),
+        whole: true,
+        revision: 8,
+    };
+    let decoded: EarlierAnswer = rmp_serde::from_slice(&body).unwrap();
+    assert_eq!(decoded, EarlierAnswer::Board(expected));
+}
+
+/// The other direction of the same: without an era, messages are of era 0.
+#[test]
+fn messages_without_an_era_are_readable() {
+    let sent = |message: &EarlierMessage| rmp_serde::to_vec(message).unwrap();
+    let body = sent(&EarlierMessage::Gossip(earlier_gossip()));
+    assert_eq!(
+        decode_call(&body, false).unwrap(),
+        PeerCall::Gossip(gossip(0))
+    );
+    let body = sent(&EarlierMessage::Board { after: 17 });
+    let query = ChangesQuery::new(StoreRevision::new(0, 17));
+    assert_eq!(
+        decode_call(&body, false).unwrap(),
+        PeerCall::CatalogChanges(query)
+    );
+    let page = EarlierPage {
+        changes: Vec::new(),
+        whole: false,
+        revision: 8,
+    };
+    let body = rmp_serde::to_vec(&EarlierAnswer::Board(page)).unwrap();
+    let PeerAnswer::CatalogChanges(page) = decode_answer(&body, false).unwrap() else {
+        panic!("no page of changes");
+    };
+    assert_eq!((page.era, page.revision), (0, 8));
+}
+
+/// The era costs gossip a few bytes a message only.
+#[test]
+fn field_names_cost_few_bytes() {
+    let named = encode_call(&PeerCall::Gossip(gossip(3)))
+        .unwrap()
+        .body
+        .len();
+    let earlier = rmp_serde::to_vec(&EarlierMessage::Gossip(earlier_gossip())).unwrap();
+    assert!(named < earlier.len() + 64, "{named} bytes");
+}
+
 fn catalog_answer(changes: u64) -> PeerAnswer {
     let changes = (0..changes)
         .map(|revision| PublishedChange {
@@ -26,6 +156,7 @@
         changes,
         is_snapshot: false,
         revision: 1,
+        era: 0,
     })
 }
 
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -160,6 +160,7 @@
             }],
             is_snapshot: false,
             revision: self.revision,
+            era: 0,
         };
         self.handle(GatewayEvent::StoreAnswered(Ok(page)))
     }
@@ -174,6 +175,7 @@
             }],
             is_snapshot: false,
             revision: self.revision,
+            era: 0,
         };
         self.handle(GatewayEvent::StoreAnswered(Ok(page)))
     }
--- a/lib/tests/gateway_restore.rs
+++ b/lib/tests/gateway_restore.rs
@@ -13,7 +13,10 @@
 use gateway::world::{GatewayWorld, config};
 use rand::Rng;
 use smol_str::{SmolStr, format_smolstr};
-use wasabistall_lib::gateway::catalog::{PublishedItem, RouteConfig, ServerRecord, ServingConfig};
+use wasabistall_lib::{
+    clock::ClockTime,
+    gateway::catalog::{PublishedItem, RouteConfig, ServerRecord, ServingConfig},
+};
 
 const INSTANCES: usize = 7;
 /// Time after which an acknowledged configuration has to be in force.
@@ -55,6 +58,7 @@
     version: u64,
     adapter_version: u64,
     next_server: u64,
+    evacuated_at: ClockTime,
 }
 
 impl StoreWriters {
@@ -65,6 +69,7 @@
             version: 1,
             adapter_version: 0,
             next_server: 0,
+            evacuated_at: ClockTime::ZERO,
         };
         writers.write(world, "op/config", Some(config_item(1)));
         for number in 0..4 {
@@ -127,6 +132,7 @@
             5 => {
                 let item = PublishedItem::Evacuation("dc-2".into());
                 let item = (!self.is_evacuated()).then_some(item);
+                self.evacuated_at = world.now;
                 self.write(world, "op/evacuate/dc-2", item);
             }
             _ => {
@@ -190,6 +196,9 @@
 #[derive(Default)]
 struct FleetObserver {
     views: BTreeMap<usize, ProcessView>,
+    /// Time until an instance that is closed knows of the newest evacuation, rather than of one that
+    /// has ended.
+    late_time: Duration,
     violations: Vec<String>,
 }
 
@@ -233,7 +242,7 @@
             let is_closed = reducer.is_server_in_service("u-0") == Some(false);
             if !writers.is_evacuated() {
                 view.knows_evacuation = false;
-            } else if is_closed {
+            } else if is_closed && world.now.since(writers.evacuated_at) >= self.late_time {
                 view.knows_evacuation = true;
             } else if view.knows_evacuation {
                 view.knows_evacuation = false;
@@ -452,6 +461,9 @@
         world.store.late_share = if seed % 2 == 0 { 0.1 } else { 0.0 };
         let mut writers = StoreWriters::new(&mut world);
         let mut observer = FleetObserver::default();
+        if world.store.late_share > 0.0 {
+            observer.late_time = millis(3_000);
+        }
         writers.run(&mut world, millis(5_000), &mut observer);
         for _ in 0..world.random().random_range(1..4) {
             for _ in 0..world.random().random_range(2..14) {
