--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -79,8 +79,8 @@
     entries: BTreeMap<SmolStr, CatalogEntry>,
     revision: StoreRevision,
     last_change: StoreRevision,
-    /// Removals up to this revision have been dropped from the entries.
-    dropped_removals: StoreRevision,
+    /// Removals up to this revision may be missing in the entries.
+    missing_removals: StoreRevision,
     config: Option<Arc<ServingConfig>>,
 }
 
@@ -90,7 +90,7 @@
         self.revision
     }
 
-    /// Revision of the newest change.
+    /// Revision of the newest change, or of the last snapshot if it is newer.
     pub fn last_change(&self) -> StoreRevision {
         self.last_change
     }
@@ -138,13 +138,16 @@
             }
             self.revision = StoreRevision::new(page.era, 0);
             self.last_change = page.complete_to();
-            self.dropped_removals = self.revision;
+            self.missing_removals = self.revision;
         }
         let mut applied = Vec::new();
+        let complete_to = page.complete_to();
         if page.is_snapshot {
             self.remove_missing(&page, &mut applied);
+            // Items that were unknown here may have been removed before the snapshot.
+            self.missing_removals = self.missing_removals.max(complete_to);
+            self.last_change = self.last_change.max(complete_to);
         }
-        let complete_to = page.complete_to();
         for change in page.changes {
             if self.apply_change(page.era, &change) {
                 applied.push(change);
@@ -231,7 +234,7 @@
         }
         self.revision = StoreRevision::new(era, 0);
         self.last_change = self.revision;
-        self.dropped_removals = self.revision;
+        self.missing_removals = self.revision;
     }
 
     fn drop_old_removals(&mut self) {
@@ -248,7 +251,7 @@
             .collect();
         removals.sort_unstable();
         for (revision, key) in removals.drain(..removals.len() - MAX_KEPT_REMOVALS / 2) {
-            self.dropped_removals = self.dropped_removals.max(revision);
+            self.missing_removals = self.missing_removals.max(revision);
             self.entries.remove(&key);
         }
     }
@@ -257,7 +260,8 @@
     /// are left out, because the store may not have them.
     pub fn changes_after(&self, after: StoreRevision) -> CatalogPage {
         let era = self.revision.era;
-        let is_snapshot = after.era != era || after <= self.dropped_removals;
+        let is_empty = after.number == 0;
+        let is_snapshot = after.era != era || is_empty || after < self.missing_removals;
         let changes = self
             .entries
             .iter()
