gateway: ignore removed items in late answers

Cause: a new process asks a peer for the catalog while it reads the store itself.

Change: an answer that is complete only up to a revision below the replica's adds no items that the replica should have and lacks: they have been removed since.

--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -148,8 +148,13 @@
             self.missing_removals = self.missing_removals.max(complete_to);
             self.last_change = self.last_change.max(complete_to);
         }
+        let is_late = complete_to < self.revision;
         for change in page.changes {
-            if self.apply_change(page.era, &change) {
+            let revision = StoreRevision::new(page.era, change.revision);
+            if is_late && self.was_removed(&change.key, revision) {
+                continue;
+            }
+            if self.apply_change(revision, &change) {
                 applied.push(change);
             }
         }
@@ -177,8 +182,15 @@
         }
     }
 
-    fn apply_change(&mut self, era: u64, change: &PublishedChange) -> bool {
-        let revision = StoreRevision::new(era, change.revision);
+    /// Whether an item that was written at `revision` had been removed by the revision up to which the
+    /// replica is complete.
+    fn was_removed(&self, key: &str, revision: StoreRevision) -> bool {
+        let known = self.entries.get(key);
+        let is_known = known.is_some_and(|entry| entry.revision.era == revision.era);
+        !is_known && revision <= self.revision
+    }
+
+    fn apply_change(&mut self, revision: StoreRevision, change: &PublishedChange) -> bool {
         if let Some(entry) = self.entries.get(&change.key)
             && entry.revision >= revision
         {
--- a/lib/tests/gateway_replica.rs
+++ b/lib/tests/gateway_replica.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// Regression test: an answer that was older than the receiver's own snapshot brought back an item
+/// that had been removed before that snapshot.
+#[test]
+fn a_late_page_does_not_bring_removed_items_back() {
+    let mut store = StoreItems::default();
+    store.write("servers/a", Some(server("a", 1)));
+    store.write("servers/b", Some(server("b", 1)));
+    let late = store.page(true, 0);
+    store.write("servers/b", None);
+    let mut replica = CatalogReplica::default();
+    replica.apply(store.page(true, 0));
+    replica.apply(late);
+    assert_eq!(keys(&replica), store.keys());
+}
+
 /// Replicas follow the store by snapshots and changes, and each other, in any order. Each that is
 /// complete up to the store's revision has exactly the items of the store.
 #[test]
@@ -110,6 +125,7 @@
         let mut store = StoreItems::default();
         store.write("servers/first", Some(server("first", 1)));
         let mut replicas: Vec<CatalogReplica> = (0..4).map(|_| CatalogReplica::default()).collect();
+        let mut late_pages: Vec<(usize, CatalogPage)> = Vec::new();
         for _ in 0..200 {
             let index = random.random_range(0..4);
             match random.random_range(0..20) {
@@ -121,7 +137,20 @@
                 6 => {
                     replicas[index].apply(store.page(true, 0));
                 }
-                7 => replicas[index] = CatalogReplica::default(),
+                7 => {
+                    replicas[index] = CatalogReplica::default();
+                    late_pages.retain(|(receiver, _)| *receiver != index);
+                }
+                9 => {
+                    let other = (index + random.random_range(1..4)) % 4;
+                    let page = replicas[other].changes_after(replicas[index].revision());
+                    late_pages.push((index, page));
+                }
+                10 if !late_pages.is_empty() => {
+                    let late = random.random_range(0..late_pages.len());
+                    let (receiver, page) = late_pages.swap_remove(late);
+                    replicas[receiver].apply(page);
+                }
                 8 => {
                     let after = replicas[index].revision().number;
                     replicas[index].apply(store.page(after == 0, after));
