daemon: test a store that is restored from an older copy

The stand-in of the platform's store states its era, keeps copies and can be restored from one: what was written since is lost, revisions are given out again, and a watch from a later one gets 410. With five real gateways, a configuration written after the restore is in force on all of them.

--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -24,6 +24,27 @@
             .expect("response")
     }
 
+    /// Waits until all gateways have applied a version of the configuration.
+    async fn wait_for_version(&self, version: u64) {
+        let line = format!("wasabistall_config_version {version}");
+        for gateway in &self.gateways {
+            let mut metrics = String::new();
+            for _ in 0..1_000 {
+                let answer = get(gateway.ports.operators(), "/metrics").await;
+                let body = answer
+                    .map(|answer| answer.body.to_vec())
+                    .unwrap_or_default();
+                metrics = String::from_utf8_lossy(&body).into_owned();
+                if metrics.lines().any(|other| other == line) {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let name = &gateway.name;
+            assert!(metrics.contains(&line), "{name} has no version {version}");
+        }
+    }
+
     /// Requests a stream until its adapter is loaded: a gateway needs some seconds to get the right to
     /// send orders to a server.
     async fn stream(&self, gateway: usize, id: &str) -> CallerResponse {
@@ -247,3 +268,31 @@
         .collect();
     assert_eq!(events, ["request_sent", "attempt_ended"]);
 }
+
+/// Regression test: after the store had come back from an older copy, gateways that did not read it
+/// themselves never applied another configuration, since its revision was below theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_follow_a_store_that_is_restored_from_an_older_copy() {
+    let site = TestSite::start(5).await;
+    let copy = site.platform.copy_store();
+    for version in [2, 4, 6] {
+        let config = platform_config(version, "key");
+        site.platform.put("op/config", Some(&config));
+    }
+    site.wait_for_version(6).await;
+    site.platform.set_mode(StoreMode::Busy);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.platform.restore_store(copy);
+    site.platform.set_mode(StoreMode::Up);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // The operator writes the lost configuration again, and then a new one. Its key is the new one.
+    site.platform
+        .put("op/config", Some(&platform_config(6, "key")));
+    site.platform
+        .put("op/config", Some(&platform_config(7, "new-key")));
+    site.wait_for_version(7).await;
+    for gateway in 0..5 {
+        let answer = site.call(gateway, Method::GET, "/safe/x", "late").await;
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "gateway {gateway}");
+    }
+}
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -14,7 +14,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::HeaderMap,
+    header::{HeaderMap, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -69,11 +69,18 @@
     pub finished: bool,
 }
 
+#[derive(Clone)]
 struct StoreItem {
     value: Option<Vec<u8>>,
     revision: u64,
 }
 
+/// A copy of the store's items, from which it can be restored.
+pub struct StoreCopy {
+    items: BTreeMap<String, StoreItem>,
+    revision: u64,
+}
+
 #[derive(Default)]
 struct EngineState {
     sequence: u64,
@@ -86,6 +93,8 @@
     mode: StoreMode,
     items: BTreeMap<String, StoreItem>,
     revision: u64,
+    /// Increases with each restore.
+    era: u64,
     runs: Vec<RunRecord>,
     engines: BTreeMap<SmolStr, EngineState>,
     violations: Vec<String>,
@@ -114,6 +123,7 @@
                 mode: StoreMode::Up,
                 items: BTreeMap::new(),
                 revision: 1,
+                era: 1,
                 runs: Vec::new(),
                 engines: BTreeMap::new(),
                 violations: Vec::new(),
@@ -152,6 +162,26 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the store's items.
+    pub fn copy_store(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Restores the store from an earlier copy: what was written since is lost, and its revisions are
+    /// given out again.
+    pub fn restore_store(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// All recorded runs, in order of their start.
     pub fn runs(&self) -> Vec<RunRecord> {
         self.lock().runs.clone()
@@ -206,6 +236,13 @@
     }
 
     async fn handle_store_request(&self, request: &Request<Incoming>) -> Response<StandinBody> {
+        let mut response = self.answer_store_request(request).await;
+        let era = HeaderValue::from(self.lock().era);
+        response.headers_mut().insert("store-era", era);
+        response
+    }
+
+    async fn answer_store_request(&self, request: &Request<Incoming>) -> Response<StandinBody> {
         let query: BTreeMap<String, String> = request
             .uri()
             .query()
@@ -227,6 +264,9 @@
                 let after = number("after").unwrap_or(0);
                 let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
                 self.wait_for_change(after, wait).await;
+                if after > self.lock().revision {
+                    return full_response(StatusCode::GONE, Vec::new());
+                }
                 self.list_page(after, "events")
             }
             _ => return full_response(StatusCode::NOT_FOUND, Vec::new()),
@@ -242,7 +282,7 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if self.lock().revision > after {
+            if self.lock().revision != after {
                 return;
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
