testutils: a scripted server, and entries of the store in any form

The stand-in of the platform writes values that are no JSON text, adds items of any form to its pages, and lists items in pages of a given size. Its servers echo the attempt id when they reject a request, as the platform's do.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod gateway;
 pub mod platform;
 pub mod proxy;
+pub mod scripted;
 pub mod world;
 
 pub use self::{
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -84,6 +84,10 @@
 
 struct PlatformState {
     mode: StoreMode,
+    /// Number of items in a page of a full read.
+    page_items: usize,
+    /// Items in JSON that are part of each page, as they are.
+    raw_items: Vec<String>,
     items: BTreeMap<String, StoreItem>,
     revision: u64,
     runs: Vec<RunRecord>,
@@ -112,6 +116,8 @@
         let standin = PlatformStandin {
             state: Arc::new(Mutex::new(PlatformState {
                 mode: StoreMode::Up,
+                page_items: usize::MAX,
+                raw_items: Vec::new(),
                 items: BTreeMap::new(),
                 revision: 1,
                 runs: Vec::new(),
@@ -139,12 +145,35 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets the number of items in a page of a full read.
+    pub fn set_page_items(&self, count: usize) {
+        self.lock().page_items = count;
+    }
+
+    /// Adds an item in JSON, of any form, to each page of the store.
+    pub fn add_raw_item(&self, item: String) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.raw_items.push(item);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Writes an item of the store, or removes it when `value` is `None`.
     pub fn put(&self, key: &str, value: Option<&Value>) {
+        self.write(key, value.map(|value| value.to_string().into_bytes()));
+    }
+
+    /// Writes an item whose value is no JSON text.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.write(key, Some(value.to_vec()));
+    }
+
+    fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.lock();
         state.revision += 1;
         let item = StoreItem {
-            value: value.map(|value| value.to_string().into_bytes()),
+            value,
             revision: state.revision,
         };
         state.items.insert(key.to_owned(), item);
@@ -221,20 +250,23 @@
             StoreMode::Up | StoreMode::Slow => {}
         }
         let page = match request.uri().path() {
-            "/kv-range" => self.list_page(0, "items"),
+            "/kv-range" => {
+                let after = query.get("after").map(|key| percent_decode(key));
+                self.list_page(0, after.as_deref(), "items")
+            }
             "/kv-watch" => {
                 let number = |name: &str| query.get(name).and_then(|value| value.parse().ok());
                 let after = number("after").unwrap_or(0);
                 let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
                 self.wait_for_change(after, wait).await;
-                self.list_page(after, "events")
+                self.list_page(after, None, "events")
             }
             _ => return full_response(StatusCode::NOT_FOUND, Vec::new()),
         };
         if self.lock().mode == StoreMode::Slow {
-            Response::new(slow_body(page.to_string().as_bytes()))
+            Response::new(slow_body(page.as_bytes()))
         } else {
-            json_response(&page)
+            full_response(StatusCode::OK, page.into_bytes())
         }
     }
 
@@ -251,19 +283,34 @@
         }
     }
 
-    fn list_page(&self, after: u64, list: &str) -> Value {
+    fn list_page(&self, after: u64, after_key: Option<&str>, list: &str) -> String {
         let state = self.lock();
-        let items: Vec<Value> = state
-            .items
-            .iter()
-            .filter(|(_, item)| item.revision > after && (after > 0 || item.value.is_some()))
-            .map(|(key, item)| match &item.value {
+        let is_listed = |(key, item): &(&String, &StoreItem)| {
+            item.revision > after
+                && (after > 0 || item.value.is_some())
+                && after_key.is_none_or(|after_key| key.as_str() > after_key)
+        };
+        let listed: Vec<(&String, &StoreItem)> = state.items.iter().filter(is_listed).collect();
+        let page_items = if after > 0 {
+            usize::MAX
+        } else {
+            state.page_items
+        };
+        let has_more = listed.len() > page_items;
+        let mut items = state.raw_items.clone();
+        items.extend(listed.iter().take(page_items).map(|(key, item)| {
+            let item = match &item.value {
                 Some(value) => json!({"Key": key, "Value": STANDARD.encode(value),
                     "Revision": item.revision, "Created": item.revision, "Lease": 0}),
                 None => json!({"Key": key, "Revision": item.revision, "Removed": true}),
-            })
-            .collect();
-        json!({list: items, "HasMore": false, "CurrentRev": state.revision})
+            };
+            item.to_string()
+        }));
+        format!(
+            r#"{{"{list}":[{}],"HasMore":{has_more},"CurrentRev":{}}}"#,
+            items.join(","),
+            state.revision
+        )
     }
 
     async fn handle_server_request(
@@ -277,7 +324,7 @@
             .as_deref()
             .is_some_and(|expected| expected != id)
         {
-            return full_response(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+            return misdirected_response(&headers);
         }
         match request.uri().path() {
             "/report" => json_response(&self.report(id)),
@@ -367,7 +414,7 @@
             let engine = state.engines.entry(id.clone()).or_default();
             complete_loads(engine);
             if !engine.loaded.iter().any(|loaded| loaded == adapter) {
-                return full_response(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+                return misdirected_response(headers);
             }
         }
         let run = {
@@ -425,6 +472,29 @@
     engine.loaded.extend(ready.into_keys());
 }
 
+/// Rejects a request as not run; the answer echoes its attempt id.
+fn misdirected_response(request: &HeaderMap) -> Response<StandinBody> {
+    let mut response = full_response(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+    if let Some(attempt) = request.get("attempt-id") {
+        response.headers_mut().insert("attempt-id", attempt.clone());
+    }
+    response
+}
+
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((byte, tail)) = rest.split_first() {
+        let hex = tail.get(..2).filter(|_| *byte == b'%');
+        let decoded = hex
+            .and_then(|hex| std::str::from_utf8(hex).ok())
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        bytes.push(decoded.unwrap_or(*byte));
+        rest = if decoded.is_some() { &tail[2..] } else { tail };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
