--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -89,7 +89,7 @@
         .timer(TokioTimer::new())
         // The timeout also applies while the connection is idle.
         .header_read_timeout(bounds.idle_time + IDLE_MARGIN)
-        .max_buf_size((bounds.header_bytes * 2).max(MIN_BUFFER_BYTES))
+        .max_buf_size(bounds.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
