--- a/daemon/tests/gateway_entries.rs
+++ b/daemon/tests/gateway_entries.rs
@@ -91,3 +91,26 @@
     wait_ready(site.gateways[0].ports).await;
     wait_served(&site, &path).await;
 }
+
+/// Regression test: a page of the store with one item of an unexpected form was discarded as a whole, so
+/// that no change was followed any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_follows_the_store_beside_odd_items() {
+    let mut site = TestSite::start(1).await;
+    for item in [
+        nested(100_000),
+        "null".to_owned(),
+        r#"{"Key":null,"Value":"","Revision":1}"#.to_owned(),
+        r#"{"Key":"servers/odd","Value":7,"Revision":1e400}"#.to_owned(),
+        r#"{"Key":"servers/\ud800","Value":"","Revision":1}"#.to_owned(),
+        format!(
+            r#"{{"Key":"servers/odd","Value":{},"Revision":1}}"#,
+            nested(100_000)
+        ),
+    ] {
+        site.platform.add_raw_item(item);
+    }
+    let path = move_route(&site, 2);
+    wait_served(&site, &path).await;
+    assert!(!site.gateways[0].has_exited());
+}
