--- a/daemon/tests/gateway_entries.rs
+++ b/daemon/tests/gateway_entries.rs
@@ -114,3 +114,23 @@
     wait_served(&site, &path).await;
     assert!(!site.gateways[0].has_exited());
 }
+
+/// Regression test: a key at the end of a page that cannot stand in a URL made the next page unreadable,
+/// so that a restarted gateway never got a configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_reads_on_after_any_key() {
+    let mut site = TestSite::start(1).await;
+    for key in [
+        "notes/a b",
+        "notes/\u{e4}",
+        "notes/%41&Prefix=z#",
+        "notes/\n",
+    ] {
+        site.platform.put_bytes(key, b"{}");
+    }
+    site.platform.set_page_items(1);
+    site.gateways[0].kill();
+    site.gateways[0].restart();
+    wait_ready(site.gateways[0].ports).await;
+    wait_served(&site, "/once/x").await;
+}
