gateway: bear token counts of any size in a caller's request

A caller may count its tokens as 2^64 - 1. The sums for its team's limit and for the server's memory exceeded their type, which ends a debug build and wraps in a release build. The expected prefill time of such a prompt is beyond the range of a duration, which would end a release build as well, at the instance that schedules the server; smaller ones kept the server's schedule full for years.

The sums saturate, the time has an upper bound, and a prompt that exceeds a server's memory is declined, as the server itself would reject it.

`a_prompt_that_no_server_holds_is_declined` and `token_counts_of_any_size_are_charged` failed before with "attempt to add with overflow".

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -244,7 +244,7 @@
 fn request_cost(request: &GatewayRequest, team: Option<&TeamConfig>) -> f64 {
     match team {
         Some(team) if team.unit == QuotaUnit::Tokens => match request.tokens {
-            Some((prompt, output)) => (prompt + output) as f64,
+            Some((prompt, output)) => prompt.saturating_add(output) as f64,
             None => team.default_request_tokens,
         },
         _ => 1.0,
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -298,7 +298,7 @@
                     GrantRecord {
                         model: request.model.clone(),
                         adapter: request.adapter.clone(),
-                        tokens: request.prompt_tokens + request.output_tokens,
+                        tokens: request.prompt_tokens.saturating_add(request.output_tokens),
                         prompt_tokens: request.prompt_tokens,
                         uncached_tokens,
                         sent_at: start,
@@ -345,11 +345,15 @@
         if !self.models.contains(&request.model) {
             return Err(DeclineReason::NoModel);
         }
-        let tokens: u64 = self.grants.values().map(|grant| grant.tokens).sum();
-        let requested_tokens = request.prompt_tokens + request.output_tokens;
+        let tokens = self
+            .grants
+            .values()
+            .fold(0_u64, |sum, grant| sum.saturating_add(grant.tokens));
+        let requested_tokens = request.prompt_tokens.saturating_add(request.output_tokens);
         let token_limit = (config.cache_tokens as f64 * MEMORY_SHARE) as u64;
         let is_full = self.grants.len() >= config.slots as usize
-            || (!self.grants.is_empty() && tokens + requested_tokens > token_limit);
+            || request.prompt_tokens > config.cache_tokens
+            || (!self.grants.is_empty() && tokens.saturating_add(requested_tokens) > token_limit);
         if is_full {
             return Err(DeclineReason::Full);
         }
--- a/lib/src/gateway/server_scheduler/prefill.rs
+++ b/lib/src/gateway/server_scheduler/prefill.rs
@@ -83,7 +83,7 @@
         let (token_ms, pairs_ms) = self.solve();
         let pairs = million_pairs(tokens as f64, uncached as f64);
         let millis = uncached as f64 * token_ms + pairs * pairs_ms;
-        Duration::from_secs_f64(millis / 1_000.0)
+        Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or(Duration::MAX)
     }
 
     fn solve(&self) -> (f64, f64) {
--- /dev/null
+++ b/lib/tests/gateway_numbers.rs
@@ -0,0 +1,72 @@
+//! Numbers that a caller or a server chose, up to the largest, have no effect beyond their request.
+
+mod gateway;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use gateway::engine::{FakeEngine, engine_config};
+use wasabistall_lib::{
+    clock::ClockTime,
+    gateway::server_scheduler::{
+        DeclineReason, GrantKey, GrantReply, GrantRequest, LoadLimiter, ServerScheduler,
+    },
+};
+
+const LEASE: Duration = Duration::from_millis(3_000);
+
+fn grant_request(request: u64, prompt_tokens: u64, output_tokens: u64) -> GrantRequest {
+    GrantRequest {
+        key: GrantKey {
+            instance: "a-1".into(),
+            incarnation: 1,
+            request,
+        },
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: None,
+        version: 0,
+        prompt_tokens,
+        output_tokens,
+        parts: Vec::new(),
+        max_wait: Duration::from_secs(10),
+        lifetime: Duration::from_secs(10),
+    }
+}
+
+/// Regression test: the prefill time of a prompt whose tokens a caller had counted as 2^64 - 1 exceeded
+/// the range of a duration, which ended the process of the server's scheduler.
+#[test]
+fn a_prompt_that_no_server_holds_is_declined() {
+    let config = engine_config(3);
+    let now = ClockTime::from_millis(1_000);
+    let models = FakeEngine::new(3).report().models;
+    let mut scheduler = ServerScheduler::new(now, LEASE, &config, &models);
+    let mut limiter = LoadLimiter::new(1.0);
+    let mut replies = Vec::new();
+    let counts = [
+        (u64::MAX, u64::MAX),
+        (u64::MAX, 0),
+        (1 << 40, 1),
+        (config.cache_tokens + 1, 0),
+    ];
+    for (number, (prompt, output)) in counts.into_iter().enumerate() {
+        let request = grant_request(number as u64, prompt, output);
+        replies.push(scheduler.decide(now, &config, &request, &mut limiter));
+    }
+    for reply in replies {
+        assert_matches!(
+            reply,
+            GrantReply::Declined {
+                reason: DeclineReason::Full,
+                backlog: Duration::ZERO,
+            }
+        );
+    }
+    let request = grant_request(9, 1_000, u64::MAX);
+    let reply = scheduler.decide(now, &config, &request, &mut limiter);
+    assert_matches!(reply, GrantReply::Granted { .. });
+    let request = grant_request(10, 1_000, u64::MAX);
+    let reply = scheduler.decide(now, &config, &request, &mut limiter);
+    assert_matches!(reply, GrantReply::Declined { .. });
+}
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -470,3 +470,26 @@
     }
     assert_eq!(sent, 7);
 }
+
+/// Regression test: the cost of a request whose tokens its caller had counted as 2^64 - 1 each exceeded
+/// its type.
+#[test]
+fn token_counts_of_any_size_are_charged() {
+    let mut harness = InstanceHarness::new(1);
+    let mut config = serving_config(2, &[b"key"]);
+    config.teams[0].unit = QuotaUnit::Tokens;
+    harness.publish("op/config", PublishedItem::Config(Arc::new(config)));
+    let effects = harness.handle(GatewayEvent::RequestArrived(GatewayRequest {
+        number: 1,
+        attempt: "id".into(),
+        host: "host".into(),
+        path: "/once/x".into(),
+        key: Some(KeyDigest::of(b"key")),
+        model: None,
+        tokens: Some((u64::MAX, u64::MAX)),
+        prompt_parts: Vec::new(),
+        deadline: Some(Duration::MAX),
+        content_hash: 1,
+    }));
+    assert!(dispatched(&effects).is_some());
+}
