gateway: add up a server's reported load without overflow

A server may report up to 2^32 - 1 running and waiting requests each. Their sum exceeded its type: a debug build panicked, a release build took the server for idle. They are added as fractions now.

`a_load_of_any_size_is_added_up` failed before with "attempt to add with overflow".

--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -296,7 +296,7 @@
     /// Records the load that a server reported in a response.
     pub fn record_load(&mut self, now: ClockTime, key: GatewayServerKey, load: ServerLoad) {
         let server = &mut self.servers[key];
-        let total = f64::from(load.running + load.waiting);
+        let total = f64::from(load.running) + f64::from(load.waiting);
         server.load = Some(LoadSample {
             time: now,
             others: (total - f64::from(server.in_flight)).max(0.0),
--- a/lib/tests/gateway_numbers.rs
+++ b/lib/tests/gateway_numbers.rs
@@ -8,8 +8,12 @@
 use gateway::engine::{FakeEngine, engine_config};
 use wasabistall_lib::{
     clock::ClockTime,
-    gateway::server_scheduler::{
-        DeclineReason, GrantKey, GrantReply, GrantRequest, LoadLimiter, ServerScheduler,
+    gateway::{
+        catalog::ServerRecord,
+        server_scheduler::{
+            DeclineReason, GrantKey, GrantReply, GrantRequest, LoadLimiter, ServerScheduler,
+        },
+        servers::{GatewayServers, ServerLoad},
     },
 };
 
@@ -70,3 +74,31 @@
     let reply = scheduler.decide(now, &config, &request, &mut limiter);
     assert_matches!(reply, GrantReply::Declined { .. });
 }
+
+/// Regression test: the sum of the counts that a server reports about its load exceeded their type.
+#[test]
+fn a_load_of_any_size_is_added_up() {
+    let now = ClockTime::from_millis(1_000);
+    let mut servers = GatewayServers::default();
+    let record = ServerRecord {
+        id: "s-1".into(),
+        service: "desk".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc".into(),
+        slots: u32::MAX,
+        draining: false,
+        cold_for: Duration::ZERO,
+        sequence: 0,
+        started: u64::MAX,
+        models: Vec::new(),
+    };
+    let (key, _) = servers.apply_record(now, record);
+    let load = ServerLoad {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 0,
+    };
+    servers.record_load(now, key, load);
+    let most = f64::from(u32::MAX);
+    assert_eq!(servers.get(key).estimated_load(now), most + most);
+}
