gateway: send an attempt to the same server only on a new connection

An attempt that a server refuses may return to that server. If it did on the same connection, and the server wrote its refusal once more, that was the refusal of this very attempt, and its id did not tell it from the answer: the request ran and was sent again.

Such an attempt now goes on a new connection, on which no earlier answer can be. Only attempts that return to a server need one.

`a_refused_attempt_does_not_return_on_the_same_connection` saw three arrivals before instead of two. `bytes_on_an_idle_connection_end_it` shows that answers which arrive before a request is sent are not taken for its answer; this held before.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -212,6 +212,7 @@
         attempt: Bytes::copy_from_slice(head.attempt.as_bytes()),
         headers: parts.headers,
         body,
+        tried_servers: Vec::new(),
     };
     let (number, commands) = core.open_request(GatewayRequest {
         number: 0,
@@ -270,7 +271,7 @@
 async fn run_attempts(
     mut request: OpenRequest,
     mut commands: CommandReceiver,
-    call: CallerCall,
+    mut call: CallerCall,
 ) -> Response<CallerBody> {
     loop {
         let dispatch = match commands.recv().await {
@@ -298,6 +299,7 @@
                 };
             }
         };
+        call.tried_servers.push(dispatch.id.clone());
         match result {
             AttemptResult::Ended(end, stats) => request.report_end(end, stats),
             AttemptResult::Full(response, stats) => {
@@ -540,6 +542,7 @@
                 _ = self.commands.recv() => return None,
                 () = self.sender.closed() => return None,
             };
+            self.call.tried_servers.push(dispatch.id.clone());
             match result {
                 AttemptResult::Stream(response) => return Some(*response),
                 AttemptResult::Ended(end, stats) => self.request.report_end(end, stats),
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use smol_str::SmolStr;
 use wasabistall_lib::gateway::event::{AttemptEnd, AttemptStats, ServerDispatch};
 use wasabistall_platform::{
     headers::server_request_headers,
@@ -33,6 +34,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: HeldBody,
     pub(super) attempt: Bytes,
+    /// Servers that the request was sent to before.
+    pub(super) tried_servers: Vec<SmolStr>,
 }
 
 /// A complete response of a server.
@@ -55,7 +58,7 @@
     pub(super) body: Incoming,
     connection: ServerConnection,
     keep_alive: Option<Duration>,
-    server: smol_str::SmolStr,
+    server: SmolStr,
     pub(super) stats: AttemptStats,
 }
 
@@ -168,7 +171,11 @@
         MAX_IDLE
     };
     let request = || server_request(call, dispatch, last_event_id, started);
-    if let Some(mut connection) = core.servers.take(&dispatch.id, max_idle) {
+    // On a connection that carried this attempt before, a second copy of its refusal could not be
+    // told from the answer.
+    let is_repeat = call.tried_servers.contains(&dispatch.id);
+    let pooled = (!is_repeat).then(|| core.servers.take(&dispatch.id, max_idle));
+    if let Some(mut connection) = pooled.flatten() {
         match connection.send(request()).await {
             Ok(response) => {
                 return Ok(OpenExchange {
--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -144,3 +144,51 @@
         assert_eq!((attempt, seen), (attempt, (502, 1)));
     }
 }
+
+/// Regression test: an attempt that a server had refused was sent to it once more on the same
+/// connection, where a second copy of that refusal was taken for the answer while the request ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_attempt_does_not_return_on_the_same_connection() {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        if request.earlier_of_attempt == 0 {
+            vec![refusal(attempt)]
+        } else if request.earlier_on_connection > 0 {
+            vec![
+                refusal(attempt),
+                AnswerStep::Pause(ARRIVAL),
+                answer(attempt),
+            ]
+        } else {
+            vec![answer(attempt)]
+        }
+    };
+    let site = ScriptedSite::start(&["s-8"], Arc::new(script)).await;
+    assert_eq!(site.status_and_arrivals("one").await, (200, 2));
+    let connections: Vec<usize> = site
+        .server
+        .requests_of("one")
+        .iter()
+        .map(|request| request.connection)
+        .collect();
+    assert_ne!(connections[0], connections[1]);
+}
+
+/// Bytes that arrive on an idle connection end it; none of them answers the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_on_an_idle_connection_end_it() {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        match attempt {
+            "copied" => vec![answer(attempt), AnswerStep::Pause(ARRIVAL), answer(attempt)],
+            "refused" => vec![answer(attempt), AnswerStep::Pause(ARRIVAL), refusal("next")],
+            _ => vec![answer(attempt)],
+        }
+    };
+    let site = ScriptedSite::start(&["s-8"], Arc::new(script)).await;
+    for attempt in ["copied", "second", "refused", "next", "last"] {
+        let seen = site.status_and_arrivals(attempt).await;
+        assert_eq!((attempt, seen), (attempt, (200, 1)));
+        tokio::time::sleep(ARRIVAL * 3).await;
+    }
+}
