gateway: take no answer to a request for that to an order

Orders share the connections of requests, and their answers carry no id. The copy of a refusal, written on such a connection after an order, made an order that the server carried out count as refused.

An answer with an attempt id cannot be that to an order. The outcome of the order is unknown then, which is settled by the next report, and idle connections to the server are closed.

`an_answer_to_a_request_is_not_that_of_an_order` guards this.

--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -20,6 +20,7 @@
     decode_report,
     headers::control_headers,
     order::{ORDER_PATH, REPORT_PATH, encode_order, order_outcome},
+    response::answers_request,
 };
 
 use super::{
@@ -65,6 +66,12 @@
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let call = connections::call(&core.servers, &id, address, request, CALL_LIMITS);
     let outcome = match call.await.map_err(|failure| failure.error) {
+        Ok(response) if answers_request(&response.headers) => {
+            tracing::warn!(event = "order_answer_of_request", server = %id, status = %response.status);
+            // The order's own answer is still to come on this connection.
+            core.servers.remove(&id);
+            ServerOrderOutcome::Lost
+        }
         Ok(response) => order_outcome(response.status),
         Err(ConnectionError::Refused | ConnectionError::Unreachable) => ServerOrderOutcome::Refused,
         Err(_) => ServerOrderOutcome::Lost,
--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -192,3 +192,44 @@
         tokio::time::sleep(ARRIVAL * 3).await;
     }
 }
+
+/// Regression test: the answer to a caller's request, written once more, was taken for that to an order,
+/// so that an order which the server carried out counted as refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_a_request_is_not_that_of_an_order() {
+    let script = |request: &ScriptedRequest| match request.path.as_str() {
+        "/order" => vec![
+            refusal("earlier"),
+            AnswerStep::Pause(ARRIVAL),
+            send("HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n"),
+        ],
+        _ => vec![refusal(&request.attempt)],
+    };
+    let site = ScriptedSite::start(&["s-8"], Arc::new(script)).await;
+    let platform = &site.site.platform;
+    platform.register("e-1", "models", site.server.address, true, "ready");
+    for id in ["s-1", "s-2"] {
+        platform.put(&format!("servers/{id}"), None);
+    }
+    site.wait_logged("server_withdrawn", "s-2").await;
+    let address = site.site.gateways[0].ports.callers();
+    for attempt in 0..200 {
+        if site.log().contains("order_failed") {
+            break;
+        }
+        let mut connection = CallerConnection::open(address).await.expect("connect");
+        let attempt = format!("model-{attempt}");
+        let headers = [
+            ("host", "host"),
+            ("attempt-id", attempt.as_str()),
+            ("credential", "key"),
+            ("deadline-ms", "500"),
+            ("model", "base/a1"),
+            ("token-usage", "100,20"),
+        ];
+        let answer = connection.call(Method::POST, "/chat/x", &headers, b"");
+        assert_eq!(answer.await.expect("response").status.as_u16(), 503);
+    }
+    site.wait_logged("order_failed", "server=e-1 outcome=Lost")
+        .await;
+}
