gateway: go on with a stream only where its server stopped

A stream had broken off, and the server that should go on with it answered 200 with something else: the text of an error, a whole head within its body, its stream from the start, or from a later event. All of that was passed to the caller within its stream, which then looked complete.

The answer of the next server must have the media type of the first one, and its first event must follow the last one forwarded: by one if all ids so far did, else with a larger id. Otherwise the attempt counts as interrupted, and the stream goes on elsewhere within its attempts or ends broken. Comments are let through. Errors, refusals, answers of other requests and garbage were not forwarded before either.

`successes_that_do_not_go_on_with_a_stream_are_not_forwarded` saw "oops", "data: error" and "HTTP/1.1 500 Internal Server Error" within the stream before; in `streams_that_go_on_elsewhere_are_not_forwarded` events came twice (0 1 0 1 2 3) or were missing (0 1 5 6 7).

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -40,7 +40,7 @@
     forward::{AttemptResult, CallerCall, ServerResponse, StreamResponse, StreamRest, run_attempt},
     held::{BodyError, HeldBody, read_body},
     listen,
-    resume::ResumeBuffer,
+    resume::{ResumeBuffer, ResumeError},
 };
 use crate::sse::EventTail;
 
@@ -384,6 +384,7 @@
         commands,
         call,
         sender,
+        media_type: media_type(&upstream.headers),
         resume_buffer: resumable.then(ResumeBuffer::default),
         tail: EventTail::default(),
     };
@@ -404,12 +405,21 @@
     response
 }
 
+/// The media type of a response in lower case, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or(value);
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 /// Relays a stream from a server to its caller.
 struct StreamRelay {
     request: OpenRequest,
     commands: CommandReceiver,
     call: CallerCall,
     sender: mpsc::Sender<StreamPart>,
+    /// Media type of the first server's response.
+    media_type: Option<String>,
     resume_buffer: Option<ResumeBuffer>,
     /// End of what the current server has sent.
     tail: EventTail,
@@ -509,7 +519,7 @@
         let chunk = match &mut self.resume_buffer {
             Some(buffer) => match buffer.push(data) {
                 Ok(chunk) => chunk,
-                Err(_) => return Some(ForwardError::TooLong),
+                Err(error) => return Some(ForwardError::Unusable(error)),
             },
             None => data.clone(),
         };
@@ -534,7 +544,7 @@
                 Some(RequestCommand::Refuse(_)) | None => return None,
             };
             let buffer = self.resume_buffer.as_mut()?;
-            buffer.discard_partial_event();
+            buffer.begin_continuation();
             self.tail = EventTail::default();
             let last_id = buffer.last_id().map(smol_str::SmolStr::new);
             let result = tokio::select! {
@@ -544,6 +554,18 @@
             };
             self.call.tried_servers.push(dispatch.id.clone());
             match result {
+                AttemptResult::Stream(response)
+                    if media_type(&response.headers) != self.media_type =>
+                {
+                    tracing::warn!(
+                        event = "stream_not_continued",
+                        server = response.rest.server(),
+                        fault = "media type"
+                    );
+                    let stats = response.rest.stats;
+                    response.rest.close();
+                    self.request.report_end(AttemptEnd::Interrupted, stats);
+                }
                 AttemptResult::Stream(response) => return Some(*response),
                 AttemptResult::Ended(end, stats) => self.request.report_end(end, stats),
                 // The caller has a success status already, so a complete error response is useless.
@@ -559,7 +581,7 @@
 enum ForwardError {
     CallerDisconnected,
     Refused,
-    TooLong,
+    Unusable(ResumeError),
 }
 
 impl ForwardError {
@@ -567,7 +589,14 @@
         match self {
             ForwardError::CallerDisconnected => RelayEnd::CallerDisconnected(rest),
             ForwardError::Refused => RelayEnd::Refused(rest),
-            ForwardError::TooLong => RelayEnd::Interrupted(rest),
+            ForwardError::Unusable(fault) => {
+                tracing::warn!(
+                    event = "stream_not_continued",
+                    server = rest.server(),
+                    ?fault
+                );
+                RelayEnd::Interrupted(rest)
+            }
         }
     }
 }
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -69,6 +69,11 @@
             .put(&self.server, self.connection, self.keep_alive);
     }
 
+    /// Id of the server.
+    pub(super) fn server(&self) -> &str {
+        &self.server
+    }
+
     /// Closes the connection, which ends the request at the server.
     pub(super) fn close(self) {
         self.connection.close();
--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -233,3 +233,186 @@
     site.wait_logged("order_failed", "server=e-1 outcome=Lost")
         .await;
 }
+
+fn events(ids: std::ops::Range<u32>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: token\n\n")).collect()
+}
+
+/// Head and some events of a stream without a length.
+fn stream(attempt: &str, ids: std::ops::Range<u32>) -> AnswerStep {
+    let fields = "response-seal: seal\r\ncontent-type: text/event-stream\r\n\r\n";
+    send(&(head("200 OK", attempt, fields) + &events(ids)))
+}
+
+/// What a caller saw: the status, whether the answer looked complete, and its body with sound events
+/// `id: N` shortened to `N`.
+fn summary(answer: &CallerResponse) -> String {
+    if let Ok(refusal) = serde_json::from_slice::<serde_json::Value>(&answer.body) {
+        return format!(
+            "{} [{}]",
+            answer.status.as_u16(),
+            refusal["kind"].as_str().unwrap_or_default()
+        );
+    }
+    let mut body = String::from_utf8_lossy(&answer.body).into_owned();
+    for id in 0..20 {
+        body = body.replace(&format!("id: {id}\ndata: token\n\n"), &format!("{id} "));
+    }
+    let end = if answer.complete {
+        "complete"
+    } else {
+        "broken"
+    };
+    format!(
+        "{} {end} [{}]",
+        answer.status.as_u16(),
+        body.trim_end().escape_debug()
+    )
+}
+
+/// The answer to an attempt to go on with a stream after event 1.
+fn odd_continuation(case: &str, attempt: &str) -> Vec<AnswerStep> {
+    let text = "id: 9\ndata: oops\n\n";
+    let length = text.len();
+    let sealed = |status: &str, fields: &str| {
+        let fields =
+            format!("response-seal: seal\r\n{fields}content-length: {length}\r\n\r\n{text}");
+        vec![send(&head(status, attempt, &fields))]
+    };
+    let events_type = "content-type: text/event-stream\r\n";
+    let sealed_events = |events: &str| {
+        let fields = format!("response-seal: seal\r\n{events_type}\r\n{events}");
+        vec![send(&head("200 OK", attempt, &fields)), AnswerStep::Close]
+    };
+    match case {
+        "failure" => sealed("500 Internal Server Error", ""),
+        "failure-of-the-request" => sealed("400 Bad Request", events_type),
+        "failure-without-a-seal" => {
+            let fields = format!("content-length: {length}\r\n\r\n{text}");
+            vec![send(&head("500 Internal Server Error", attempt, &fields))]
+        }
+        "refusal" => vec![refusal(attempt)],
+        "refusal-of-another" => vec![refusal("other")],
+        "text" => sealed("200 OK", "content-type: text/plain\r\n"),
+        "no-type" => sealed("200 OK", ""),
+        "other-request" => vec![stream("other", 2..4), AnswerStep::Close],
+        "no-seal" => {
+            let fields = format!("{events_type}\r\n{}", events(2..4));
+            vec![send(&head("200 OK", attempt, &fields)), AnswerStep::Close]
+        }
+        "no-ids" => sealed_events("data: error\n\n"),
+        "head-in-body" => {
+            sealed_events("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\noops\n\n")
+        }
+        "from-the-start" => sealed_events(&events(0..4)),
+        "last-event-again" => sealed_events(&events(1..4)),
+        "gap" => sealed_events(&events(5..8)),
+        "empty" => sealed_events(""),
+        "torn" => sealed_events("id: 2\ndata: tok"),
+        "torn-head" => vec![send("HTTP/1.1 200 OK\r\nattempt-id"), AnswerStep::Close],
+        "garbage" => vec![send("lorem ipsum\r\n\r\n"), AnswerStep::Close],
+        "nothing" => vec![AnswerStep::Reset],
+        _ => panic!("no such case"),
+    }
+}
+
+/// Calls a resumable route whose streams break off after event 1. The first attempt to go on gets an
+/// odd answer, the second a sound one.
+async fn continue_streams(cases: &[&str]) -> String {
+    let mut lines = Vec::new();
+    // A gateway's budget of retries allows a few cases.
+    for cases in cases.chunks(2) {
+        lines.extend(continue_streams_of_site(cases).await);
+    }
+    lines.join("\n")
+}
+
+async fn continue_streams_of_site(cases: &[&str]) -> Vec<String> {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        match request.earlier_of_attempt {
+            0 => vec![
+                stream(attempt, 0..2),
+                AnswerStep::Pause(ARRIVAL),
+                AnswerStep::Reset,
+            ],
+            1 => odd_continuation(attempt, attempt),
+            _ => vec![stream(attempt, 2..4), AnswerStep::Close],
+        }
+    };
+    let site = ScriptedSite::start(&["s-8", "s-9"], Arc::new(script)).await;
+    let mut lines = Vec::new();
+    for case in cases {
+        let answer = site.call("/resume/x", case).await;
+        let requests = site.server.requests_of(case);
+        let resumed: Vec<&str> = requests
+            .iter()
+            .skip(1)
+            .map(|request| request.last_event.as_deref().unwrap_or("-"))
+            .collect();
+        lines.push(format!("{case}: {}, after {resumed:?}", summary(&answer)));
+    }
+    lines
+}
+
+/// Regression test: an error that a server gave with status 200 instead of the rest of a stream, or a
+/// stream that did not go on at the next event, was passed to the caller within its stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn successes_that_do_not_go_on_with_a_stream_are_not_forwarded() {
+    let seen = continue_streams(&["text", "no-type", "no-ids", "head-in-body"]).await;
+    insta::assert_snapshot!(seen, @r#"
+    text: 200 complete [0 1 2 3], after ["1", "1"]
+    no-type: 200 complete [0 1 2 3], after ["1", "1"]
+    no-ids: 200 complete [0 1 2 3], after ["1", "1"]
+    head-in-body: 200 complete [0 1 2 3], after ["1", "1"]
+    "#);
+}
+
+/// The same for streams that go on at another event than the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_go_on_elsewhere_are_not_forwarded() {
+    let seen = continue_streams(&["from-the-start", "last-event-again", "gap", "empty"]).await;
+    insta::assert_snapshot!(seen, @r#"
+    from-the-start: 200 complete [0 1 2 3], after ["1", "1"]
+    last-event-again: 200 complete [0 1 2 3], after ["1", "1"]
+    gap: 200 complete [0 1 2 3], after ["1", "1"]
+    empty: 200 complete [0 1 2 3], after ["1", "1"]
+    "#);
+}
+
+/// An error of the server that should go on with a stream is not forwarded within it.
+#[tokio::test(flavor = "multi_thread")]
+async fn failures_to_go_on_with_a_stream_are_not_forwarded() {
+    let cases = [
+        "failure",
+        "failure-of-the-request",
+        "failure-without-a-seal",
+        "refusal",
+    ];
+    let seen = continue_streams(&cases).await;
+    insta::assert_snapshot!(seen, @r#"
+    failure: 200 complete [0 1 2 3], after ["1", "1"]
+    failure-of-the-request: 200 complete [0 1 2 3], after ["1", "1"]
+    failure-without-a-seal: 200 complete [0 1 2 3], after ["1", "1"]
+    refusal: 200 complete [0 1 2 3], after ["1", "1"]
+    "#);
+}
+
+/// Bytes that are no answer to the attempt to go on with a stream are not forwarded within it.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_do_not_answer_the_continuation_are_not_forwarded() {
+    let seen =
+        continue_streams(&["other-request", "no-seal", "refusal-of-another", "garbage"]).await;
+    insta::assert_snapshot!(seen, @r#"
+    other-request: 200 complete [0 1 2 3], after ["1", "1"]
+    no-seal: 200 complete [0 1 2 3], after ["1", "1"]
+    refusal-of-another: 200 complete [0 1 2 3], after ["1", "1"]
+    garbage: 200 complete [0 1 2 3], after ["1", "1"]
+    "#);
+    let seen = continue_streams(&["torn", "torn-head", "nothing"]).await;
+    insta::assert_snapshot!(seen, @r#"
+    torn: 200 complete [0 1 2 3], after ["1", "1"]
+    torn-head: 200 complete [0 1 2 3], after ["1", "1"]
+    nothing: 200 complete [0 1 2 3], after ["1", "1"]
+    "#);
+}
