gateway: send a stream that may be resumed without a length

A stream whose first server had announced a length was forwarded with it. When another server went on, the answer looked complete after that many bytes, whatever was still to come.

The length is not forwarded for streams that may be resumed.

`a_resumed_stream_has_no_length` saw events 0 to 3 as complete before, and now sees 0 to 5.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -13,7 +13,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -377,7 +377,11 @@
     resumable: bool,
 ) -> Response<CallerBody> {
     let (sender, receiver) = mpsc::channel(STREAM_QUEUE_CAPACITY);
-    let headers = caller_response_headers(&upstream.headers);
+    let mut headers = caller_response_headers(&upstream.headers);
+    if resumable {
+        // What another server sends may have another length.
+        headers.remove(CONTENT_LENGTH);
+    }
     let status = upstream.status;
     let relay = StreamRelay {
         request,
--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -416,3 +416,27 @@
     nothing: 200 complete [0 1 2 3], after ["1", "1"]
     "#);
 }
+
+/// Regression test: a resumed stream was forwarded with the length of its first server's answer, so
+/// that it looked complete when that many bytes had been sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_has_no_length() {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        let length = events(0..4).len();
+        let fields = format!(
+            "response-seal: seal\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\r\n"
+        );
+        match request.earlier_of_attempt {
+            0 => vec![
+                send(&(head("200 OK", attempt, &fields) + &events(0..2))),
+                AnswerStep::Pause(ARRIVAL),
+                AnswerStep::Close,
+            ],
+            _ => vec![stream(attempt, 2..6), AnswerStep::Close],
+        }
+    };
+    let site = ScriptedSite::start(&["s-8", "s-9"], Arc::new(script)).await;
+    let answer = site.call("/resume/x", "one").await;
+    insta::assert_snapshot!(summary(&answer), @"200 complete [0 1 2 3 4 5]");
+}
