gateway: forward events that end with CR LF on resumable routes

The buffer of a resumable stream knew only LF as a line end. Events that end with CR LF were held back, and dropped at the end of the stream, which looked complete. Bytes after the last event were dropped too.

Both line ends count, as in the check for a torn event, and what follows the last event is forwarded when the stream is complete.

`events_with_any_line_end_are_forwarded` saw an empty, complete stream before.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -513,7 +513,7 @@
                 Some(Err(_)) => return RelayEnd::Interrupted(rest),
                 // A response without a length ends with its connection, also when the server fails.
                 None if self.tail.is_within_event() => return RelayEnd::Interrupted(rest),
-                None => return RelayEnd::Complete(rest),
+                None => return self.complete(rest).await,
             }
         }
     }
@@ -527,6 +527,19 @@
             },
             None => data.clone(),
         };
+        self.send_chunk(chunk).await
+    }
+
+    /// Forwards what follows the last event of a complete stream.
+    async fn complete(&mut self, rest: StreamRest) -> RelayEnd {
+        let pending = self.resume_buffer.as_mut().map(ResumeBuffer::take_pending);
+        match self.send_chunk(pending.unwrap_or_default()).await {
+            Some(error) => error.into_relay_end(rest),
+            None => RelayEnd::Complete(rest),
+        }
+    }
+
+    async fn send_chunk(&mut self, chunk: Bytes) -> Option<ForwardError> {
         if chunk.is_empty() {
             return None;
         }
--- a/daemon/src/gateway/resume.rs
+++ b/daemon/src/gateway/resume.rs
@@ -75,6 +75,11 @@
         self.last_id.as_deref()
     }
 
+    /// Removes what follows the last complete event.
+    pub(super) fn take_pending(&mut self) -> Bytes {
+        self.pending.take()
+    }
+
     /// Prepares for the stream of another server, which sends an incomplete event again.
     pub(super) fn begin_continuation(&mut self) {
         self.pending = EventBuffer::default();
--- a/daemon/src/sse.rs
+++ b/daemon/src/sse.rs
@@ -4,7 +4,8 @@
 
 /// Largest event accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
-const EVENT_TERMINATOR: &[u8] = b"\n\n";
+/// Number of line ends, LF or CR LF, after an event.
+const EVENT_LINE_ENDS: usize = 2;
 const DATA_PREFIX: &[u8] = b"data:";
 const DONE: &[u8] = b"[DONE]";
 
@@ -30,11 +31,18 @@
 
     /// Removes the next complete event and returns it with its terminator.
     pub(crate) fn next_event(&mut self) -> Option<Bytes> {
-        let end = self
-            .pending
-            .windows(EVENT_TERMINATOR.len())
-            .position(|window| window == EVENT_TERMINATOR)?;
-        Some(self.pending.split_to(end + EVENT_TERMINATOR.len()).freeze())
+        let mut tail = EventTail::default();
+        let end = self.pending.iter().position(|byte| {
+            let was_within = tail.is_within_event();
+            tail.push(&[*byte]);
+            was_within && !tail.is_within_event()
+        })?;
+        Some(self.pending.split_to(end + 1).freeze())
+    }
+
+    /// Removes everything that is buffered.
+    pub(crate) fn take(&mut self) -> Bytes {
+        self.pending.split().freeze()
     }
 
     /// Whether part of an incomplete event is buffered.
@@ -53,7 +61,7 @@
 impl Default for EventTail {
     fn default() -> EventTail {
         EventTail {
-            line_ends: EVENT_TERMINATOR.len(),
+            line_ends: EVENT_LINE_ENDS,
         }
     }
 }
@@ -63,7 +71,7 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) {
         for byte in bytes {
             match byte {
-                b'\n' => self.line_ends = (self.line_ends + 1).min(EVENT_TERMINATOR.len()),
+                b'\n' => self.line_ends = (self.line_ends + 1).min(EVENT_LINE_ENDS),
                 b'\r' => {}
                 _ => self.line_ends = 0,
             }
@@ -72,7 +80,7 @@
 
     /// Whether the stream ends within an event.
     pub(crate) fn is_within_event(self) -> bool {
-        self.line_ends < EVENT_TERMINATOR.len()
+        self.line_ends < EVENT_LINE_ENDS
     }
 }
 
--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -440,3 +440,35 @@
     let answer = site.call("/resume/x", "one").await;
     insta::assert_snapshot!(summary(&answer), @"200 complete [0 1 2 3 4 5]");
 }
+
+/// Regression test: events that end with CR LF were held back on a resumable route, and lost at the end
+/// of the stream, which looked complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn events_with_any_line_end_are_forwarded() {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        let fields = "response-seal: seal\r\ncontent-type: text/event-stream\r\n\r\n";
+        let crlf = |ids| events(ids).replace('\n', "\r\n");
+        let start = head("200 OK", attempt, fields) + &crlf(0..2);
+        match (request.earlier_of_attempt, attempt) {
+            (0, "broken") => vec![send(&start), AnswerStep::Pause(ARRIVAL), AnswerStep::Reset],
+            (0, _) => vec![send(&(start + &crlf(2..4) + "\r\n")), AnswerStep::Close],
+            _ => vec![stream(attempt, 2..4), AnswerStep::Close],
+        }
+    };
+    let site = ScriptedSite::start(&["s-8", "s-9"], Arc::new(script)).await;
+    let whole = (events(0..4) + "\n").replace('\n', "\r\n");
+    for (path, attempt) in [("/stream/x", "forwarded"), ("/resume/x", "buffered")] {
+        let answer = site.call(path, attempt).await;
+        assert_eq!(
+            (answer.complete, &answer.body[..]),
+            (true, whole.as_bytes())
+        );
+    }
+    let resumed = events(0..2).replace('\n', "\r\n") + &events(2..4);
+    let answer = site.call("/resume/x", "broken").await;
+    assert_eq!(
+        (answer.complete, &answer.body[..]),
+        (true, resumed.as_bytes())
+    );
+}
