standin: answers that end with their connection

The fault `ends_by_connection` of engines and services leaves the length and the chunks out of their answers. The soak of gateways switches the same at random for the servers of its stand-in.

`plain_answers_end_with_their_connection` and `streams_end_with_their_connection` show all cases on real sockets, beside kept connections: plain and stream, closed and reset, with and without `Connection: close`, HTTP/1.0 and 1.1, between events and within one, resumable or not.

--- a/daemon/tests/gateway_answers.rs
+++ b/daemon/tests/gateway_answers.rs
@@ -472,3 +472,125 @@
         (true, resumed.as_bytes())
     );
 }
+
+/// How an answer without a length ends.
+fn connection_end(case: &str, attempt: &str) -> Vec<AnswerStep> {
+    let events_type = "content-type: text/event-stream\r\n";
+    let text_type = "content-type: text/plain\r\n";
+    let (kind, end) = case.split_once('-').unwrap_or((case, ""));
+    let (fields, body) = match kind {
+        "plain" => (text_type, "the whole answer".to_owned()),
+        "between" => (events_type, events(0..2)),
+        "within" => (events_type, events(0..2) + "id: 2\nda"),
+        _ => panic!("no such case"),
+    };
+    let status = match end {
+        "fin10" | "rst10" => "HTTP/1.0 200 OK",
+        _ => "HTTP/1.1 200 OK",
+    };
+    let connection = match end {
+        "fin" | "rst" => "",
+        _ => "connection: close\r\n",
+    };
+    let head = format!(
+        "{status}\r\nattempt-id: {attempt}\r\nresponse-seal: seal\r\n{fields}{connection}\r\n"
+    );
+    let last = if end.starts_with("fin") {
+        AnswerStep::Close
+    } else {
+        AnswerStep::Reset
+    };
+    vec![send(&(head + &body)), AnswerStep::Pause(ARRIVAL), last]
+}
+
+/// Calls a route whose server ends its answers with the connection, between requests that are answered
+/// on kept connections.
+async fn end_with_connection(path: &str, kind: &str) -> String {
+    let script = |request: &ScriptedRequest| {
+        let attempt = request.attempt.as_str();
+        let is_stream = !request.path.starts_with("/once/") && !request.path.starts_with("/safe/");
+        match (attempt.strip_prefix("kept-"), request.earlier_of_attempt) {
+            (Some(_), _) => vec![answer(attempt)],
+            (None, 0) => connection_end(attempt, attempt),
+            (None, _) if is_stream => vec![stream(attempt, 2..4), AnswerStep::Close],
+            (None, _) => vec![answer(attempt)],
+        }
+    };
+    let site = ScriptedSite::start(&["s-8", "s-9"], Arc::new(script)).await;
+    let mut lines = Vec::new();
+    for end in ["fin", "finclose", "fin10", "rst", "rstclose", "rst10"] {
+        let case = format!("{kind}-{end}");
+        let kept = site.call("/once/x", &format!("kept-{case}")).await;
+        assert_eq!((kept.status.as_u16(), &kept.body[..]), (200, &b"ok"[..]));
+        let answer = site.call(path, &case).await;
+        let arrivals = site.server.requests_of(&case).len();
+        lines.push(format!("{case}: {}, arrivals {arrivals}", summary(&answer)));
+    }
+    lines.join("\n")
+}
+
+/// A plain answer without a length is whole when its connection is closed, and broken off when it is
+/// reset: then a request that may run again does.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_answers_end_with_their_connection() {
+    let seen = end_with_connection("/once/x", "plain").await;
+    insta::assert_snapshot!(seen, @r"
+    plain-fin: 200 complete [the whole answer], arrivals 1
+    plain-finclose: 200 complete [the whole answer], arrivals 1
+    plain-fin10: 200 complete [the whole answer], arrivals 1
+    plain-rst: 502 [server_lost], arrivals 1
+    plain-rstclose: 502 [server_lost], arrivals 1
+    plain-rst10: 502 [server_lost], arrivals 1
+    ");
+    let seen = end_with_connection("/safe/x", "plain").await;
+    insta::assert_snapshot!(seen, @r"
+    plain-fin: 200 complete [the whole answer], arrivals 1
+    plain-finclose: 200 complete [the whole answer], arrivals 1
+    plain-fin10: 200 complete [the whole answer], arrivals 1
+    plain-rst: 200 complete [ok], arrivals 2
+    plain-rstclose: 200 complete [ok], arrivals 2
+    plain-rst10: 200 complete [ok], arrivals 2
+    ");
+}
+
+/// A stream without a length is whole when its connection is closed between two events, and broken off
+/// when it is closed within one or reset. A resumable one goes on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_end_with_their_connection() {
+    let seen = end_with_connection("/stream/x", "between").await;
+    insta::assert_snapshot!(seen, @r"
+    between-fin: 200 complete [0 1], arrivals 1
+    between-finclose: 200 complete [0 1], arrivals 1
+    between-fin10: 200 complete [0 1], arrivals 1
+    between-rst: 200 broken [0 1], arrivals 1
+    between-rstclose: 200 broken [0 1], arrivals 1
+    between-rst10: 200 broken [0 1], arrivals 1
+    ");
+    let seen = end_with_connection("/stream/x", "within").await;
+    insta::assert_snapshot!(seen, @r"
+    within-fin: 200 broken [0 1 id: 2\nda], arrivals 1
+    within-finclose: 200 broken [0 1 id: 2\nda], arrivals 1
+    within-fin10: 200 broken [0 1 id: 2\nda], arrivals 1
+    within-rst: 200 broken [0 1 id: 2\nda], arrivals 1
+    within-rstclose: 200 broken [0 1 id: 2\nda], arrivals 1
+    within-rst10: 200 broken [0 1 id: 2\nda], arrivals 1
+    ");
+    let seen = end_with_connection("/resume/x", "between").await;
+    insta::assert_snapshot!(seen, @r"
+    between-fin: 200 complete [0 1], arrivals 1
+    between-finclose: 200 complete [0 1], arrivals 1
+    between-fin10: 200 complete [0 1], arrivals 1
+    between-rst: 200 complete [0 1 2 3], arrivals 2
+    between-rstclose: 200 complete [0 1 2 3], arrivals 2
+    between-rst10: 200 complete [0 1 2 3], arrivals 2
+    ");
+    let seen = end_with_connection("/resume/x", "within").await;
+    insta::assert_snapshot!(seen, @r"
+    within-fin: 200 complete [0 1 2 3], arrivals 2
+    within-finclose: 200 complete [0 1 2 3], arrivals 2
+    within-fin10: 200 complete [0 1 2 3], arrivals 2
+    within-rst: 200 complete [0 1 2 3], arrivals 2
+    within-rstclose: 200 complete [0 1 2 3], arrivals 2
+    within-rst10: 200 complete [0 1 2 3], arrivals 2
+    ");
+}
--- a/daemon/tests/gateway_soak.rs
+++ b/daemon/tests/gateway_soak.rs
@@ -105,7 +105,7 @@
     fn step(&mut self) {
         let gateway = self.random.random_range(0..self.gateways.len());
         let proxy = self.random.random_range(0..self.proxies.len());
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0 => self.gateways[gateway].kill(),
             1 => self.gateways[gateway].signal(Signal::TERM),
             2 => {
@@ -134,6 +134,10 @@
                 self.platform.put("op/config", Some(&config));
             }
             10 => self.gateways[gateway].signal(Signal::HUP),
+            11 => {
+                let ends_by_connection = self.random.random_bool(0.5);
+                self.platform.set_ends_by_connection(ends_by_connection);
+            }
             _ => {}
         }
         self.restart_ended();
@@ -157,6 +161,7 @@
     fn clear_faults(&mut self) {
         self.resume_frozen();
         self.platform.set_mode(StoreMode::Up);
+        self.platform.set_ends_by_connection(false);
         for proxy in &self.proxies {
             proxy.set_mode(ProxyMode::Pass);
         }
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -198,8 +198,14 @@
     async fn handle(self: Arc<Self>, mut request: poem::Request) -> Response {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/v1/completions") => self.complete(request, false).await,
-            (&Method::POST, "/v1/chat/completions") => self.complete(request, true).await,
+            (&Method::POST, "/v1/completions") => {
+                let response = self.clone().complete(request, false).await;
+                self.end_by_connection(response)
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                let response = self.clone().complete(request, true).await;
+                self.end_by_connection(response)
+            }
             (&Method::POST, "/admin/adapters/load") => match http::read_json(&mut request).await {
                 Some(order) => self.load(order).await,
                 None => error_response(StatusCode::BAD_REQUEST, "malformed"),
@@ -269,6 +275,15 @@
         }
     }
 
+    /// Removes the length of a response if the faults say so.
+    fn end_by_connection(&self, response: Response) -> Response {
+        if self.state.lock().unwrap().faults.ends_by_connection {
+            http::without_length(response)
+        } else {
+            response
+        }
+    }
+
     /// Returns the current load report, or the newest sample that is at least the injected lag old.
     fn report(&self) -> LoadReport {
         let lag = Duration::from_millis(self.state.lock().unwrap().faults.report_lag_ms);
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -41,6 +41,8 @@
     pub(crate) crossed: bool,
     /// Minimum age of load reports, in milliseconds.
     pub(crate) report_lag_ms: u64,
+    /// Responses to completions have no length and end with their connection.
+    pub(crate) ends_by_connection: bool,
 }
 
 /// An insertion into the prefix cache or an eviction from it; published late and with gaps.
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -6,14 +6,14 @@
 use eyre::{Result, WrapErr};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request, StatusCode,
+    Method, Request, StatusCode, Version,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use poem::{Endpoint, Response, Server, listener::TcpAcceptor};
+use poem::{Body, Endpoint, Response, Server, listener::TcpAcceptor};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpSocket;
 
@@ -104,5 +104,15 @@
     let no_data = futures_util::stream::empty::<Result<Bytes, std::io::Error>>();
     Response::builder()
         .header(CONTENT_LENGTH, "1")
-        .body(poem::Body::from_bytes_stream(no_data))
+        .body(Body::from_bytes_stream(no_data))
+}
+
+/// Turns a response into one that has no length and ends with its connection.
+pub(crate) fn without_length(response: Response) -> Response {
+    let (head, body) = response.into_parts();
+    let body = Body::from_bytes_stream(body.into_bytes_stream());
+    let mut response = Response::from_parts(head, body);
+    // Bodies of this version have neither a length nor chunks, unless a length is set.
+    response.set_version(Version::HTTP_10);
+    response
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -33,6 +33,8 @@
     delay_ms: u64,
     /// Number of calls that run and then get a truncated response.
     drop_answers: u64,
+    /// Responses have no length and end with their connection.
+    ends_by_connection: bool,
 }
 
 /// Counters, read by tests through `GET /admin/stats`.
@@ -125,11 +127,11 @@
             *runs
         };
         self.running.fetch_sub(1, Ordering::AcqRel);
-        let drops_response = {
+        let (drops_response, ends_by_connection) = {
             let mut faults = self.faults.lock().unwrap();
             let drops_response = faults.drop_answers > 0;
             faults.drop_answers = faults.drop_answers.saturating_sub(1);
-            drops_response
+            (drops_response, faults.ends_by_connection)
         };
         if drops_response {
             return http::truncated();
@@ -139,6 +141,11 @@
             call: &call,
             run,
         };
-        http::json(StatusCode::OK, &response)
+        let response = http::json(StatusCode::OK, &response);
+        if ends_by_connection {
+            http::without_length(response)
+        } else {
+            response
+        }
     }
 }
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::{Frame, Incoming},
     header::HeaderMap,
     server::conn::http1,
@@ -88,6 +88,7 @@
     page_items: usize,
     /// Items in JSON that are part of each page, as they are.
     raw_items: Vec<String>,
+    ends_by_connection: bool,
     items: BTreeMap<String, StoreItem>,
     revision: u64,
     runs: Vec<RunRecord>,
@@ -118,6 +119,7 @@
                 mode: StoreMode::Up,
                 page_items: usize::MAX,
                 raw_items: Vec::new(),
+                ends_by_connection: false,
                 items: BTreeMap::new(),
                 revision: 1,
                 runs: Vec::new(),
@@ -150,6 +152,11 @@
         self.lock().page_items = count;
     }
 
+    /// Whether the servers' responses have no length and end with their connection.
+    pub fn set_ends_by_connection(&self, ends_by_connection: bool) {
+        self.lock().ends_by_connection = ends_by_connection;
+    }
+
     /// Adds an item in JSON, of any form, to each page of the store.
     pub fn add_raw_item(&self, item: String) {
         let mut state = self.lock();
@@ -441,6 +448,9 @@
             headers.insert("attempt-id", value);
         }
         headers.insert("response-seal", "seal".parse().expect("plain text"));
+        if self.lock().ends_by_connection {
+            return without_length(response);
+        }
         response
     }
 
@@ -481,6 +491,18 @@
     response
 }
 
+/// Turns a response into one that ends with its connection.
+fn without_length(response: Response<StandinBody>) -> Response<StandinBody> {
+    let (mut head, body) = response.into_parts();
+    // Bodies of this version have neither a length nor chunks.
+    head.version = Version::HTTP_10;
+    let frames = futures_util::stream::unfold(body, |mut body| async {
+        let frame = body.frame().await?;
+        Some((frame, body))
+    });
+    Response::from_parts(head, BodyExt::boxed(StreamBody::new(frames)))
+}
+
 fn percent_decode(text: &str) -> String {
     let mut bytes = Vec::new();
     let mut rest = text.as_bytes();
