daemon: decode each entry of the list of instances by itself

One entry of another form made the platform's whole list of instances unreadable, without a log line: instances that left went on getting work and being named to callers.

Each entry is decoded alone; one that cannot be is logged and left out. The stand-in's list takes entries of any form.

`an_odd_entry_in_the_list_of_instances_affects_no_other` failed before: an instance listed as leaving after an odd entry was still named after the test's longest wait. The log of patches is no list of independent entries: a patch that cannot be decoded is already recorded as malformed, and the service itself writes what surrounds it.

--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use wasabistall_lib::{
     config::LogEntry, event::Event, member::InstanceListing, settings::InstanceSettings,
 };
@@ -142,5 +143,24 @@
     if !response.status.is_success() {
         return None;
     }
-    serde_json::from_slice(&response.body).ok()
+    decode_instances(&response.body)
+}
+
+/// Decodes the list of instances; an entry that cannot be decoded affects no other.
+fn decode_instances(body: &[u8]) -> Option<Vec<InstanceListing>> {
+    let entries: Vec<&RawValue> = match serde_json::from_slice(body) {
+        Ok(entries) => entries,
+        Err(error) => {
+            tracing::warn!(%error, "cannot decode the list of instances");
+            return None;
+        }
+    };
+    let decode = |entry: &RawValue| match serde_json::from_str(entry.get()) {
+        Ok(listing) => Some(listing),
+        Err(error) => {
+            tracing::warn!(%error, "cannot decode an entry of the list of instances");
+            None
+        }
+    };
+    Some(entries.into_iter().filter_map(decode).collect())
 }
--- a/daemon/tests/lifecycle.rs
+++ b/daemon/tests/lifecycle.rs
@@ -195,3 +195,68 @@
     let answer = other.post(address, "/v1/completions", &body).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
+
+/// Answers of servers that have no length and end with their connection reach callers whole, and one
+/// that breaks off does not look complete.
+#[tokio::test]
+async fn answers_that_end_with_their_connection_are_whole() {
+    let size = DeploymentSize {
+        instances: 1,
+        ..DeploymentSize::default()
+    };
+    let deployment = TestDeployment::start(size).await;
+    let address = deployment.address("callers", "instance-1");
+    for group in ["engines", "services"] {
+        for server in deployment.names(group) {
+            let faults = json!({ "ends_by_connection": true });
+            let server = deployment.address(group, &server);
+            assert_eq!(deployment.set_faults(server, faults).await.status, 204);
+        }
+    }
+    let caller = deployment.caller("elders");
+    let path = "/v1/completions";
+    let call = |stream: bool| json!({ "model": "nyota-7b:elders-1", "prompt": "hello", "max_tokens": 8, "stream": stream });
+    for _ in 0..3 {
+        let whole = caller.post(address, path, &call(false)).await;
+        assert_eq!(whole.status, 200, "{}", whole.body);
+        assert_eq!(whole.json()["usage"]["completion_tokens"], 8);
+        let streamed = caller.post(address, path, &call(true)).await;
+        assert_eq!(streamed.body.matches("elders-1@1/").count(), 8);
+        assert!(streamed.body.ends_with("data: [DONE]\n\n"));
+    }
+    for engine in deployment.names("engines") {
+        let faults = json!({ "ends_by_connection": true, "break_after": 4 });
+        let engine = deployment.address("engines", &engine);
+        assert_eq!(deployment.set_faults(engine, faults).await.status, 204);
+    }
+    let broken = caller.post(address, path, &call(false)).await;
+    assert_ne!(broken.status, 200, "{}", broken.body);
+    let broken = caller.post(address, path, &call(true)).await;
+    assert!(!broken.body.contains("[DONE]"), "{}", broken.body);
+}
+
+/// Regression test: a list of instances with one entry of an unexpected form was ignored as a whole, so
+/// that the next changes of the others were not followed.
+#[tokio::test]
+async fn an_odd_entry_in_the_list_of_instances_affects_no_other() {
+    let size = DeploymentSize {
+        instances: 2,
+        ..DeploymentSize::default()
+    };
+    let deployment = TestDeployment::start(size).await;
+    let nested = "[".repeat(100) + &"]".repeat(100);
+    let list = format!(
+        r#"[{{"instance":"instance-1"}},{{"instance":7}},{nested},null,
+        {{"instance":"instance-2","leaving":true}}]"#
+    );
+    let anonymous = TestCaller::anonymous();
+    let registry = deployment.platform_address("instances_list");
+    let written = anonymous.call(Method::PUT, registry, "/v1/instances", list);
+    assert_eq!(written.await.status, 204);
+    let address = deployment.address("callers", "instance-1");
+    wait_until(|| async {
+        let listed = anonymous.get(address, "/v1/addresses").await;
+        !listed.body.contains("instance-2")
+    })
+    .await;
+}
--- a/standin/src/instances.rs
+++ b/standin/src/instances.rs
@@ -10,14 +10,14 @@
 use eyre::Result;
 use hyper::{Method, StatusCode};
 use poem::Response;
-use wasabistall_lib::member::InstanceListing;
+use serde_json::Value;
 
 use crate::http;
 
 struct RegistryState {
     lag: Duration,
-    /// Lists with the times at which they were written, oldest first.
-    lists: Mutex<VecDeque<(Instant, Vec<InstanceListing>)>>,
+    /// Lists with the times at which they were written, oldest first. Entries can be of any form.
+    lists: Mutex<VecDeque<(Instant, Vec<Value>)>>,
 }
 
 /// Starts the registry and returns its address.
@@ -52,7 +52,7 @@
     }
 
     /// Returns the newest list that is at least `lag` old, or the first one if none is.
-    fn read(&self) -> Vec<InstanceListing> {
+    fn read(&self) -> Vec<Value> {
         let mut lists = self.lists.lock().unwrap();
         while lists
             .get(1)
