--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -13,7 +13,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -40,7 +40,7 @@
     forward::{AttemptResult, CallerCall, ServerResponse, StreamResponse, StreamRest, run_attempt},
     held::{BodyError, HeldBody, read_body},
     listen,
-    resume::ResumeBuffer,
+    resume::{ResumeBuffer, ResumeError},
 };
 use crate::sse::EventTail;
 
@@ -89,7 +89,7 @@
         .timer(TokioTimer::new())
         // The timeout also applies while the connection is idle.
         .header_read_timeout(bounds.idle_time + IDLE_MARGIN)
-        .max_buf_size((bounds.header_bytes * 2).max(MIN_BUFFER_BYTES))
+        .max_buf_size(bounds.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
@@ -212,6 +212,7 @@
         attempt: Bytes::copy_from_slice(head.attempt.as_bytes()),
         headers: parts.headers,
         body,
+        tried_servers: Vec::new(),
     };
     let (number, commands) = core.open_request(GatewayRequest {
         number: 0,
@@ -270,7 +271,7 @@
 async fn run_attempts(
     mut request: OpenRequest,
     mut commands: CommandReceiver,
-    call: CallerCall,
+    mut call: CallerCall,
 ) -> Response<CallerBody> {
     loop {
         let dispatch = match commands.recv().await {
@@ -298,6 +299,7 @@
                 };
             }
         };
+        call.tried_servers.push(dispatch.id.clone());
         match result {
             AttemptResult::Ended(end, stats) => request.report_end(end, stats),
             AttemptResult::Full(response, stats) => {
@@ -375,13 +377,18 @@
     resumable: bool,
 ) -> Response<CallerBody> {
     let (sender, receiver) = mpsc::channel(STREAM_QUEUE_CAPACITY);
-    let headers = caller_response_headers(&upstream.headers);
+    let mut headers = caller_response_headers(&upstream.headers);
+    if resumable {
+        // What another server sends may have another length.
+        headers.remove(CONTENT_LENGTH);
+    }
     let status = upstream.status;
     let relay = StreamRelay {
         request,
         commands,
         call,
         sender,
+        media_type: media_type(&upstream.headers),
         resume_buffer: resumable.then(ResumeBuffer::default),
         tail: EventTail::default(),
     };
@@ -402,12 +409,21 @@
     response
 }
 
+/// The media type of a response in lower case, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or(value);
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 /// Relays a stream from a server to its caller.
 struct StreamRelay {
     request: OpenRequest,
     commands: CommandReceiver,
     call: CallerCall,
     sender: mpsc::Sender<StreamPart>,
+    /// Media type of the first server's response.
+    media_type: Option<String>,
     resume_buffer: Option<ResumeBuffer>,
     /// End of what the current server has sent.
     tail: EventTail,
@@ -497,7 +513,7 @@
                 Some(Err(_)) => return RelayEnd::Interrupted(rest),
                 // A response without a length ends with its connection, also when the server fails.
                 None if self.tail.is_within_event() => return RelayEnd::Interrupted(rest),
-                None => return RelayEnd::Complete(rest),
+                None => return self.complete(rest).await,
             }
         }
     }
@@ -507,10 +523,23 @@
         let chunk = match &mut self.resume_buffer {
             Some(buffer) => match buffer.push(data) {
                 Ok(chunk) => chunk,
-                Err(_) => return Some(ForwardError::TooLong),
+                Err(error) => return Some(ForwardError::Unusable(error)),
             },
             None => data.clone(),
         };
+        self.send_chunk(chunk).await
+    }
+
+    /// Forwards what follows the last event of a complete stream.
+    async fn complete(&mut self, rest: StreamRest) -> RelayEnd {
+        let pending = self.resume_buffer.as_mut().map(ResumeBuffer::take_pending);
+        match self.send_chunk(pending.unwrap_or_default()).await {
+            Some(error) => error.into_relay_end(rest),
+            None => RelayEnd::Complete(rest),
+        }
+    }
+
+    async fn send_chunk(&mut self, chunk: Bytes) -> Option<ForwardError> {
         if chunk.is_empty() {
             return None;
         }
@@ -532,7 +561,7 @@
                 Some(RequestCommand::Refuse(_)) | None => return None,
             };
             let buffer = self.resume_buffer.as_mut()?;
-            buffer.discard_partial_event();
+            buffer.begin_continuation();
             self.tail = EventTail::default();
             let last_id = buffer.last_id().map(smol_str::SmolStr::new);
             let result = tokio::select! {
@@ -540,7 +569,20 @@
                 _ = self.commands.recv() => return None,
                 () = self.sender.closed() => return None,
             };
+            self.call.tried_servers.push(dispatch.id.clone());
             match result {
+                AttemptResult::Stream(response)
+                    if media_type(&response.headers) != self.media_type =>
+                {
+                    tracing::warn!(
+                        event = "stream_not_continued",
+                        server = response.rest.server(),
+                        fault = "media type"
+                    );
+                    let stats = response.rest.stats;
+                    response.rest.close();
+                    self.request.report_end(AttemptEnd::Interrupted, stats);
+                }
                 AttemptResult::Stream(response) => return Some(*response),
                 AttemptResult::Ended(end, stats) => self.request.report_end(end, stats),
                 // The caller has a success status already, so a complete error response is useless.
@@ -556,7 +598,7 @@
 enum ForwardError {
     CallerDisconnected,
     Refused,
-    TooLong,
+    Unusable(ResumeError),
 }
 
 impl ForwardError {
@@ -564,7 +606,14 @@
         match self {
             ForwardError::CallerDisconnected => RelayEnd::CallerDisconnected(rest),
             ForwardError::Refused => RelayEnd::Refused(rest),
-            ForwardError::TooLong => RelayEnd::Interrupted(rest),
+            ForwardError::Unusable(fault) => {
+                tracing::warn!(
+                    event = "stream_not_continued",
+                    server = rest.server(),
+                    ?fault
+                );
+                RelayEnd::Interrupted(rest)
+            }
         }
     }
 }
--- /dev/null
+++ b/lib/tests/gateway_numbers.rs
@@ -0,0 +1,104 @@
+//! Numbers that a caller or a server chose, up to the largest, have no effect beyond their request.
+
+mod gateway;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use gateway::engine::{FakeEngine, engine_config};
+use wasabistall_lib::{
+    clock::ClockTime,
+    gateway::{
+        catalog::ServerRecord,
+        server_scheduler::{
+            DeclineReason, GrantKey, GrantReply, GrantRequest, LoadLimiter, ServerScheduler,
+        },
+        servers::{GatewayServers, ServerLoad},
+    },
+};
+
+const LEASE: Duration = Duration::from_millis(3_000);
+
+fn grant_request(request: u64, prompt_tokens: u64, output_tokens: u64) -> GrantRequest {
+    GrantRequest {
+        key: GrantKey {
+            instance: "a-1".into(),
+            incarnation: 1,
+            request,
+        },
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: None,
+        version: 0,
+        prompt_tokens,
+        output_tokens,
+        parts: Vec::new(),
+        max_wait: Duration::from_secs(10),
+        lifetime: Duration::from_secs(10),
+    }
+}
+
+/// Regression test: the prefill time of a prompt whose tokens a caller had counted as 2^64 - 1 exceeded
+/// the range of a duration, which ended the process of the server's scheduler.
+#[test]
+fn a_prompt_that_no_server_holds_is_declined() {
+    let config = engine_config(3);
+    let now = ClockTime::from_millis(1_000);
+    let models = FakeEngine::new(3).report().models;
+    let mut scheduler = ServerScheduler::new(now, LEASE, &config, &models);
+    let mut limiter = LoadLimiter::new(1.0);
+    let mut replies = Vec::new();
+    let counts = [
+        (u64::MAX, u64::MAX),
+        (u64::MAX, 0),
+        (1 << 40, 1),
+        (config.cache_tokens + 1, 0),
+    ];
+    for (number, (prompt, output)) in counts.into_iter().enumerate() {
+        let request = grant_request(number as u64, prompt, output);
+        replies.push(scheduler.decide(now, &config, &request, &mut limiter));
+    }
+    for reply in replies {
+        assert_matches!(
+            reply,
+            GrantReply::Declined {
+                reason: DeclineReason::Full,
+                backlog: Duration::ZERO,
+            }
+        );
+    }
+    let request = grant_request(9, 1_000, u64::MAX);
+    let reply = scheduler.decide(now, &config, &request, &mut limiter);
+    assert_matches!(reply, GrantReply::Granted { .. });
+    let request = grant_request(10, 1_000, u64::MAX);
+    let reply = scheduler.decide(now, &config, &request, &mut limiter);
+    assert_matches!(reply, GrantReply::Declined { .. });
+}
+
+/// Regression test: the sum of the counts that a server reports about its load exceeded their type.
+#[test]
+fn a_load_of_any_size_is_added_up() {
+    let now = ClockTime::from_millis(1_000);
+    let mut servers = GatewayServers::default();
+    let record = ServerRecord {
+        id: "s-1".into(),
+        service: "desk".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc".into(),
+        slots: u32::MAX,
+        draining: false,
+        cold_for: Duration::ZERO,
+        sequence: 0,
+        started: u64::MAX,
+        models: Vec::new(),
+    };
+    let (key, _) = servers.apply_record(now, record);
+    let load = ServerLoad {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 0,
+    };
+    servers.record_load(now, key, load);
+    let most = f64::from(u32::MAX);
+    assert_eq!(servers.get(key).estimated_load(now), most + most);
+}
