gateway: send nothing to servers that announce that they leave

Callers saw: while the store was away, or for a server that never reports `draining` there, requests went to a server that was about to end, and broke off with it. A server says so in every answer (`Server-Leaving: 1`), which no module read.

Cause: only the store's entry and its removal took a server out of the candidates.

Now the head of each answer is read for it: successes, failures, rejections, heads of streams, and answers to reports and orders. The server gets no requests, grants, loads or orders from then on. Requests that wait there for an adapter select another server; what runs there ends there. A service all of whose servers leave refuses at once, with a second as the retry delay.

Evidence: the tests fail without the announcement.

Conclusion: an instance stops with the first answer that it passes on, and the others with the gossip. A process that starts again under its id and leaves before its entry arrives is noticed one answer later.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -12,19 +12,26 @@
     clock::ClockTime,
     gateway::{
         GatewayOptions, GatewayReducer, GatewayStats,
+        availability::ServerNotice,
         event::{
             GatewayEffect, GatewayEvent, GatewayRefusal, GatewayRequest, RequestNumber,
             ServerDispatch,
         },
         message::{PeerAnswer, PeerCall},
+        servers::GatewayServerKey,
     },
     operator::UsageView,
     settings::GatewaySettings,
 };
 
 use super::{
-    clock::BootClock, connections::ConnectionPool, held::BodyBudget, logs, metrics::GatewayMetrics,
-    orders, peers, store,
+    clock::BootClock,
+    connections::ConnectionPool,
+    held::BodyBudget,
+    logs,
+    metrics::GatewayMetrics,
+    orders::{self, ServerProcess},
+    peers, store,
 };
 
 /// Maximum number of idle connections to one server.
@@ -131,6 +138,22 @@
         self.reduce(&mut state, event);
     }
 
+    /// Passes on what a server said about itself in an answer, if anything.
+    pub(super) fn report_notice(
+        self: &Arc<GatewayCore>,
+        server: GatewayServerKey,
+        started: u64,
+        notice: ServerNotice,
+    ) {
+        if notice != ServerNotice::default() {
+            self.handle_event(GatewayEvent::ServerNoticed {
+                server,
+                started,
+                notice,
+            });
+        }
+    }
+
     fn reduce(self: &Arc<GatewayCore>, state: &mut CoreState, event: GatewayEvent) {
         let now = self.clock.now();
         if event == GatewayEvent::Tick {
@@ -210,9 +233,16 @@
             GatewayEffect::ReadReport {
                 server,
                 id,
+                started,
                 address,
             } => {
-                tokio::spawn(orders::read_report(self.clone(), server, id, address));
+                let process = ServerProcess {
+                    server,
+                    id,
+                    started,
+                    address,
+                };
+                tokio::spawn(orders::read_report(self.clone(), process));
             }
             GatewayEffect::CheckServer { server, address } => {
                 tokio::spawn(orders::check_server(self.clone(), server, address));
@@ -220,10 +250,17 @@
             GatewayEffect::Order {
                 server,
                 id,
+                started,
                 address,
                 order,
             } => {
-                tokio::spawn(orders::send_order(self.clone(), server, id, address, order));
+                let process = ServerProcess {
+                    server,
+                    id,
+                    started,
+                    address,
+                };
+                tokio::spawn(orders::send_order(self.clone(), process, order));
             }
             GatewayEffect::CloseConnections(id) => self.servers.remove(&id),
             GatewayEffect::Log(event) => logs::write_event(&event),
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -1,6 +1,9 @@
 //! Sends one attempt of a request to a server.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -84,7 +87,7 @@
 
 /// Sends the request and waits for the complete response or for the first chunk of a stream.
 pub(super) async fn run_attempt(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallerCall,
     dispatch: &ServerDispatch,
     last_event_id: Option<&str>,
@@ -106,7 +109,7 @@
 }
 
 async fn exchange(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallerCall,
     dispatch: &ServerDispatch,
     last_event_id: Option<&str>,
@@ -125,6 +128,7 @@
         response,
     } = exchange;
     let head = decode_response(response.status(), response.headers(), &call.attempt);
+    core.report_notice(dispatch.server, dispatch.started, head.notice);
     let stats = AttemptStats {
         load: head.load,
         ..AttemptStats::default()
--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -20,6 +20,7 @@
     decode_report,
     headers::control_headers,
     order::{ORDER_PATH, REPORT_PATH, encode_order, order_outcome},
+    response::decode_notice,
 };
 
 use super::{
@@ -33,39 +34,51 @@
     max_response_bytes: 1024 * 1024,
 };
 
+/// A process of a server, as known when a call to it begins.
+pub(super) struct ServerProcess {
+    pub(super) server: GatewayServerKey,
+    pub(super) id: SmolStr,
+    /// Start of the process, in Unix milliseconds.
+    pub(super) started: u64,
+    pub(super) address: SocketAddr,
+}
+
 fn build_request(
     method: Method,
     path: &'static str,
-    id: &str,
-    address: SocketAddr,
+    process: &ServerProcess,
     body: Vec<u8>,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = hyper::Uri::from_static(path);
-    *request.headers_mut() = control_headers(id);
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+    *request.headers_mut() = control_headers(&process.id);
+    if let Ok(host) = HeaderValue::from_str(&process.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
     request
 }
 
 /// Sends an order and reports its outcome to the reducer.
-pub(super) async fn send_order(
-    core: Arc<GatewayCore>,
-    server: GatewayServerKey,
-    id: SmolStr,
-    address: SocketAddr,
-    order: ServerOrder,
-) {
+pub(super) async fn send_order(core: Arc<GatewayCore>, process: ServerProcess, order: ServerOrder) {
     let body = encode_order(&order, core.instance());
-    let mut request = build_request(Method::POST, ORDER_PATH, &id, address, body);
+    let mut request = build_request(Method::POST, ORDER_PATH, &process, body);
     request
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let call = connections::call(&core.servers, &id, address, request, CALL_LIMITS);
+    let call = connections::call(
+        &core.servers,
+        &process.id,
+        process.address,
+        request,
+        CALL_LIMITS,
+    );
+    let server = process.server;
     let outcome = match call.await.map_err(|failure| failure.error) {
-        Ok(response) => order_outcome(response.status),
+        Ok(response) => {
+            core.report_notice(server, process.started, decode_notice(&response.headers));
+            order_outcome(response.status)
+        }
         Err(ConnectionError::Refused | ConnectionError::Unreachable) => ServerOrderOutcome::Refused,
         Err(_) => ServerOrderOutcome::Lost,
     };
@@ -73,13 +86,9 @@
 }
 
 /// Reads a server's report and passes it to the reducer.
-pub(super) async fn read_report(
-    core: Arc<GatewayCore>,
-    server: GatewayServerKey,
-    id: SmolStr,
-    address: SocketAddr,
-) {
-    let report = fetch_report(&core, &id, address).await;
+pub(super) async fn read_report(core: Arc<GatewayCore>, process: ServerProcess) {
+    let report = fetch_report(&core, &process).await;
+    let server = process.server;
     core.handle_event(GatewayEvent::ReportRead { server, report });
 }
 
@@ -100,29 +109,33 @@
     });
 }
 
-async fn fetch_report(
-    core: &GatewayCore,
-    id: &SmolStr,
-    address: SocketAddr,
-) -> Option<ServerReport> {
-    let request = build_request(Method::GET, REPORT_PATH, id, address, Vec::new());
-    let call = connections::call(&core.servers, id, address, request, CALL_LIMITS);
+async fn fetch_report(core: &Arc<GatewayCore>, process: &ServerProcess) -> Option<ServerReport> {
+    let request = build_request(Method::GET, REPORT_PATH, process, Vec::new());
+    let id = &process.id;
+    let call = connections::call(&core.servers, id, process.address, request, CALL_LIMITS);
     let response = match call.await {
-        Ok(response) if response.status.is_success() => response,
-        Ok(response) => {
-            tracing::info!(event = "report_refused", server = %id, status = %response.status);
-            return None;
-        }
+        Ok(response) => response,
         Err(failure) => {
             tracing::info!(event = "report_lost", server = %id, fault = ?failure.error);
             return None;
         }
     };
-    match decode_report(&response.body) {
-        Ok(report) => Some(report),
-        Err(error) => {
-            tracing::warn!(event = "report_unreadable", server = %id, %error);
-            None
-        }
-    }
+    let report = if response.status.is_success() {
+        decode_report(&response.body)
+            .inspect_err(|error| {
+                tracing::warn!(event = "report_unreadable", server = %id, %error);
+            })
+            .ok()
+    } else {
+        tracing::info!(event = "report_refused", server = %id, status = %response.status);
+        None
+    };
+    // A report names the process that answered.
+    let started = report.as_ref().and_then(|report| report.started);
+    core.report_notice(
+        process.server,
+        started.unwrap_or(process.started),
+        decode_notice(&response.headers),
+    );
+    report
 }
--- /dev/null
+++ b/daemon/tests/gateway_notices.rs
@@ -0,0 +1,163 @@
+//! What servers say about themselves in their answers, to real gateway processes.
+
+mod site;
+
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use wasabistall_testutils::{
+    gateway::{CallerConnection, CallerResponse},
+    platform::{ServerFaults, StoreMode},
+};
+
+use self::site::TestSite;
+
+impl TestSite {
+    async fn call(&self, gateway: usize, path: &str, id: &str) -> CallerResponse {
+        let address = self.gateways[gateway].ports.callers();
+        let mut connection = CallerConnection::open(address).await.expect("connect");
+        let headers = [("host", "host"), ("attempt-id", id), ("credential", "key")];
+        connection
+            .call(Method::POST, path, &headers, b"body")
+            .await
+            .expect("response")
+    }
+
+    /// Requests a stream until its adapter is loaded.
+    async fn stream(&self, gateway: usize, id: &str) -> CallerResponse {
+        let address = self.gateways[gateway].ports.callers();
+        for attempt in 0..100 {
+            let mut connection = CallerConnection::open(address).await.expect("connect");
+            let id = format!("{id}-{attempt}");
+            let headers = [
+                ("host", "host"),
+                ("attempt-id", &id),
+                ("credential", "key"),
+                ("model", "base/a1"),
+                ("token-usage", "100,20"),
+            ];
+            let answer = connection
+                .call(Method::POST, "/chat/x", &headers, b"prompt")
+                .await
+                .expect("response");
+            if answer.status == StatusCode::OK {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        panic!("the adapter was never loaded");
+    }
+
+    /// Sends requests to a gateway, one after another, until one has reached a server.
+    async fn call_until_used(&self, gateway: usize, server: &str) {
+        for number in 0..500 {
+            let id = format!("first-{gateway}-{number}");
+            self.call(gateway, "/once/x", &id).await;
+            if self.arrived(&id, server) {
+                return;
+            }
+        }
+        panic!("no request reached {server}");
+    }
+
+    /// Whether a request reached a server.
+    fn arrived(&self, id: &str, server: &str) -> bool {
+        let arrivals = self.platform.arrivals();
+        let mut arrivals = arrivals.iter();
+        arrivals.any(|arrival| arrival.attempt == id && arrival.server == server)
+    }
+
+    /// Number of arrivals at a server from `since` on.
+    fn arrivals_since(&self, server: &str, since: Instant) -> usize {
+        let arrivals = self.platform.arrivals();
+        let late = arrivals
+            .iter()
+            .filter(|arrival| arrival.server == server && arrival.time >= since);
+        late.count()
+    }
+}
+
+/// A server that announced in an answer that it leaves got requests for as long as the store listed
+/// it as ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_no_requests_after_its_first_answer() {
+    let site = TestSite::start(1).await;
+    site.platform.set_mode(StoreMode::Silent);
+    site.platform
+        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.call_until_used(0, "s-3").await;
+    let answered_at = Instant::now();
+    for number in 0..60 {
+        let answer = site.call(0, "/once/x", &format!("later-{number}")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(site.arrivals_since("s-3", answered_at), 0);
+}
+
+/// Instances that had no answer of a leaving server went on to send requests there.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_instances_hear_of_a_leaving_server() {
+    let site = TestSite::start(3).await;
+    site.platform.set_mode(StoreMode::Silent);
+    site.platform
+        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.call_until_used(0, "s-3").await;
+    for gateway in 0..3 {
+        wait_for_log(&site, gateway, "server_leaving").await;
+    }
+    let known_at = Instant::now();
+    for number in 0..60 {
+        let id = format!("later-{number}");
+        let answer = site.call(number % 3, "/once/x", &id).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(site.arrivals_since("s-3", known_at), 0);
+}
+
+/// An announcement must not outlive the process that made it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_process_of_a_server_that_left_gets_requests() {
+    let site = TestSite::start(1).await;
+    site.platform
+        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.call_until_used(0, "s-3").await;
+    site.platform.restart_server("s-3");
+    for number in 0..500 {
+        let id = format!("again-{number}");
+        site.call(0, "/once/x", &id).await;
+        if site.arrived(&id, "s-3") {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the new process gets no requests");
+}
+
+/// The head of a stream may be the first answer that announces it. The stream goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_leaving_server_is_not_cut() {
+    let site = TestSite::start(3).await;
+    site.stream(0, "warm").await;
+    let server = site.platform.runs().last().expect("a run").server.clone();
+    site.platform
+        .set_faults(&server, ServerFaults { is_leaving: true });
+    let answer = site.stream(0, "last").await;
+    assert!(answer.complete && answer.headers.contains_key("server-leaving"));
+    let answered_at = Instant::now();
+    let answer = site.stream(0, "next").await;
+    assert!(answer.complete && !answer.headers.contains_key("server-leaving"));
+    assert_eq!(site.arrivals_since(&server, answered_at), 0);
+}
+
+/// Waits until the log of a gateway has an event.
+async fn wait_for_log(site: &TestSite, gateway: usize, event: &str) {
+    let wanted = format!("\"event\":\"{event}\"");
+    for _ in 0..500 {
+        let log = std::fs::read_to_string(site.gateways[gateway].log()).expect("read the log");
+        if log.contains(&wanted) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("gateway {gateway} has not logged {event}");
+}
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -197,18 +197,22 @@
         let Some(engine_config) = self.engine_config(key) else {
             return;
         };
+        if self.servers.get(key).is_leaving {
+            return;
+        }
         let from_store = self.needs_model(now, key);
         let Some(scheduler) = self.schedulers.get_mut(&key) else {
             return;
         };
         let record = &self.servers.get(key).record;
-        let (id, address) = (record.id.clone(), record.address);
+        let (id, started, address) = (record.id.clone(), record.started, record.address);
         scheduler.load_model_if_missing(now, &engine_config, from_store);
         scheduler.check_slots(now);
         if scheduler.begin_report_read(now) {
             effects.push(GatewayEffect::ReadReport {
                 server: key,
                 id: id.clone(),
+                started,
                 address,
             });
         }
@@ -223,6 +227,7 @@
             effects.push(GatewayEffect::Order {
                 server: key,
                 id,
+                started,
                 address,
                 order,
             });
@@ -342,6 +347,12 @@
         let Some(engine_config) = self.engine_config(key) else {
             return declined;
         };
+        if self.servers.get(key).is_leaving {
+            return GrantReply::Declined {
+                reason: DeclineReason::Leaving,
+                backlog: Duration::ZERO,
+            };
+        }
         self.load_limiter.set_server_count(self.schedulers.len());
         let Some(scheduler) = self.schedulers.get_mut(&key) else {
             return declined;
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    availability::ServerNotice,
     catalog::ServerReport,
     message::{PeerAnswer, PeerCall, PeerError},
     prompt::PromptPart,
@@ -167,6 +168,15 @@
         /// How it ended.
         outcome: ServerOrderOutcome,
     },
+    /// The head of a server's answer of any kind says something about the server.
+    ServerNoticed {
+        /// The server.
+        server: GatewayServerKey,
+        /// Start of the process that answered, in Unix milliseconds.
+        started: u64,
+        /// What it says.
+        notice: ServerNotice,
+    },
     /// The time of [`GatewayEffect::WakeAt`] has come.
     Tick,
     /// The process was asked to shut down.
@@ -182,6 +192,8 @@
     pub server: GatewayServerKey,
     /// The server's id, which the server checks.
     pub id: SmolStr,
+    /// Start of the server's process, in Unix milliseconds.
+    pub started: u64,
     /// Address on which the server accepts requests.
     pub address: SocketAddr,
     /// Time since the request arrived; set only for the first send.
@@ -274,6 +286,8 @@
         server: GatewayServerKey,
         /// The server's id.
         id: SmolStr,
+        /// Start of the server's process, in Unix milliseconds.
+        started: u64,
         /// The server's address.
         address: SocketAddr,
     },
@@ -290,6 +304,8 @@
         server: GatewayServerKey,
         /// The server's id.
         id: SmolStr,
+        /// Start of the server's process, in Unix milliseconds.
+        started: u64,
         /// The server's address.
         address: SocketAddr,
         /// The order.
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    availability::ProcessHash,
     claims::MemberClaims,
     members::AgedRecord,
     replica::CatalogPage,
@@ -32,6 +33,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "board_age")]
     pub catalog_age: Duration,
+    /// Processes of servers that recently announced that they leave.
+    #[serde(default)]
+    pub leaving: Vec<ProcessHash>,
 }
 
 /// A call to a peer.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod addresses;
 mod admission;
 pub mod allowance;
+pub mod availability;
 pub mod catalog;
 mod catalog_fetch;
 mod choice;
@@ -144,6 +145,11 @@
     pub orders: u64,
     /// Requests that waited for an adapter to load.
     pub stalls: u64,
+    /// Processes of servers that announced that they leave.
+    pub leaving_servers: u64,
+    /// Requests that were about to be sent to a server when it announced that it leaves, and for
+    /// which another one was selected.
+    pub diverted: u64,
 }
 
 /// State of one gateway instance.
@@ -281,6 +287,11 @@
             GatewayEvent::OrderEnded { server, outcome } => {
                 self.order_ended(now, server, outcome, effects);
             }
+            GatewayEvent::ServerNoticed {
+                server,
+                started,
+                notice,
+            } => self.server_noticed(now, server, started, notice, effects),
             GatewayEvent::Tick => self.wake = None,
             GatewayEvent::ShutdownRequested => self.shutdown_requested(now, effects),
         }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -80,6 +80,7 @@
             revision: self.catalog.revision(),
             last_change: self.catalog.last_change(),
             catalog_age: self.catalog_age(now),
+            leaving: self.servers.shared_leaving(now),
         }
     }
 
@@ -129,6 +130,7 @@
     ) {
         self.members.merge(now, &message.records);
         self.claims_received(now, &message.claims);
+        self.leaving_heard(now, &message.leaving, effects);
         if message.last_change > self.catalog.revision() {
             if let Some(peer) = sender {
                 self.change_announced(now, peer, message.last_change, effects);
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -218,6 +218,14 @@
             return;
         };
         record.phase = RequestPhase::Selecting;
+        let service = record.service.clone();
+        if let Some(reason) = self.unavailability(&service) {
+            self.refuse_for(now, number, reason, effects);
+            return;
+        }
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
         if now >= record.selection_deadline {
             self.refuse(now, number, ErrorKind::NoServer, effects);
             return;
@@ -258,7 +266,7 @@
                     record.uncached_tokens = uncached_tokens;
                     record.phase = RequestPhase::AwaitingAdapter(server);
                 }
-                if wait.is_zero() {
+                if wait.is_zero() || !self.servers.is_in_service(server) {
                     self.send(now, number, server, effects);
                 } else {
                     self.stats.stalls += 1;
@@ -297,7 +305,10 @@
         let pause = match reason {
             DeclineReason::NoPlace | DeclineReason::LoadsBusy => Some(LOAD_PAUSE),
             DeclineReason::NoRight | DeclineReason::NoModel => Some(NOT_READY_PAUSE),
-            DeclineReason::NotScheduled | DeclineReason::Full | DeclineReason::Busy => None,
+            DeclineReason::NotScheduled
+            | DeclineReason::Full
+            | DeclineReason::Busy
+            | DeclineReason::Leaving => None,
         };
         if let Some(pause) = pause {
             self.load_pauses.insert(server, now.after(pause));
@@ -336,6 +347,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         if !self.servers.is_in_service(server) {
+            self.record_diversion(number, server, effects);
             self.release_held_grant(now, number, server, None, false, effects);
             self.try_another_server(now, number, server, effects);
             return;
@@ -393,6 +405,7 @@
             request: number,
             server,
             id: target.id.clone(),
+            started: target.started,
             address: target.address,
             waited: (record.sends == 1).then(|| now.since(record.arrived)),
             time_left,
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -70,6 +70,8 @@
     Full,
     /// The request would wait for other prompts for longer than its `max_wait`.
     Busy,
+    /// The server has announced that it leaves.
+    Leaving,
 }
 
 /// Response to a [`GrantRequest`].
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::{
     allowance::{ColdBounds, ColdLimiter, cold_share},
+    availability::{LeavingTable, ProcessHash, process_hash},
     catalog::ServerRecord,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -57,6 +58,8 @@
     pub cold_until: ClockTime,
     /// This instance's requests at the server.
     pub in_flight: u32,
+    /// Whether its process has announced that it leaves.
+    pub is_leaving: bool,
     cold_limiter: ColdLimiter,
     load: Option<LoadSample>,
     failures: f64,
@@ -73,6 +76,7 @@
             listed: true,
             cold_until,
             in_flight: 0,
+            is_leaving: false,
             cold_limiter: ColdLimiter::default(),
             load: None,
             failures: 0.0,
@@ -136,6 +140,7 @@
     servers: Arena<ServerState>,
     by_id: BTreeMap<SmolStr, GatewayServerKey>,
     evacuated: BTreeSet<SmolStr>,
+    leaving: LeavingTable,
 }
 
 impl GatewayServers {
@@ -172,6 +177,7 @@
     fn accepts_requests(&self, server: &ServerState) -> bool {
         server.listed
             && !server.record.draining
+            && !server.is_leaving
             && !self.evacuated.contains(&server.record.data_centre)
     }
 
@@ -191,9 +197,12 @@
         now: ClockTime,
         record: ServerRecord,
     ) -> (GatewayServerKey, bool) {
+        let process = process_hash(&record.id, record.started);
+        let is_leaving = self.leaving.contains(process);
         let Some(key) = self.key(&record.id) else {
             let id = record.id.clone();
             let key = self.servers.alloc(ServerState::new(now, record));
+            self.servers[key].is_leaving = is_leaving;
             self.by_id.insert(id, key);
             return (key, true);
         };
@@ -204,6 +213,7 @@
             let in_flight = server.in_flight;
             *server = ServerState::new(now, record);
             server.in_flight = in_flight;
+            server.is_leaving = is_leaving;
         } else {
             server.cold_until = server.cold_until.max(cold_until);
             server.record = record;
@@ -212,6 +222,28 @@
         (key, restarted)
     }
 
+    /// Records that a process of a server has announced that it leaves. Returns the server if that is
+    /// news of its current process.
+    pub fn record_leaving(
+        &mut self,
+        now: ClockTime,
+        process: ProcessHash,
+    ) -> Option<GatewayServerKey> {
+        if !self.leaving.insert(now, process) {
+            return None;
+        }
+        let (key, server) = self.servers.iter_mut().find(|(_, server)| {
+            process_hash(&server.record.id, server.record.started) == process
+        })?;
+        server.is_leaving = true;
+        Some(key)
+    }
+
+    /// Processes of servers that recently announced that they leave, to tell other instances of.
+    pub fn shared_leaving(&mut self, now: ClockTime) -> Vec<ProcessHash> {
+        self.leaving.shared(now)
+    }
+
     /// Marks a server as no longer published.
     pub fn withdraw(&mut self, id: &str) {
         if let Some(key) = self.key(id) {
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod exchanges;
+mod notices;
 
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -31,6 +32,7 @@
         message::{PeerAnswer, PeerCall, PeerError},
         prompt::PromptPart,
         replica::{CatalogPage, CatalogReplica},
+        servers::GatewayServerKey,
     },
     key::KeyDigest,
 };
@@ -38,6 +40,7 @@
 use self::{
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
+    notices::NoticeTable,
 };
 use super::{
     engine::{FakeEngine, LEASE, engine_config},
@@ -115,6 +118,7 @@
     pub(crate) prompt_parts: Vec<PromptPart>,
     /// Servers to which requests were sent, each with the address from which to fetch prompt parts.
     pub(crate) dispatches: Vec<(SocketAddr, Option<SocketAddr>)>,
+    pub(crate) notice_table: NoticeTable,
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
@@ -220,6 +224,7 @@
             calls: 0,
             prompt_parts: Vec::new(),
             dispatches: Vec::new(),
+            notice_table: NoticeTable::default(),
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
@@ -425,11 +430,7 @@
         }
     }
 
-    fn server_key(
-        &self,
-        _index: usize,
-        server: usize,
-    ) -> Option<wasabistall_lib::gateway::servers::GatewayServerKey> {
+    fn server_key(&self, _index: usize, server: usize) -> Option<GatewayServerKey> {
         // Servers are published in order, so every instance allocates the same keys.
         Some(la_arena::Idx::from_raw(la_arena::RawIdx::from_u32(
             u32::try_from(server).ok()?,
@@ -511,6 +512,7 @@
                 self.engines[engine].advance(now);
                 let is_up = self.crash_table.is_up(now, engine);
                 let report = is_up.then(|| self.engines[engine].lagging_report(now));
+                self.announce_leaving(index, incarnation, engine, server);
                 let event = GatewayEvent::ReportRead { server, report };
                 self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
             }
@@ -614,6 +616,8 @@
         self.dispatches
             .push((dispatch.address, dispatch.prompt_source));
         let now = self.now;
+        self.notice_table.arrivals.push((now, index, engine));
+        self.announce_leaving(index, incarnation, engine, dispatch.server);
         self.engines[engine].advance(now);
         let adapter = self.adapters.get(&dispatch.request).cloned();
         let holds = adapter.is_some_and(|adapter| self.engines[engine].holds(&adapter));
--- /dev/null
+++ b/lib/tests/gateway/world/notices.rs
@@ -0,0 +1,55 @@
+//! Servers of the simulation that announce in their answers that they leave.
+
+use std::collections::BTreeSet;
+
+use wasabistall_lib::{
+    clock::ClockTime,
+    gateway::{availability::ServerNotice, event::GatewayEvent, servers::GatewayServerKey},
+};
+
+use super::{GatewayWorld, NETWORK_DELAY};
+
+/// What servers announce, and which requests reach them.
+#[derive(Default)]
+pub(crate) struct NoticeTable {
+    /// Servers that announce in their answers that they leave.
+    pub(crate) leaving: BTreeSet<usize>,
+    /// Times at which requests arrived at servers, each with the instance and the server.
+    pub(crate) arrivals: Vec<(ClockTime, usize, usize)>,
+}
+
+impl GatewayWorld {
+    /// Passes on the announcement in the head of a server's answer, if it has one.
+    pub(super) fn announce_leaving(
+        &mut self,
+        index: usize,
+        incarnation: u64,
+        engine: usize,
+        server: GatewayServerKey,
+    ) {
+        if self.notice_table.leaving.contains(&engine) {
+            let event = GatewayEvent::ServerNoticed {
+                server,
+                started: self.engines[engine].started,
+                notice: ServerNotice { is_leaving: true },
+            };
+            self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
+        }
+    }
+
+    /// Passes on to an instance that a server announces that it leaves.
+    pub(crate) fn announce(&mut self, index: usize, engine: usize) {
+        self.notice_table.leaving.insert(engine);
+        if let Some(server) = self.server_key(index, engine) {
+            let incarnation = self.nodes[index].incarnation;
+            self.announce_leaving(index, incarnation, engine, server);
+        }
+    }
+
+    /// Replaces the process of a server by a new one, which does not leave, and publishes it.
+    pub(crate) fn restart_server(&mut self, engine: usize) {
+        self.notice_table.leaving.remove(&engine);
+        self.engines[engine].restart();
+        self.publish_server(engine);
+    }
+}
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -1,14 +1,16 @@
 //! One instance and single requests: retries, correct refusals and retry budgets.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use assert_matches::assert_matches;
+use insta::assert_debug_snapshot;
 use wasabistall_lib::{
     clock::ClockTime,
     error::ErrorKind,
     gateway::{
         FleetBounds, GatewayOptions, GatewayReducer,
         allowance::{ColdBounds, QuotaBounds, RetryBounds},
+        availability::ServerNotice,
         catalog::{
             CallerBounds, PublishedChange, PublishedItem, QuotaUnit, RetryPolicy, RouteConfig,
             RouteTarget, ServerRecord, ServiceConfig, ServingConfig, TeamConfig,
@@ -470,3 +472,103 @@
     }
     assert_eq!(sent, 7);
 }
+
+impl InstanceHarness {
+    /// Passes on an answer of the process of `s-1` that started at `started`, in which it announces
+    /// that it leaves.
+    fn announce_leaving(&mut self, started: u64) -> Vec<GatewayEffect> {
+        let effects = self.request("/once/x");
+        let mut server =
+            dispatched(&effects).map(|dispatch| (dispatch.id.clone(), dispatch.server));
+        while server.as_ref().is_some_and(|(id, _)| id != "s-1") {
+            self.end(AttemptEnd::Completed { success: true });
+            let effects = self.request("/once/x");
+            server = dispatched(&effects).map(|dispatch| (dispatch.id.clone(), dispatch.server));
+        }
+        let (_, server) = server.expect("a request that went to the server");
+        let mut effects = self.handle(GatewayEvent::ServerNoticed {
+            server,
+            started,
+            notice: ServerNotice { is_leaving: true },
+        });
+        effects.extend(self.end(AttemptEnd::Completed { success: true }));
+        effects
+    }
+
+    /// Servers to which 20 requests go.
+    fn used_servers(&mut self) -> String {
+        let mut used = BTreeSet::new();
+        for _ in 0..20 {
+            let effects = self.request("/once/x");
+            used.extend(dispatched(&effects).map(|dispatch| dispatch.id.to_string()));
+            self.end(AttemptEnd::Completed { success: true });
+        }
+        used.into_iter().collect::<Vec<String>>().join(" ")
+    }
+}
+
+/// A server that announced in an answer that it leaves got requests for as long as the store listed
+/// it as ready.
+#[test]
+fn a_server_that_announces_its_leaving_gets_no_more_requests() {
+    let mut harness = InstanceHarness::new(2);
+    harness.announce_leaving(1);
+    let mut used = vec![("announced", harness.used_servers())];
+    harness.publish("servers/s-1", PublishedItem::Server(server(1, false)));
+    used.push(("published as ready", harness.used_servers()));
+    harness.remove("servers/s-1");
+    harness.publish("servers/s-1", PublishedItem::Server(server(1, false)));
+    used.push(("listed again", harness.used_servers()));
+    harness.now = harness.now.after(Duration::from_secs(30));
+    used.push(("after a pause", harness.used_servers()));
+    let mut restarted = server(1, false);
+    restarted.started = 2;
+    harness.publish("servers/s-1", PublishedItem::Server(restarted));
+    used.push(("another process", harness.used_servers()));
+    assert_debug_snapshot!(used, @r#"
+    [
+        (
+            "announced",
+            "s-2",
+        ),
+        (
+            "published as ready",
+            "s-2",
+        ),
+        (
+            "listed again",
+            "s-2",
+        ),
+        (
+            "after a pause",
+            "s-2",
+        ),
+        (
+            "another process",
+            "s-1 s-2",
+        ),
+    ]
+    "#);
+}
+
+/// An answer of an earlier process must not shut out its successor.
+#[test]
+fn an_announcement_of_an_earlier_process_is_ignored() {
+    let mut harness = InstanceHarness::new(1);
+    let mut restarted = server(1, false);
+    restarted.started = 2;
+    harness.publish("servers/s-1", PublishedItem::Server(restarted));
+    harness.announce_leaving(1);
+    assert_eq!(harness.used_servers(), "s-1");
+}
+
+/// Requests waited for half of their objective, or a quarter of their timeout, although no server
+/// was going to take them.
+#[test]
+fn requests_are_refused_at_once_when_all_servers_leave() {
+    let mut harness = InstanceHarness::new(1);
+    harness.announce_leaving(1);
+    let refusal = refused(&harness.request("/safe/x")).expect("a refusal");
+    assert_eq!(refusal.kind, ErrorKind::NoServer);
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(1)));
+}
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -14,7 +14,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::HeaderMap,
+    header::{HeaderMap, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -69,6 +69,26 @@
     pub finished: bool,
 }
 
+/// Faults of a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerFaults {
+    /// Whether all of its responses announce that it leaves.
+    pub is_leaving: bool,
+}
+
+/// Arrival of a request at a backend server, whether it runs or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArrivalRecord {
+    /// Value of the `attempt-id` header; empty when there was none.
+    pub attempt: String,
+    /// Id of the server.
+    pub server: SmolStr,
+    /// Start of the server's process, as it registers it.
+    pub started: u64,
+    /// Time of the arrival.
+    pub time: std::time::Instant,
+}
+
 struct StoreItem {
     value: Option<Vec<u8>>,
     revision: u64,
@@ -80,6 +100,16 @@
     loaded: Vec<String>,
     loading: BTreeMap<String, std::time::Instant>,
     last_order: Option<(String, std::time::Instant)>,
+    faults: ServerFaults,
+    /// Number of earlier processes of the server.
+    restarts: u64,
+}
+
+impl EngineState {
+    /// Start of the process, in the unit of the platform.
+    fn started(&self) -> u64 {
+        1 + self.restarts
+    }
 }
 
 struct PlatformState {
@@ -87,6 +117,7 @@
     items: BTreeMap<String, StoreItem>,
     revision: u64,
     runs: Vec<RunRecord>,
+    arrivals: Vec<ArrivalRecord>,
     engines: BTreeMap<SmolStr, EngineState>,
     violations: Vec<String>,
 }
@@ -115,6 +146,7 @@
                 items: BTreeMap::new(),
                 revision: 1,
                 runs: Vec::new(),
+                arrivals: Vec::new(),
                 engines: BTreeMap::new(),
                 violations: Vec::new(),
             })),
@@ -157,6 +189,40 @@
         self.lock().runs.clone()
     }
 
+    /// All arrivals of requests at backend servers, in order.
+    pub fn arrivals(&self) -> Vec<ArrivalRecord> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Sets the faults of a backend server.
+    pub fn set_faults(&self, id: &str, faults: ServerFaults) {
+        let mut state = self.lock();
+        state.engines.entry(id.into()).or_default().faults = faults;
+    }
+
+    /// Replaces the process of a registered backend server by a new one without faults, which
+    /// registers in its place.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the server is not registered.
+    pub fn restart_server(&self, id: &str) {
+        let key = format!("servers/{id}");
+        let mut state = self.lock();
+        let engine = state.engines.entry(id.into()).or_default();
+        *engine = EngineState {
+            restarts: engine.restarts + 1,
+            ..EngineState::default()
+        };
+        let started = engine.started();
+        let item = state.items.get(&key).and_then(|item| item.value.as_ref());
+        let entry = item.and_then(|value| serde_json::from_slice(value).ok());
+        drop(state);
+        let mut entry: Value = entry.expect("entry of the server");
+        entry["born"] = started.into();
+        self.put(&key, Some(&entry));
+    }
+
     /// Violations of the order lease or of the adapter slots, as seen by the servers.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -199,8 +265,9 @@
         } else {
             json!([])
         };
+        let started = self.lock().engines.entry(id.into()).or_default().started();
         let entry = json!({"Service": service, "Address": address, "Zone": "dc-a", "Version": "v1",
-            "Slots": 16, "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
+            "Slots": 16, "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": started,
             "Models": models});
         self.put(&format!("servers/{id}"), Some(&entry));
     }
@@ -270,6 +337,28 @@
         &self,
         id: &SmolStr,
         request: Request<Incoming>,
+    ) -> Response<StandinBody> {
+        let mut response = self.answer_server_request(id, request).await;
+        let faults = self.faults(id);
+        if faults.is_leaving {
+            let headers = response.headers_mut();
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        response
+    }
+
+    fn faults(&self, id: &SmolStr) -> ServerFaults {
+        let state = self.lock();
+        state
+            .engines
+            .get(id)
+            .map_or_else(ServerFaults::default, |engine| engine.faults)
+    }
+
+    async fn answer_server_request(
+        &self,
+        id: &SmolStr,
+        request: Request<Incoming>,
     ) -> Response<StandinBody> {
         let headers = request.headers().clone();
         let expected_instance = header_text(&headers, "expect-instance");
@@ -308,7 +397,8 @@
             .map(|name| format!("base/{name}@1"))
             .collect();
         json!({"Stage": "both", "Models": [{"Name": "base", "Version": 1, "Adapters": loaded}],
-            "Busy": false, "Sequence": engine.sequence, "Coming": loading, "born": 1})
+            "Busy": false, "Sequence": engine.sequence, "Coming": loading,
+            "born": engine.started()})
     }
 
     fn execute_order(&self, id: &SmolStr, order: &Value) -> StatusCode {
@@ -360,6 +450,16 @@
         let path = request.uri().path().to_owned();
         let attempt = header_text(headers, "attempt-id").unwrap_or_default();
         let model = header_text(headers, "model");
+        {
+            let mut state = self.lock();
+            let started = state.engines.entry(id.clone()).or_default().started();
+            state.arrivals.push(ArrivalRecord {
+                attempt: attempt.clone(),
+                server: id.clone(),
+                started,
+                time: std::time::Instant::now(),
+            });
+        }
         // A run starts only after the whole body has arrived.
         let _body = request.into_body().collect().await;
         if let Some((_, adapter)) = model.as_deref().and_then(|model| model.split_once('/')) {
