gateway: leave servers alone that turn requests away for a time

Callers saw: a server that answered 503 with `Retry-After` went on to get requests from the same instance, first attempts and retries alike, each of which took another round trip before it went elsewhere or was refused.

Cause: the header of servers was not read. A rejection excluded the server for the next selection of the same request, and nothing else.

Now the rejection of an attempt, by its promise or its seal, pauses the server for this instance: no first attempt, retry or resume, and requests that wait there for an adapter select another server. When every server of a service leaves or is paused for longer than a request can wait, it is refused at once with the least of these times. A random quarter of the time, a second at most, is added, and after it the requests double with the answers from one on. The settings `server_pauses` bound long and unreadable values, which are logged. A new process of the server is not paused. Reports and orders go on, since they are no requests and other instances depend on them.

Conclusion: an instance bothers such a server with what was under way when it spoke, and returns to it by degrees. The time is not passed on to other instances, as the server addresses one.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -102,6 +102,7 @@
             first_start: settings.first_start,
             grace_period: settings.grace,
             bounds: settings.bounds,
+            pause_bounds: settings.pause_bounds,
         });
         let core = Arc::new(GatewayCore {
             state: Mutex::new(CoreState {
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -93,13 +93,14 @@
     /// Registers the observable metrics: the reducer's counters, gauges and dropped log lines.
     pub(super) fn register_observers(&self, core: &Arc<GatewayCore>, dropped_lines: ErrorCounter) {
         let meter = self.meter_provider.meter(METER_NAME);
-        let counters: [StatsCounter; 7] = [
+        let counters: [StatsCounter; 8] = [
             ("wasabistall.requests", |stats| stats.requests),
             ("wasabistall.refusals", |stats| stats.refusals),
             ("wasabistall.repeats", |stats| stats.retries),
             ("wasabistall.orders", |stats| stats.orders),
             ("wasabistall.stalls", |stats| stats.stalls),
             ("wasabistall.leaving_servers", |stats| stats.leaving_servers),
+            ("wasabistall.server_pauses", |stats| stats.pauses),
             ("wasabistall.diverted", |stats| stats.diverted),
         ];
         for (name, read) in counters {
--- a/daemon/tests/gateway_notices.rs
+++ b/daemon/tests/gateway_notices.rs
@@ -12,6 +12,18 @@
 
 use self::site::TestSite;
 
+const LEAVING: ServerFaults = ServerFaults {
+    is_leaving: true,
+    retry_after: None,
+};
+
+fn turning_away(retry_after: &'static str) -> ServerFaults {
+    ServerFaults {
+        is_leaving: false,
+        retry_after: Some(retry_after),
+    }
+}
+
 impl TestSite {
     async fn call(&self, gateway: usize, path: &str, id: &str) -> CallerResponse {
         let address = self.gateways[gateway].ports.callers();
@@ -83,8 +95,7 @@
 async fn a_leaving_server_gets_no_requests_after_its_first_answer() {
     let site = TestSite::start(1).await;
     site.platform.set_mode(StoreMode::Silent);
-    site.platform
-        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.platform.set_faults("s-3", LEAVING);
     site.call_until_used(0, "s-3").await;
     let answered_at = Instant::now();
     for number in 0..60 {
@@ -99,8 +110,7 @@
 async fn all_instances_hear_of_a_leaving_server() {
     let site = TestSite::start(3).await;
     site.platform.set_mode(StoreMode::Silent);
-    site.platform
-        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.platform.set_faults("s-3", LEAVING);
     site.call_until_used(0, "s-3").await;
     for gateway in 0..3 {
         wait_for_log(&site, gateway, "server_leaving").await;
@@ -118,8 +128,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_process_of_a_server_that_left_gets_requests() {
     let site = TestSite::start(1).await;
-    site.platform
-        .set_faults("s-3", ServerFaults { is_leaving: true });
+    site.platform.set_faults("s-3", LEAVING);
     site.call_until_used(0, "s-3").await;
     site.platform.restart_server("s-3");
     for number in 0..500 {
@@ -139,8 +148,7 @@
     let site = TestSite::start(3).await;
     site.stream(0, "warm").await;
     let server = site.platform.runs().last().expect("a run").server.clone();
-    site.platform
-        .set_faults(&server, ServerFaults { is_leaving: true });
+    site.platform.set_faults(&server, LEAVING);
     let answer = site.stream(0, "last").await;
     assert!(answer.complete && answer.headers.contains_key("server-leaving"));
     let answered_at = Instant::now();
@@ -149,6 +157,49 @@
     assert_eq!(site.arrivals_since(&server, answered_at), 0);
 }
 
+/// A server that turned a request away for a time went on to get requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_turns_requests_away_gets_none_before_its_time() {
+    let site = TestSite::start(1).await;
+    site.platform.set_faults("s-3", turning_away("2.5"));
+    site.call_until_used(0, "s-3").await;
+    let answered_at = Instant::now();
+    let end = answered_at + Duration::from_millis(2_500);
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let answer = site.call(0, "/once/x", &format!("later-{number}")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let arrivals = site.platform.arrivals();
+    let early = arrivals
+        .iter()
+        .filter(|arrival| arrival.server == "s-3" && arrival.time > answered_at)
+        .filter(|arrival| arrival.time < end);
+    assert_eq!(early.count(), 0);
+    site.platform.set_faults("s-3", ServerFaults::default());
+    site.call_until_used(0, "s-3").await;
+}
+
+/// Callers were held until half of their objective had passed, and told to come back after 400 ms.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_get_the_time_after_which_a_server_takes_requests() {
+    let site = TestSite::start(1).await;
+    for server in ["s-3", "s-4"] {
+        site.platform.set_faults(server, turning_away("60"));
+    }
+    // The first ones learn it from the servers.
+    for number in 0..5 {
+        site.call(0, "/once/x", &format!("first-{number}")).await;
+    }
+    let answer = site.call(0, "/once/x", "later").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!site.arrived("later", "s-3") && !site.arrived("later", "s-4"));
+    let value = answer.headers.get("retry-after").expect("a time");
+    let seconds: f64 = value.to_str().expect("text").parse().expect("a number");
+    assert!((10.0..=61.0).contains(&seconds), "{seconds}");
+}
+
 /// Waits until the log of a gateway has an event.
 async fn wait_for_log(site: &TestSite, gateway: usize, event: &str) {
     let wanted = format!("\"event\":\"{event}\"");
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 
 use self::{
     allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
+    availability::PauseBounds,
     catalog_fetch::CatalogFetcher,
     engines::OwnerView,
     event::{GatewayEffect, GatewayEvent, LogEvent, RequestNumber},
@@ -110,6 +111,8 @@
     pub grace_period: Duration,
     /// Fleet-wide limits.
     pub bounds: FleetBounds,
+    /// Bounds on the time for which a server can turn this instance away.
+    pub pause_bounds: PauseBounds,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -147,8 +150,10 @@
     pub stalls: u64,
     /// Processes of servers that announced that they leave.
     pub leaving_servers: u64,
-    /// Requests that were about to be sent to a server when it announced that it leaves, and for
-    /// which another one was selected.
+    /// Times that a server turned this instance away for some time.
+    pub pauses: u64,
+    /// Requests that a server turned away for some time, or that were about to be sent to it when it
+    /// did so or announced that it leaves.
     pub diverted: u64,
 }
 
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -218,8 +218,7 @@
             return;
         };
         record.phase = RequestPhase::Selecting;
-        let service = record.service.clone();
-        if let Some(reason) = self.unavailability(&service) {
+        if let Some(reason) = self.unavailability(now, number) {
             self.refuse_for(now, number, reason, effects);
             return;
         }
@@ -266,7 +265,7 @@
                     record.uncached_tokens = uncached_tokens;
                     record.phase = RequestPhase::AwaitingAdapter(server);
                 }
-                if wait.is_zero() || !self.servers.is_in_service(server) {
+                if wait.is_zero() || !self.servers.accepts_selected(now, server) {
                     self.send(now, number, server, effects);
                 } else {
                     self.stats.stalls += 1;
@@ -346,7 +345,7 @@
         server: GatewayServerKey,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if !self.servers.is_in_service(server) {
+        if !self.servers.accepts_selected(now, server) {
             self.record_diversion(number, server, effects);
             self.release_held_grant(now, number, server, None, false, effects);
             self.try_another_server(now, number, server, effects);
@@ -433,6 +432,7 @@
         );
         log_event(effects, "request_sent", &record.request.attempt, &detail);
         self.servers.record_send(now, server);
+        self.record_return(server, effects);
         effects.push(GatewayEffect::Dispatch(dispatch));
     }
 
@@ -485,9 +485,11 @@
             return;
         };
         record.started_at.get_or_insert(now);
-        if let RequestPhase::Sent(server) = record.phase
-            && record.has_grant
-        {
+        let RequestPhase::Sent(server) = record.phase else {
+            return;
+        };
+        self.servers.record_answer(now, server);
+        if record.has_grant {
             let release = GrantRelease {
                 server: self.servers.get(server).record.id.clone(),
                 key: self.grant_key(number),
@@ -525,6 +527,9 @@
         let was_starting = record
             .started_at
             .is_none_or(|time| now.since(time) < STARTING_TIME);
+        if record.started_at.is_none() {
+            self.servers.record_answer(now, server);
+        }
         if let Some(load) = stats.load {
             self.servers.record_load(now, server, load);
         }
@@ -536,6 +541,9 @@
                 self.suspect_request(now, server, &causes, was_starting, effects);
             }
             AttemptEnd::Completed { success: true } => self.clear_request(now, &causes),
+            AttemptEnd::Rejected { .. } if self.servers.is_paused(now, server) => {
+                self.record_diversion(number, server, effects);
+            }
             _ => {}
         }
         let adapter_missing = matches!(end, AttemptEnd::Rejected { misdirected: true });
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -10,7 +10,7 @@
 
 use super::{
     allowance::{ColdBounds, ColdLimiter, cold_share},
-    availability::{LeavingTable, ProcessHash, process_hash},
+    availability::{LeavingTable, ProcessHash, ServerPause, process_hash},
     catalog::ServerRecord,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -60,6 +60,8 @@
     pub in_flight: u32,
     /// Whether its process has announced that it leaves.
     pub is_leaving: bool,
+    /// Set once its process has turned this instance away for some time.
+    pub pause: Option<ServerPause>,
     cold_limiter: ColdLimiter,
     load: Option<LoadSample>,
     failures: f64,
@@ -77,6 +79,7 @@
             cold_until,
             in_flight: 0,
             is_leaving: false,
+            pause: None,
             cold_limiter: ColdLimiter::default(),
             load: None,
             failures: 0.0,
@@ -186,9 +189,37 @@
         self.accepts_requests(&self.servers[key])
     }
 
-    /// Whether the server is not paused after refused connections.
+    /// Whether another request may be selected for the server: it is not paused after refused
+    /// connections or because it turned this instance away.
     pub fn is_available(&self, now: ClockTime, key: GatewayServerKey) -> bool {
-        now >= self.servers[key].paused_until
+        let server = &self.servers[key];
+        now >= server.paused_until && server.pause.is_none_or(|pause| pause.has_room(now))
+    }
+
+    /// Whether the server has turned this instance away until later.
+    pub fn is_paused(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        let pause = self.servers[key].pause;
+        pause.is_some_and(|pause| pause.time_left(now).is_some())
+    }
+
+    /// Whether a request that was selected for the server may still be sent there.
+    pub fn accepts_selected(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        self.is_in_service(key) && !self.is_paused(now, key)
+    }
+
+    /// Sends no requests to a server before `until`. Returns whether some could be sent until now.
+    pub fn pause(&mut self, key: GatewayServerKey, now: ClockTime, until: ClockTime) -> bool {
+        let server = &mut self.servers[key];
+        match &mut server.pause {
+            Some(pause) if pause.time_left(now).is_some() => {
+                pause.prolong(until);
+                false
+            }
+            pause => {
+                *pause = Some(ServerPause::new(until));
+                true
+            }
+        }
     }
 
     /// Applies a published record. Returns the server's key and whether its process is a new one.
@@ -325,6 +356,13 @@
         server.cold_until = server.cold_until.max(now.after(cold_time));
     }
 
+    /// Records that a server began to answer a request, or that the request ended without an answer.
+    pub fn record_answer(&mut self, now: ClockTime, key: GatewayServerKey) {
+        if let Some(pause) = &mut self.servers[key].pause {
+            pause.record_answer(now);
+        }
+    }
+
     /// Records the load that a server reported in a response.
     pub fn record_load(&mut self, now: ClockTime, key: GatewayServerKey, load: ServerLoad) {
         let server = &mut self.servers[key];
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -11,6 +11,7 @@
 use crate::gateway::{
     FleetBounds,
     allowance::{ColdBounds, QuotaBounds, RetryBounds},
+    availability::PauseBounds,
 };
 
 /// Memory that the process may use unless the settings say otherwise, in megabytes.
@@ -55,6 +56,8 @@
     pub first_start: bool,
     /// Limits that are enforced across the fleet.
     pub bounds: FleetBounds,
+    /// Bounds on the time for which a server can turn the gateway away.
+    pub pause_bounds: PauseBounds,
     /// Maximum duration of a graceful shutdown.
     pub grace: Duration,
     /// Memory that bodies of requests and responses may take, in bytes: a quarter of the memory that
@@ -99,6 +102,7 @@
     let first_peers = read_first_peers(&mut root, errors);
     let first_start = root.boolean("first_start", false, errors);
     let bounds = read_bounds(root.optional_object("bounds", errors), errors);
+    let pause_bounds = read_pause_bounds(root.optional_object("server_pauses", errors), errors);
     let grace = read_seconds(&mut root, "grace_s", 8.0, errors);
     let memory_mb = root.number("memory_mb", DEFAULT_MEMORY_MB, errors);
     let telemetry = read_telemetry(root.optional_object("telemetry", errors), errors);
@@ -112,6 +116,7 @@
         first_peers,
         first_start,
         bounds,
+        pause_bounds,
         grace,
         body_memory: (memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB) as usize,
         telemetry,
@@ -167,3 +172,12 @@
     reader.close(errors);
     bounds
 }
+
+fn read_pause_bounds(mut reader: ObjectReader<'_, '_>, errors: &mut ErrorList<'_>) -> PauseBounds {
+    let bounds = PauseBounds {
+        max: read_millis(&mut reader, "max_ms", 100..=3_600_000, 120_000, errors),
+        unreadable: read_millis(&mut reader, "unreadable_ms", 0..=60_000, 1_000, errors),
+    };
+    reader.close(errors);
+    bounds
+}
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -40,7 +40,7 @@
 use self::{
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
-    notices::NoticeTable,
+    notices::{NoticeTable, PAUSE_BOUNDS},
 };
 use super::{
     engine::{FakeEngine, LEASE, engine_config},
@@ -315,6 +315,7 @@
                 },
                 order_lease: LEASE,
             },
+            pause_bounds: PAUSE_BOUNDS,
         }));
         let incarnation = node.incarnation;
         self.push(
--- a/lib/tests/gateway/world/notices.rs
+++ b/lib/tests/gateway/world/notices.rs
@@ -1,14 +1,24 @@
 //! Servers of the simulation that announce in their answers that they leave.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use wasabistall_lib::{
     clock::ClockTime,
-    gateway::{availability::ServerNotice, event::GatewayEvent, servers::GatewayServerKey},
+    gateway::{
+        availability::{PauseBounds, ServerNotice},
+        event::GatewayEvent,
+        servers::GatewayServerKey,
+    },
 };
 
 use super::{GatewayWorld, NETWORK_DELAY};
 
+/// Bounds on the time for which servers can turn instances away.
+pub(super) const PAUSE_BOUNDS: PauseBounds = PauseBounds {
+    max: Duration::from_secs(120),
+    unreadable: Duration::from_secs(1),
+};
+
 /// What servers announce, and which requests reach them.
 #[derive(Default)]
 pub(crate) struct NoticeTable {
@@ -31,7 +41,10 @@
             let event = GatewayEvent::ServerNoticed {
                 server,
                 started: self.engines[engine].started,
-                notice: ServerNotice { is_leaving: true },
+                notice: ServerNotice {
+                    is_leaving: true,
+                    retry_after: None,
+                },
             };
             self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
         }
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -13,11 +13,11 @@
     gateway::{
         FleetBounds, GatewayOptions, GatewayReducer,
         allowance::{ColdBounds, QuotaBounds, RetryBounds},
-        availability::ServerNotice,
+        availability::{PauseBounds, RetryAfter, ServerNotice},
         catalog::{PublishedChange, PublishedItem},
         event::{
             AttemptEnd, AttemptStats, GatewayEffect, GatewayEvent, GatewayRefusal, GatewayRequest,
-            ServerDispatch,
+            RequestNumber, ServerDispatch,
         },
         replica::CatalogPage,
     },
@@ -64,6 +64,10 @@
                     },
                     order_lease: Duration::from_secs(3),
                 },
+                pause_bounds: PauseBounds {
+                    max: Duration::from_secs(120),
+                    unreadable: Duration::from_secs(1),
+                },
             }),
             now: ClockTime::from_millis(1),
             revision: 0,
@@ -425,7 +429,10 @@
         let mut effects = self.handle(GatewayEvent::ServerNoticed {
             server,
             started,
-            notice: ServerNotice { is_leaving: true },
+            notice: ServerNotice {
+                is_leaving: true,
+                retry_after: None,
+            },
         });
         effects.extend(self.end(AttemptEnd::Completed { success: true }));
         effects
@@ -508,3 +515,158 @@
     assert_eq!(refusal.kind, ErrorKind::NoServer);
     assert_eq!(refusal.retry_after, Some(Duration::from_secs(1)));
 }
+
+impl InstanceHarness {
+    /// Has `s-1` turn the newest request away, if it was sent there.
+    fn turn_away(&mut self, effects: &[GatewayEffect], after: RetryAfter) -> Vec<GatewayEffect> {
+        let dispatch = dispatched(effects).filter(|dispatch| dispatch.id == "s-1");
+        let dispatch = dispatch.expect("a request that went to the server");
+        let mut effects = self.handle(GatewayEvent::ServerNoticed {
+            server: dispatch.server,
+            started: dispatch.started,
+            notice: ServerNotice {
+                is_leaving: false,
+                retry_after: Some(after),
+            },
+        });
+        effects.extend(self.end(AttemptEnd::Rejected { misdirected: false }));
+        effects
+    }
+
+    /// Time until `s-1`, which is the only server, gets a request again, and which one; requests come
+    /// every 20 ms.
+    fn time_until_used(&mut self) -> (Duration, RequestNumber) {
+        let start = self.now;
+        loop {
+            let mut effects = self.request("/once/x");
+            if dispatched(&effects).is_none() {
+                effects = self.advance(Duration::from_millis(20));
+            }
+            if let Some(dispatch) = dispatched(&effects) {
+                return (self.now.since(start), dispatch.request);
+            }
+        }
+    }
+}
+
+/// Requests went on to a server that had turned some away for a time, in first attempts and retries.
+#[test]
+fn a_server_that_turns_requests_away_gets_none_before_its_time() {
+    let mut harness = InstanceHarness::new(2);
+    let mut effects = harness.request("/once/x");
+    while dispatched(&effects).expect("a server").id != "s-1" {
+        harness.end(AttemptEnd::Completed { success: true });
+        effects = harness.request("/once/x");
+    }
+    let time = Duration::from_secs(2);
+    let effects = harness.turn_away(&effects, RetryAfter::Time(time));
+    assert_eq!(dispatched(&effects).expect("another server").id, "s-2");
+    harness.end(AttemptEnd::Completed { success: true });
+    let end = harness.now.after(time);
+    let mut used = BTreeSet::new();
+    while harness.now < end {
+        used.insert(harness.used_servers());
+        harness.advance(Duration::from_millis(100));
+    }
+    assert_eq!(used, BTreeSet::from(["s-2".into()]));
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.used_servers(), "s-1 s-2");
+}
+
+/// When the time ended, all requests that had waited came back at once.
+#[test]
+fn requests_to_a_server_grow_from_one_after_its_time() {
+    let mut harness = InstanceHarness::new(1);
+    let effects = harness.request("/once/x");
+    harness.turn_away(&effects, RetryAfter::Time(Duration::from_secs(2)));
+    let (_, first) = harness.time_until_used();
+    let mut sent = vec![vec![first]];
+    // In each round, what the last one sent is answered, and as many requests as may be are sent.
+    for _ in 0..4 {
+        for request in sent.last().cloned().unwrap_or_default() {
+            harness.handle(GatewayEvent::AttemptEnded {
+                request,
+                end: AttemptEnd::Completed { success: true },
+                stats: AttemptStats::default(),
+            });
+        }
+        let mut round = Vec::new();
+        for _ in 0..40 {
+            let effects = harness.request("/once/x");
+            round.extend(dispatched(&effects).map(|dispatch| dispatch.request));
+        }
+        sent.push(round);
+    }
+    let counts: Vec<usize> = sent.iter().map(Vec::len).collect();
+    assert_eq!(counts, [1, 2, 4, 8, 16]);
+}
+
+/// A request that no server takes in time was held until its selection deadline, and told to come
+/// back after 400 ms.
+#[test]
+fn requests_are_refused_with_the_time_when_all_servers_turn_them_away() {
+    let mut harness = InstanceHarness::new(1);
+    let effects = harness.request("/once/x");
+    let effects = harness.turn_away(&effects, RetryAfter::Time(Duration::from_secs(8)));
+    let refusal = refused(&effects).expect("a refusal");
+    assert_eq!(refusal.kind, ErrorKind::NoServer);
+    let time = refusal.retry_after.expect("a time");
+    harness.advance(Duration::from_secs(3));
+    let later = refused(&harness.request("/once/x")).expect("a refusal");
+    assert_eq!(later.retry_after, Some(time - Duration::from_secs(3)));
+    harness.advance(time - Duration::from_secs(3));
+    assert!(dispatched(&harness.request("/once/x")).is_some());
+}
+
+/// A request waits for a server that takes it again before its selection deadline.
+#[test]
+fn requests_wait_for_a_server_that_takes_them_in_time() {
+    let mut harness = InstanceHarness::new(1);
+    let effects = harness.request("/once/x");
+    let mut effects = harness.turn_away(&effects, RetryAfter::Time(Duration::from_millis(300)));
+    assert_eq!(refused(&effects), None);
+    effects.extend(harness.advance(Duration::from_millis(500)));
+    assert_eq!(dispatched(&effects).expect("the server").id, "s-1");
+}
+
+/// A time of days, or one that cannot be read, took a server out for good or not at all.
+#[test]
+fn the_time_of_a_server_is_bounded() {
+    let times = [
+        RetryAfter::Time(Duration::ZERO),
+        RetryAfter::Time(Duration::from_millis(700)),
+        RetryAfter::Time(Duration::from_secs(200_000)),
+        RetryAfter::Time(Duration::MAX),
+        RetryAfter::Unreadable,
+    ];
+    let mut bounded = Vec::new();
+    for time in times {
+        let mut harness = InstanceHarness::new(1);
+        let effects = harness.request("/once/x");
+        harness.turn_away(&effects, time);
+        let (pause, _) = harness.time_until_used();
+        bounded.push(format!("{time:?}: {} s", pause.as_secs()));
+    }
+    assert_debug_snapshot!(bounded, @r#"
+    [
+        "Time(0ns): 0 s",
+        "Time(700ms): 0 s",
+        "Time(200000s): 120 s",
+        "Time(18446744073709551615.999999999s): 120 s",
+        "Unreadable: 1 s",
+    ]
+    "#);
+}
+
+/// The time must not outlive the process that named it.
+#[test]
+fn a_new_process_of_a_server_that_turned_requests_away_gets_them() {
+    let mut harness = InstanceHarness::new(1);
+    let effects = harness.request("/once/x");
+    harness.turn_away(&effects, RetryAfter::Time(Duration::from_secs(60)));
+    assert_eq!(dispatched(&harness.request("/once/x")), None);
+    let mut restarted = server(1, false);
+    restarted.started = 2;
+    harness.publish("servers/s-1", PublishedItem::Server(restarted));
+    assert!(dispatched(&harness.request("/once/x")).is_some());
+}
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Validation of settings: all errors are reported, each with its position and a hint.
 
 use insta::assert_snapshot;
-use wasabistall_lib::settings::InstanceSettings;
+use wasabistall_lib::settings::{GatewaySettings, InstanceSettings};
 
 fn errors(text: &str) -> String {
     match InstanceSettings::parse(text) {
@@ -79,3 +79,44 @@
         assert_eq!(errors(&text), "valid", "{file}");
     }
 }
+
+/// Settings of a gateway with these bounds on the time for which servers turn it away.
+fn gateway_settings(pauses: &str) -> String {
+    let text = format!(
+        r#"{{
+    "role": "gateway", "instance": "g-1", "data_centre": "dar-a", "data_centres": ["dar-a"],
+    "listen": {{ "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "peers": "10.0.0.1:3",
+        "addresses": "10.0.0.1:4", "operators": "10.0.0.1:5" }},
+    "store": "10.0.0.9:80", "first_peers": [],
+    {pauses}
+}}"#
+    );
+    match GatewaySettings::parse(&text) {
+        Ok(settings) => format!("{:?}", settings.pause_bounds),
+        Err(errors) => {
+            let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        }
+    }
+}
+
+#[test]
+fn bounds_on_pauses_of_servers_are_checked() {
+    let settings = [
+        "",
+        r#""server_pauses": { "max_ms": 5000, "unreadable_ms": 0 }"#,
+        r#""server_pauses": { "max_ms": 1, "unreadable_ms": -1, "max_s": 5 }"#,
+    ];
+    assert_snapshot!(settings.map(gateway_settings).join("\n\n"), @"
+    PauseBounds { max: 120s, unreadable: 1s }
+
+    PauseBounds { max: 5s, unreadable: 0ns }
+
+    6:34: server_pauses.max_ms: out of range
+        hint: write a whole number of milliseconds from 100 to 3600000, without a unit
+    6:54: server_pauses.unreadable_ms: not a whole number
+        hint: write a whole number of milliseconds from 0 to 60000, without a unit
+    6:58: server_pauses.max_s: unknown field
+        hint: known here: max_ms, unreadable_ms
+    ");
+}
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -74,6 +74,8 @@
 pub struct ServerFaults {
     /// Whether all of its responses announce that it leaves.
     pub is_leaving: bool,
+    /// Set if it turns requests away, with this value of the `retry-after` header.
+    pub retry_after: Option<&'static str>,
 }
 
 /// Arrival of a request at a backend server, whether it runs or not.
@@ -460,6 +462,16 @@
                 time: std::time::Instant::now(),
             });
         }
+        if let Some(retry_after) = self.faults(id).retry_after {
+            let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            let headers = response.headers_mut();
+            headers.insert("not-executed", HeaderValue::from_static("1"));
+            headers.insert("retry-after", HeaderValue::from_static(retry_after));
+            if let Ok(value) = attempt.parse() {
+                headers.insert("attempt-id", value);
+            }
+            return response;
+        }
         // A run starts only after the whole body has arrived.
         let _body = request.into_body().collect().await;
         if let Some((_, adapter)) = model.as_deref().and_then(|model| model.split_once('/')) {
