--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -89,6 +89,8 @@
     pub started: u64,
     /// Time of the arrival.
     pub time: std::time::Instant,
+    /// Set if the server turned the request away, with this value of the `retry-after` header.
+    pub retry_after: Option<&'static str>,
 }
 
 struct StoreItem {
@@ -349,7 +351,8 @@
         response
     }
 
-    fn faults(&self, id: &SmolStr) -> ServerFaults {
+    /// Faults of a backend server.
+    pub fn faults(&self, id: &str) -> ServerFaults {
         let state = self.lock();
         state
             .engines
@@ -452,17 +455,20 @@
         let path = request.uri().path().to_owned();
         let attempt = header_text(headers, "attempt-id").unwrap_or_default();
         let model = header_text(headers, "model");
-        {
+        let retry_after = {
             let mut state = self.lock();
-            let started = state.engines.entry(id.clone()).or_default().started();
+            let engine = state.engines.entry(id.clone()).or_default();
+            let (started, retry_after) = (engine.started(), engine.faults.retry_after);
             state.arrivals.push(ArrivalRecord {
                 attempt: attempt.clone(),
                 server: id.clone(),
                 started,
                 time: std::time::Instant::now(),
+                retry_after,
             });
-        }
-        if let Some(retry_after) = self.faults(id).retry_after {
+            retry_after
+        };
+        if let Some(retry_after) = retry_after {
             let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
             let headers = response.headers_mut();
             headers.insert("not-executed", HeaderValue::from_static("1"));
