gateway: count only requests that a lasting pause diverted

Operators saw: `request_diverted cause=paused` for a request that left a server because the store listed it as draining, if the server had turned the instance away some time before. The counter `wasabistall_diverted_total` and the number in `server_resumed` grew with it.

Cause: the pause of a server is kept after its end, for the return to it, and was not asked whether it still lasts.

--- a/lib/src/gateway/availability.rs
+++ b/lib/src/gateway/availability.rs
@@ -334,6 +334,7 @@
     /// that server leaves or turns this instance away.
     pub(super) fn record_diversion(
         &mut self,
+        now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
         effects: &mut Vec<GatewayEffect>,
@@ -344,7 +345,9 @@
         let target = self.servers.get_mut(server);
         let cause = if target.is_leaving {
             "leaving"
-        } else if let Some(pause) = &mut target.pause {
+        } else if let Some(pause) = &mut target.pause
+            && pause.time_left(now).is_some()
+        {
             pause.diverted += 1;
             "paused"
         } else {
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -346,7 +346,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         if !self.servers.accepts_selected(now, server) {
-            self.record_diversion(number, server, effects);
+            self.record_diversion(now, number, server, effects);
             self.release_held_grant(now, number, server, None, false, effects);
             self.try_another_server(now, number, server, effects);
             return;
@@ -542,7 +542,7 @@
             }
             AttemptEnd::Completed { success: true } => self.clear_request(now, &causes),
             AttemptEnd::Rejected { .. } if self.servers.is_paused(now, server) => {
-                self.record_diversion(number, server, effects);
+                self.record_diversion(now, number, server, effects);
             }
             _ => {}
         }
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -270,7 +270,7 @@
             address: engine_address(index),
             data_centre: "dc-0".into(),
             slots: 64,
-            draining: false,
+            draining: self.notice_table.draining.contains(&index),
             cold_for: Duration::ZERO,
             sequence: 0,
             started: self.engines[index].started,
--- a/lib/tests/gateway/world/notices.rs
+++ b/lib/tests/gateway/world/notices.rs
@@ -5,7 +5,7 @@
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::{
-        availability::{PauseBounds, ServerNotice},
+        availability::{PauseBounds, RetryAfter, ServerNotice},
         event::GatewayEvent,
         servers::GatewayServerKey,
     },
@@ -24,6 +24,8 @@
 pub(crate) struct NoticeTable {
     /// Servers that announce in their answers that they leave.
     pub(crate) leaving: BTreeSet<usize>,
+    /// Servers that the store lists as draining.
+    pub(super) draining: BTreeSet<usize>,
     /// Times at which requests arrived at servers, each with the instance and the server.
     pub(crate) arrivals: Vec<(ClockTime, usize, usize)>,
 }
@@ -59,6 +61,29 @@
         }
     }
 
+    /// Has a server turn an instance away for some time.
+    pub(crate) fn turn_away(&mut self, index: usize, engine: usize, time: Duration) {
+        let Some(server) = self.server_key(index, engine) else {
+            return;
+        };
+        let event = GatewayEvent::ServerNoticed {
+            server,
+            started: self.engines[engine].started,
+            notice: ServerNotice {
+                is_leaving: false,
+                retry_after: Some(RetryAfter::Time(time)),
+            },
+        };
+        let incarnation = self.nodes[index].incarnation;
+        self.schedule(NETWORK_DELAY, index, incarnation, event);
+    }
+
+    /// Publishes that a server is draining.
+    pub(crate) fn drain_server(&mut self, engine: usize) {
+        self.notice_table.draining.insert(engine);
+        self.publish_server(engine);
+    }
+
     /// Replaces the process of a server by a new one, which does not leave, and publishes it.
     pub(crate) fn restart_server(&mut self, engine: usize) {
         self.notice_table.leaving.remove(&engine);
--- a/lib/tests/gateway_leaving.rs
+++ b/lib/tests/gateway_leaving.rs
@@ -1,4 +1,4 @@
-//! Servers that announce in their answers that they leave, in a fleet.
+//! Servers that announce in their answers that they leave, or turn an instance away, in a fleet.
 
 mod gateway;
 
@@ -47,6 +47,16 @@
     (0..SERVERS).max_by_key(count).expect("a server")
 }
 
+/// The server that loads an adapter.
+fn loading_server(world: &GatewayWorld) -> usize {
+    let is_loading = |engine: &usize| {
+        let report = world.engines[*engine].report();
+        !report.loading_adapters.is_empty()
+    };
+    let mut servers = 0..world.engines.len();
+    servers.find(is_loading).expect("a server that loads")
+}
+
 fn served(world: &GatewayWorld, sent: &BTreeSet<u64>) -> usize {
     let outcomes = world.outcomes.iter();
     outcomes
@@ -127,11 +137,7 @@
         world.run(Duration::from_secs(6));
         let number = world.request(0, "a1", 400);
         world.run(Duration::from_millis(50));
-        let is_loading = |engine: &usize| {
-            let report = world.engines[*engine].report();
-            !report.loading_adapters.is_empty()
-        };
-        let leaving = (0..2).find(is_loading).expect("a server that loads");
+        let leaving = loading_server(&world);
         world.announce(0, leaving);
         world.run(Duration::from_secs(2));
         assert_eq!(
@@ -142,3 +148,44 @@
         assert_eq!(served(&world, &BTreeSet::from([number])), 1, "seed {seed}");
     }
 }
+
+/// A server that turns one instance away gets the requests of the others.
+#[test]
+fn a_server_turns_only_one_instance_away() {
+    for seed in 0..5 {
+        let mut world = GatewayWorld::new(seed, INSTANCES, SERVERS);
+        world.run(Duration::from_secs(6));
+        send_requests(&mut world, MANY_ADAPTERS, Duration::from_secs(4));
+        let server = busiest_server(&world);
+        world.turn_away(0, server, Duration::from_secs(4));
+        world.run(Duration::from_millis(500));
+        let from = world.now;
+        send_requests(&mut world, MANY_ADAPTERS, Duration::from_millis(3_500));
+        let others: BTreeSet<usize> = (1..INSTANCES).collect();
+        assert_eq!(senders(&world, server, from), others, "seed {seed}");
+    }
+}
+
+/// Requests that left a draining server were counted as diverted by a pause that was over.
+#[test]
+fn a_pause_that_is_over_diverts_no_requests() {
+    for seed in 0..5 {
+        let mut world = GatewayWorld::new(seed, 3, 2);
+        world.run(Duration::from_secs(6));
+        for server in 0..2 {
+            world.turn_away(0, server, Duration::from_millis(100));
+        }
+        world.run(Duration::from_secs(2));
+        let number = world.request(0, "a1", 400);
+        world.run(Duration::from_millis(50));
+        let draining = loading_server(&world);
+        world.drain_server(draining);
+        world.run(Duration::from_secs(3));
+        let diverted = world
+            .events
+            .iter()
+            .filter(|(_, _, event)| *event == "request_diverted");
+        assert_eq!(diverted.count(), 0, "seed {seed}");
+        assert_eq!(served(&world, &BTreeSet::from([number])), 1, "seed {seed}");
+    }
+}
