--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -1,6 +1,9 @@
 //! Sends one attempt of a request to a server.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -92,7 +95,7 @@
 
 /// Sends the request and waits for the complete response or for the first chunk of a stream.
 pub(super) async fn run_attempt(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallerCall,
     dispatch: &ServerDispatch,
     last_event_id: Option<&str>,
@@ -114,7 +117,7 @@
 }
 
 async fn exchange(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallerCall,
     dispatch: &ServerDispatch,
     last_event_id: Option<&str>,
@@ -133,6 +136,7 @@
         response,
     } = exchange;
     let head = decode_response(response.status(), response.headers(), &call.attempt);
+    core.report_notice(dispatch.server, dispatch.started, head.notice);
     let stats = AttemptStats {
         load: head.load,
         ..AttemptStats::default()
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -192,14 +192,17 @@
         let Some(engine_config) = self.engine_config(key) else {
             return;
         };
+        if self.servers.get(key).is_leaving {
+            return;
+        }
         let from_store = self.needs_model(now, key);
         let Some(scheduler) = self.schedulers.get_mut(&key) else {
             return;
         };
         let record = &self.servers.get(key).record;
-        let (id, address) = (record.id.clone(), record.address);
-        if let Some((started, fence)) = self.fencing_tokens.get(&id)
-            && *started == record.started
+        let (id, started, address) = (record.id.clone(), record.started, record.address);
+        if let Some((fence_start, fence)) = self.fencing_tokens.get(&id)
+            && *fence_start == started
         {
             scheduler.raise_fence(*fence);
         }
@@ -209,6 +212,7 @@
             effects.push(GatewayEffect::ReadReport {
                 server: key,
                 id: id.clone(),
+                started,
                 address,
             });
         }
@@ -223,6 +227,7 @@
             effects.push(GatewayEffect::Order {
                 server: key,
                 id,
+                started,
                 address,
                 order,
             });
@@ -342,6 +347,12 @@
         let Some(engine_config) = self.engine_config(key) else {
             return declined;
         };
+        if self.servers.get(key).is_leaving {
+            return GrantReply::Declined {
+                reason: DeclineReason::Leaving,
+                backlog: Duration::ZERO,
+            };
+        }
         self.load_limiter.set_server_count(self.schedulers.len());
         let Some(scheduler) = self.schedulers.get_mut(&key) else {
             return declined;
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    availability::ProcessHash,
     claims::MemberClaims,
     members::AgedRecord,
     replica::CatalogPage,
@@ -36,6 +37,9 @@
     /// Era of both revisions.
     #[serde(default)]
     pub era: u64,
+    /// Processes of servers that recently announced that they leave.
+    #[serde(default)]
+    pub leaving: Vec<ProcessHash>,
 }
 
 impl GossipMessage {
@@ -54,7 +58,7 @@
 impl Serialize for GossipMessage {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
-        let mut map = serializer.serialize_map(Some(7))?;
+        let mut map = serializer.serialize_map(Some(8))?;
         map.serialize_entry("records", &self.records)?;
         map.serialize_entry("claims", &self.claims)?;
         map.serialize_entry("wanted", &self.wanted)?;
@@ -62,6 +66,7 @@
         map.serialize_entry("changed", &self.last_change)?;
         map.serialize_entry("board_age", &age)?;
         map.serialize_entry("era", &self.era)?;
+        map.serialize_entry("leaving", &self.leaving)?;
         map.end()
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod addresses;
 mod admission;
 pub mod allowance;
+pub mod availability;
 pub mod catalog;
 mod catalog_fetch;
 mod choice;
@@ -45,6 +46,7 @@
 
 use self::{
     allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
+    availability::PauseBounds,
     catalog_fetch::CatalogFetcher,
     engines::OwnerView,
     event::{GatewayEffect, GatewayEvent, LogEvent, RequestNumber},
@@ -111,6 +113,8 @@
     pub grace_period: Duration,
     /// Fleet-wide limits.
     pub bounds: FleetBounds,
+    /// Bounds on the time for which a server can turn this instance away.
+    pub pause_bounds: PauseBounds,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -146,6 +150,13 @@
     pub orders: u64,
     /// Requests that waited for an adapter to load.
     pub stalls: u64,
+    /// Processes of servers that announced that they leave.
+    pub leaving_servers: u64,
+    /// Times that a server turned this instance away for some time.
+    pub pauses: u64,
+    /// Requests that a server turned away for some time, or that were about to be sent to it when it
+    /// did so or announced that it leaves.
+    pub diverted: u64,
 }
 
 /// State of one gateway instance.
@@ -285,6 +296,11 @@
             GatewayEvent::OrderEnded { server, outcome } => {
                 self.order_ended(now, server, outcome, effects);
             }
+            GatewayEvent::ServerNoticed {
+                server,
+                started,
+                notice,
+            } => self.server_noticed(now, server, started, notice, effects),
             GatewayEvent::Tick => self.wake = None,
             GatewayEvent::ShutdownRequested => self.shutdown_requested(now, effects),
         }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -86,6 +86,7 @@
             last_change: self.catalog.last_change().number,
             catalog_age: self.catalog_age(now),
             era: self.catalog.revision().era,
+            leaving: self.servers.shared_leaving(now),
         }
     }
 
@@ -135,6 +136,7 @@
     ) {
         self.members.merge(now, &message.records);
         self.claims_received(now, &message.claims);
+        self.leaving_heard(now, &message.leaving, effects);
         let known = self.catalog.revision();
         if !self.trusts_peer_era(now, message.era) {
             return;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -218,6 +218,13 @@
             return;
         };
         record.phase = RequestPhase::Selecting;
+        if let Some(reason) = self.unavailability(now, number) {
+            self.refuse_for(now, number, reason, effects);
+            return;
+        }
+        let Some(record) = self.requests.get_mut(&number) else {
+            return;
+        };
         if now >= record.selection_deadline {
             self.refuse(now, number, ErrorKind::NoServer, effects);
             return;
@@ -258,7 +265,7 @@
                     record.uncached_tokens = uncached_tokens;
                     record.phase = RequestPhase::AwaitingAdapter(server);
                 }
-                if wait.is_zero() {
+                if wait.is_zero() || !self.servers.accepts_selected(now, server) {
                     self.send(now, number, server, effects);
                 } else {
                     self.stats.stalls += 1;
@@ -297,7 +304,10 @@
         let pause = match reason {
             DeclineReason::NoPlace | DeclineReason::LoadsBusy => Some(LOAD_PAUSE),
             DeclineReason::NoRight | DeclineReason::NoModel => Some(NOT_READY_PAUSE),
-            DeclineReason::NotScheduled | DeclineReason::Full | DeclineReason::Busy => None,
+            DeclineReason::NotScheduled
+            | DeclineReason::Full
+            | DeclineReason::Busy
+            | DeclineReason::Leaving => None,
         };
         if let Some(pause) = pause {
             self.load_pauses.insert(server, now.after(pause));
@@ -335,7 +345,8 @@
         server: GatewayServerKey,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if !self.servers.is_in_service(server) {
+        if !self.servers.accepts_selected(now, server) {
+            self.record_diversion(now, number, server, effects);
             self.release_held_grant(now, number, server, None, false, effects);
             self.try_another_server(now, number, server, effects);
             return;
@@ -393,6 +404,7 @@
             request: number,
             server,
             id: target.id.clone(),
+            started: target.started,
             address: target.address,
             waited: (record.sends == 1).then(|| now.since(record.arrived)),
             time_left,
@@ -420,6 +432,7 @@
         );
         log_event(effects, "request_sent", &record.request.attempt, &detail);
         self.servers.record_send(now, server);
+        self.record_return(server, effects);
         effects.push(GatewayEffect::Dispatch(dispatch));
     }
 
@@ -472,9 +485,11 @@
             return;
         };
         record.started_at.get_or_insert(now);
-        if let RequestPhase::Sent(server) = record.phase
-            && record.has_grant
-        {
+        let RequestPhase::Sent(server) = record.phase else {
+            return;
+        };
+        self.servers.record_answer(now, server);
+        if record.has_grant {
             let release = GrantRelease {
                 server: self.servers.get(server).record.id.clone(),
                 key: self.grant_key(number),
@@ -512,6 +527,9 @@
         let was_starting = record
             .started_at
             .is_none_or(|time| now.since(time) < STARTING_TIME);
+        if record.started_at.is_none() {
+            self.servers.record_answer(now, server);
+        }
         if let Some(load) = stats.load {
             self.servers.record_load(now, server, load);
         }
@@ -523,6 +541,9 @@
                 self.suspect_request(now, server, &causes, was_starting, effects);
             }
             AttemptEnd::Completed { success: true } => self.clear_request(now, &causes),
+            AttemptEnd::Rejected { .. } if self.servers.is_paused(now, server) => {
+                self.record_diversion(now, number, server, effects);
+            }
             _ => {}
         }
         let adapter_missing = matches!(end, AttemptEnd::Rejected { misdirected: true });
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::{
     allowance::{ColdBounds, ColdLimiter, cold_share},
+    availability::{LeavingTable, ProcessHash, ServerPause, process_hash},
     catalog::ServerRecord,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -57,6 +58,10 @@
     pub cold_until: ClockTime,
     /// This instance's requests at the server.
     pub in_flight: u32,
+    /// Whether its process has announced that it leaves.
+    pub is_leaving: bool,
+    /// Set once its process has turned this instance away for some time.
+    pub pause: Option<ServerPause>,
     cold_limiter: ColdLimiter,
     load: Option<LoadSample>,
     failures: f64,
@@ -73,6 +78,8 @@
             listed: true,
             cold_until,
             in_flight: 0,
+            is_leaving: false,
+            pause: None,
             cold_limiter: ColdLimiter::default(),
             load: None,
             failures: 0.0,
@@ -136,6 +143,7 @@
     servers: Arena<ServerState>,
     by_id: BTreeMap<SmolStr, GatewayServerKey>,
     evacuated: BTreeSet<SmolStr>,
+    leaving: LeavingTable,
 }
 
 impl GatewayServers {
@@ -172,6 +180,7 @@
     fn accepts_requests(&self, server: &ServerState) -> bool {
         server.listed
             && !server.record.draining
+            && !server.is_leaving
             && !self.evacuated.contains(&server.record.data_centre)
     }
 
@@ -188,9 +197,37 @@
         self.accepts_requests(&self.servers[key])
     }
 
-    /// Whether the server is not paused after refused connections.
+    /// Whether another request may be selected for the server: it is not paused after refused
+    /// connections or because it turned this instance away.
     pub fn is_available(&self, now: ClockTime, key: GatewayServerKey) -> bool {
-        now >= self.servers[key].paused_until
+        let server = &self.servers[key];
+        now >= server.paused_until && server.pause.is_none_or(|pause| pause.has_room(now))
+    }
+
+    /// Whether the server has turned this instance away until later.
+    pub fn is_paused(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        let pause = self.servers[key].pause;
+        pause.is_some_and(|pause| pause.time_left(now).is_some())
+    }
+
+    /// Whether a request that was selected for the server may still be sent there.
+    pub fn accepts_selected(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        self.is_in_service(key) && !self.is_paused(now, key)
+    }
+
+    /// Sends no requests to a server before `until`. Returns whether some could be sent until now.
+    pub fn pause(&mut self, key: GatewayServerKey, now: ClockTime, until: ClockTime) -> bool {
+        let server = &mut self.servers[key];
+        match &mut server.pause {
+            Some(pause) if pause.time_left(now).is_some() => {
+                pause.prolong(until);
+                false
+            }
+            pause => {
+                *pause = Some(ServerPause::new(until));
+                true
+            }
+        }
     }
 
     /// Applies a published record. Returns the server's key and whether its process is a new one.
@@ -199,9 +236,12 @@
         now: ClockTime,
         record: ServerRecord,
     ) -> (GatewayServerKey, bool) {
+        let process = process_hash(&record.id, record.started);
+        let is_leaving = self.leaving.contains(process);
         let Some(key) = self.key(&record.id) else {
             let id = record.id.clone();
             let key = self.servers.alloc(ServerState::new(now, record));
+            self.servers[key].is_leaving = is_leaving;
             self.by_id.insert(id, key);
             return (key, true);
         };
@@ -212,6 +252,7 @@
             let in_flight = server.in_flight;
             *server = ServerState::new(now, record);
             server.in_flight = in_flight;
+            server.is_leaving = is_leaving;
         } else {
             server.cold_until = server.cold_until.max(cold_until);
             server.record = record;
@@ -220,6 +261,28 @@
         (key, restarted)
     }
 
+    /// Records that a process of a server has announced that it leaves. Returns the server if that is
+    /// news of its current process.
+    pub fn record_leaving(
+        &mut self,
+        now: ClockTime,
+        process: ProcessHash,
+    ) -> Option<GatewayServerKey> {
+        if !self.leaving.insert(now, process) {
+            return None;
+        }
+        let (key, server) = self.servers.iter_mut().find(|(_, server)| {
+            process_hash(&server.record.id, server.record.started) == process
+        })?;
+        server.is_leaving = true;
+        Some(key)
+    }
+
+    /// Processes of servers that recently announced that they leave, to tell other instances of.
+    pub fn shared_leaving(&mut self, now: ClockTime) -> Vec<ProcessHash> {
+        self.leaving.shared(now)
+    }
+
     /// Marks a server as no longer published.
     pub fn withdraw(&mut self, id: &str) {
         if let Some(key) = self.key(id) {
@@ -301,6 +364,13 @@
         server.cold_until = server.cold_until.max(now.after(cold_time));
     }
 
+    /// Records that a server began to answer a request, or that the request ended without an answer.
+    pub fn record_answer(&mut self, now: ClockTime, key: GatewayServerKey) {
+        if let Some(pause) = &mut self.servers[key].pause {
+            pause.record_answer(now);
+        }
+    }
+
     /// Records the load that a server reported in a response.
     pub fn record_load(&mut self, now: ClockTime, key: GatewayServerKey, load: ServerLoad) {
         let server = &mut self.servers[key];
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod exchanges;
+mod notices;
 mod store;
 
 use std::{
@@ -31,6 +32,8 @@
         },
         message::{PeerAnswer, PeerCall, PeerError},
         prompt::PromptPart,
+        server_scheduler::ServerOrder,
+        servers::GatewayServerKey,
     },
     key::KeyDigest,
 };
@@ -38,6 +41,7 @@
 use self::{
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
+    notices::{NoticeTable, PAUSE_BOUNDS},
     store::FakeStore,
 };
 use super::{
@@ -71,12 +75,7 @@
     Crash(ServerRun),
     /// Publishes the record of a server.
     Publish(usize),
-    Order(
-        usize,
-        u64,
-        usize,
-        wasabistall_lib::gateway::server_scheduler::ServerOrder,
-    ),
+    Order(usize, u64, usize, ServerOrder),
 }
 
 /// One instance of the gateway.
@@ -115,6 +114,7 @@
     pub(crate) prompt_parts: Vec<PromptPart>,
     /// Servers to which requests were sent, each with the address from which to fetch prompt parts.
     pub(crate) dispatches: Vec<(SocketAddr, Option<SocketAddr>)>,
+    pub(crate) notice_table: NoticeTable,
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
@@ -221,6 +221,7 @@
             calls: 0,
             prompt_parts: Vec::new(),
             dispatches: Vec::new(),
+            notice_table: NoticeTable::default(),
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
@@ -258,7 +259,7 @@
             address: engine_address(index),
             data_centre: "dc-0".into(),
             slots: 64,
-            draining: false,
+            draining: self.notice_table.draining.contains(&index),
             cold_for: Duration::ZERO,
             sequence: 0,
             started: self.engines[index].started,
@@ -303,6 +304,7 @@
                 },
                 order_lease: LEASE,
             },
+            pause_bounds: PAUSE_BOUNDS,
         }));
         let incarnation = node.incarnation;
         self.push(
@@ -423,11 +425,7 @@
         }
     }
 
-    fn server_key(
-        &self,
-        _index: usize,
-        server: usize,
-    ) -> Option<wasabistall_lib::gateway::servers::GatewayServerKey> {
+    fn server_key(&self, _index: usize, server: usize) -> Option<GatewayServerKey> {
         // Servers are published in order, so every instance allocates the same keys.
         Some(la_arena::Idx::from_raw(la_arena::RawIdx::from_u32(
             u32::try_from(server).ok()?,
@@ -509,6 +507,7 @@
                 self.engines[engine].advance(now);
                 let is_up = self.crash_table.is_up(now, engine);
                 let report = is_up.then(|| self.engines[engine].lagging_report(now));
+                self.announce_leaving(index, incarnation, engine, server);
                 let event = GatewayEvent::ReportRead { server, report };
                 self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
             }
@@ -611,6 +610,8 @@
         self.dispatches
             .push((dispatch.address, dispatch.prompt_source));
         let now = self.now;
+        self.notice_table.arrivals.push((now, index, engine));
+        self.announce_leaving(index, incarnation, engine, dispatch.server);
         self.engines[engine].advance(now);
         let adapter = self.adapters.get(&dispatch.request).cloned();
         let holds = adapter.is_some_and(|adapter| self.engines[engine].holds(&adapter));
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -60,6 +60,7 @@
         last_change: 39,
         catalog_age: Duration::from_millis(120),
         era,
+        leaving: Vec::new(),
     }
 }
 
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -11,6 +11,7 @@
     gateway::{
         FleetBounds, GatewayOptions, GatewayReducer,
         allowance::{ColdBounds, QuotaBounds, RetryBounds},
+        availability::PauseBounds,
         catalog::{PublishedChange, PublishedItem, ServerRecord},
         event::{GatewayEffect, GatewayEvent, StoreError, StoreRead},
         members::{AgedRecord, MemberPhase, MemberRecord},
@@ -88,6 +89,10 @@
             min_instances: 1,
             first_start: true,
             grace_period: secs(8),
+            pause_bounds: PauseBounds {
+                max: secs(120),
+                unreadable: secs(1),
+            },
             bounds: FleetBounds {
                 quota: QuotaBounds {
                     window: secs(8),
@@ -183,6 +188,7 @@
             last_change: revision,
             catalog_age: Duration::ZERO,
             era,
+            leaving: Vec::new(),
         });
         self.handle(GatewayEvent::PeerCalled { call: 0, message });
     }
