gateway: mention members and fresh claims in short form

Callers of a large deployment were sent to instances that knew of a loaded adapter, or of a new scheduler of a server, only after the order lease: a change of claims was known to all of 200 instances after 3.2 s and of 400 after 5.6 s. Besides, live instances seemed dead: each of 200 instances missed 1.2 others at any moment, each of 400 missed 36, and these left the addresses and the quorum for a while.

Cause: a message has 32 records of about 80 bytes, and only what has a record in it is mentioned. At 400 instances that is one member in twelve, for its heartbeat as for the revision of its claims, while hardly anything in a record but the heartbeat changes.

Change: after the settling time of its process, an instance sends whole records only of itself, of members whose content it learned within three rounds, and of one at random. The first record carries a digest with 64 heartbeats of 6 bytes and, for three rounds each, the revisions of claims that were learned, 4 bytes each, with eight at random as repair. A receiver resolves them by a hash of the record without its heartbeat, so that a heartbeat is never taken for a record held with an older content. Records whose hashes collide are sent whole.

Messages without a digest are encoded as before. A peer that does not answer one with a digest, and has sent none itself, gets whole records at once and for 30 s.

Evidence: changes_of_claims_reach_200_ and _400_instances_within_the_lease failed with 3.2 s and 5.6 s and pass; live_instances_of_a_large_fleet_seldom_seem_dead failed with 2,307 of 398,000 views at 200 instances, and passes with 26, and 2,688 of 1,152,600 at 340. With 32 heartbeats a_large_fleet_converges failed by one of 84 views. peers_that_do_not_read_digests_get_whole_records holds both versions together.

--- a/lib/src/gateway/claims.rs
+++ b/lib/src/gateway/claims.rs
@@ -10,10 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{
-    catalog::LoadedModel,
-    members::{AgedRecord, MemberRecord},
-};
+use super::{catalog::LoadedModel, members::MemberRecord};
 
 /// An instance's claim to schedule a model server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,17 +45,44 @@
 }
 
 impl MemberClaims {
-    fn version(&self) -> (u64, u64) {
-        (self.incarnation, self.revision)
+    fn version(&self) -> ClaimVersion {
+        ClaimVersion::new(self.incarnation, self.revision)
     }
 }
 
+/// Identifies a state of one member's claims.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClaimVersion {
+    incarnation: u64,
+    revision: u64,
+}
+
+impl ClaimVersion {
+    /// The version with this revision; without claims, if the revision is 0.
+    pub fn new(incarnation: u64, revision: u64) -> ClaimVersion {
+        if revision == 0 {
+            return ClaimVersion::default();
+        }
+        ClaimVersion {
+            incarnation,
+            revision,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct KnownClaims {
+    claims: MemberClaims,
+    /// Local gossip round in which they were received.
+    learned_in: u64,
+}
+
 /// Newest known claims of the local instance and of all others.
 #[derive(Debug, Default)]
 pub struct ClaimTable {
     local: Vec<Arc<ServerClaim>>,
     local_revision: u64,
-    others: BTreeMap<SmolStr, MemberClaims>,
+    others: BTreeMap<SmolStr, KnownClaims>,
 }
 
 impl ClaimTable {
@@ -79,48 +103,63 @@
 
     /// Revision of the claims held for the process of `record`; 0 if there are none.
     pub fn revision(&self, local: &MemberRecord, record: &MemberRecord) -> u64 {
-        let (incarnation, revision) = self.version(local, &record.name);
-        if incarnation == record.incarnation {
-            revision
+        let version = self.version(local, &record.name);
+        if version.incarnation == record.incarnation {
+            version.revision
         } else {
             0
         }
     }
 
-    /// Incarnation and revision of the claims held for a member.
-    fn version(&self, local: &MemberRecord, member: &str) -> (u64, u64) {
+    /// Version of the claims held for a member.
+    fn version(&self, local: &MemberRecord, member: &str) -> ClaimVersion {
         if member == local.name {
-            return (local.incarnation, self.local_revision);
+            return ClaimVersion::new(local.incarnation, self.local_revision);
         }
         self.others
             .get(member)
-            .map_or((0, 0), MemberClaims::version)
+            .map_or(ClaimVersion::default(), |known| known.claims.version())
+    }
+
+    /// Members of which claims are held, with the local gossip round in which they were received.
+    pub fn learned(&self) -> impl Iterator<Item = (&SmolStr, u64)> {
+        self.others
+            .iter()
+            .map(|(name, known)| (name, known.learned_in))
     }
 
     /// Claims of a member's current process.
     pub fn claims(&self, record: &MemberRecord) -> &[Arc<ServerClaim>] {
         self.others
             .get(&record.name)
-            .filter(|claims| claims.incarnation == record.incarnation)
-            .map_or(&[], |claims| &claims.claims)
+            .filter(|known| known.claims.incarnation == record.incarnation)
+            .map_or(&[], |known| &known.claims.claims)
     }
 
-    /// Claims that the sender of `records` lacks, of the members listed there.
-    pub fn newer_than(&self, local: &MemberRecord, records: &[AgedRecord]) -> Vec<MemberClaims> {
-        let newer = records
+    /// Claims of which a peer holds older versions or none.
+    pub fn newer_than(
+        &self,
+        local: &MemberRecord,
+        stated: &[(SmolStr, ClaimVersion)],
+    ) -> Vec<MemberClaims> {
+        let newer = stated
             .iter()
-            .filter(|aged| self.version(local, &aged.record.name) > sender_version(aged))
-            .map(|aged| &aged.record.name);
+            .filter(|(member, version)| self.version(local, member) > *version)
+            .map(|(member, _)| member);
         self.of_members(local, newer)
     }
 
-    /// Members of which the sender of `records` has newer claims.
-    pub fn older_than(&self, local: &MemberRecord, records: &[AgedRecord]) -> Vec<SmolStr> {
-        records
+    /// Members of which a peer holds newer versions.
+    pub fn older_than(
+        &self,
+        local: &MemberRecord,
+        stated: &[(SmolStr, ClaimVersion)],
+    ) -> Vec<SmolStr> {
+        stated
             .iter()
-            .filter(|aged| aged.claims_revision > 0 && aged.record.name != local.name)
-            .filter(|aged| self.version(local, &aged.record.name) < sender_version(aged))
-            .map(|aged| aged.record.name.clone())
+            .filter(|(member, _)| *member != local.name)
+            .filter(|(member, version)| self.version(local, member) < *version)
+            .map(|(member, _)| member.clone())
             .collect()
     }
 
@@ -132,7 +171,7 @@
     ) -> Vec<MemberClaims> {
         let claims_of = |member: &SmolStr| {
             if *member != local.name {
-                return self.others.get(member).cloned();
+                return self.others.get(member).map(|known| known.claims.clone());
             }
             (self.local_revision > 0).then(|| MemberClaims {
                 member: local.name.clone(),
@@ -144,17 +183,21 @@
         members.filter_map(claims_of).collect()
     }
 
-    /// Applies claims received from a peer; returns whether any of them were new.
-    pub fn merge(&mut self, local: &MemberRecord, received: &[MemberClaims]) -> bool {
+    /// Applies claims received from a peer in a gossip round; returns whether any of them were new.
+    pub fn merge(&mut self, local: &MemberRecord, round: u64, received: &[MemberClaims]) -> bool {
         let mut changed = false;
         for claims in received {
             let is_known = claims.member == local.name
                 || self
                     .others
                     .get(&claims.member)
-                    .is_some_and(|known| known.version() >= claims.version());
+                    .is_some_and(|known| known.claims.version() >= claims.version());
             if !is_known {
-                self.others.insert(claims.member.clone(), claims.clone());
+                let known = KnownClaims {
+                    claims: claims.clone(),
+                    learned_in: round,
+                };
+                self.others.insert(claims.member.clone(), known);
                 changed = true;
             }
         }
@@ -166,11 +209,3 @@
         self.others.retain(|name, _| is_known(name));
     }
 }
-
-/// Incarnation and revision of the claims that a record's sender holds.
-fn sender_version(aged: &AgedRecord) -> (u64, u64) {
-    if aged.claims_revision == 0 {
-        return (0, 0);
-    }
-    (aged.record.incarnation, aged.claims_revision)
-}
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -3,18 +3,22 @@
 //! In each round, an instance exchanges the records that it considers alive with a few random
 //! peers. A member is alive while its heartbeat, which only the member itself increments, keeps
 //! growing. Fan-out and records per message are fixed, so the cost of an instance does not depend
-//! on the size of the fleet.
+//! on the size of the fleet. Members whose record has not changed but for its heartbeat are
+//! mentioned in short form.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+mod messages;
 
-use rand::{Rng, seq::SliceRandom};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use smol_str::SmolStr;
 
 use super::{
-    claims::{ClaimTable, MemberClaims, ServerClaim},
+    claims::ClaimTable,
+    digest::{MemberDigest, MemberKey},
     suspects::CrashRecord,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -37,11 +41,6 @@
 const REMOVAL_TIME: Duration = Duration::from_secs(60);
 /// Peers contacted in each gossip round.
 const GOSSIP_FANOUT: usize = 2;
-/// Maximum number of records in a message.
-const RECORDS_PER_MESSAGE: usize = 32;
-/// The same during the first [`SETTLING_TIME`] of a process. After a restart of all instances, each
-/// has to know the claims of all others before the first of them may send orders.
-const SETTLING_RECORDS_PER_MESSAGE: usize = 128;
 /// With at least this many other members, most gossip stays within the instance's data centre.
 const LARGE_FLEET: usize = 12;
 /// In such a fleet, one round in this many also contacts another data centre.
@@ -100,6 +99,10 @@
     pub age: Duration,
     /// Revision of the member's claims that the sender holds; 0 if it has none.
     pub claims_revision: u64,
+    /// In the first record of a message, what the sender knows of other members in short form.
+    /// Earlier versions do not decode records with a digest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<MemberDigest>,
 }
 
 #[derive(Debug)]
@@ -108,9 +111,28 @@
     last_heartbeat: ClockTime,
     /// Its host refused a connection, so no process listens at its address.
     refused: bool,
+    key: MemberKey,
+    /// Local gossip round in which the content was learned.
+    learned_in: u64,
+    /// The process has sent a digest, so it also decodes them.
+    sends_digests: bool,
+    /// Time until which the process gets no digests, because it did not answer one.
+    whole_records_until: Option<ClockTime>,
 }
 
 impl MemberState {
+    fn new(record: MemberRecord, last_heartbeat: ClockTime, round: u64) -> MemberState {
+        MemberState {
+            key: MemberKey::new(&record),
+            record,
+            last_heartbeat,
+            refused: false,
+            learned_in: round,
+            sends_digests: false,
+            whole_records_until: None,
+        }
+    }
+
     fn is_alive(&self, now: ClockTime, timeout: Duration) -> bool {
         !self.refused && now.since(self.last_heartbeat) < timeout
     }
@@ -130,6 +152,8 @@
 pub struct GossipTable {
     local: MemberRecord,
     others: BTreeMap<SmolStr, MemberState>,
+    /// Members by key, including the local instance; `None` if several have the same key.
+    keys: BTreeMap<MemberKey, Option<SmolStr>>,
     claims: ClaimTable,
     seed_peers: Vec<SocketAddr>,
     min_instances: usize,
@@ -149,18 +173,39 @@
             .into_iter()
             .filter(|address| *address != local.peer_address)
             .collect();
-        GossipTable {
+        let mut table = GossipTable {
             local,
             others: BTreeMap::new(),
+            keys: BTreeMap::new(),
             claims: ClaimTable::default(),
             seed_peers,
             min_instances,
             rounds: 0,
             last_message: None,
             last_alive: BTreeMap::new(),
+        };
+        table.index_keys();
+        table
+    }
+
+    fn index_keys(&mut self) {
+        self.keys.clear();
+        let members = self.others.values();
+        let others = members.map(|member| (member.key, &member.record.name));
+        let local = (MemberKey::new(&self.local), &self.local.name);
+        for (key, name) in others.chain([local]) {
+            self.keys
+                .entry(key)
+                .and_modify(|name| *name = None)
+                .or_insert_with(|| Some(name.clone()));
         }
     }
 
+    /// Name of the member with this key, unless several have it.
+    fn name_of(&self, key: MemberKey) -> Option<&SmolStr> {
+        self.keys.get(&key)?.as_ref()
+    }
+
     /// The local instance's record.
     pub fn local(&self) -> &MemberRecord {
         &self.local
@@ -292,8 +337,12 @@
                 self.last_alive.insert(name.clone(), alive);
             }
         }
+        let count = self.others.len();
         self.others
             .retain(|_, member| now.since(member.last_heartbeat) < REMOVAL_TIME);
+        if self.others.len() < count {
+            self.index_keys();
+        }
         let others = &self.others;
         self.last_alive.retain(|name, _| others.contains_key(name));
         self.claims.retain(|name| others.contains_key(name));
@@ -304,6 +353,8 @@
     pub fn begin_round(&mut self, now: ClockTime, random: &mut ChaCha8Rng) -> Vec<SocketAddr> {
         self.local.heartbeat += 1;
         self.rounds += 1;
+        // The content of the local record may have changed.
+        self.index_keys();
         let mut targets = Vec::new();
         let is_small = self.others.len() < LARGE_FLEET;
         let data_centre = &self.local.data_centre;
@@ -346,112 +397,6 @@
         })
     }
 
-    /// Records to send: the local instance's, then those of live members, of which half are chosen
-    /// at random and the rest are those with the most recent heartbeats.
-    pub fn records(&self, now: ClockTime, random: &mut ChaCha8Rng) -> Vec<AgedRecord> {
-        let timeout = self.timeout();
-        let limit = if now.since(ClockTime::ZERO) < SETTLING_TIME {
-            SETTLING_RECORDS_PER_MESSAGE
-        } else {
-            RECORDS_PER_MESSAGE
-        };
-        let mut members: Vec<&MemberState> = self
-            .others
-            .values()
-            .filter(|member| member.is_alive(now, timeout))
-            .collect();
-        // The random half ensures that every record is eventually refreshed everywhere.
-        members.shuffle(random);
-        let mut recent = members.split_off(members.len().min(limit / 2));
-        recent.sort_by_key(|member| now.since(member.last_heartbeat));
-        members.extend(recent);
-        let local = AgedRecord {
-            record: self.local.clone(),
-            age: Duration::ZERO,
-            claims_revision: self.claims.revision(&self.local, &self.local),
-        };
-        let others = members.into_iter().map(|member| AgedRecord {
-            record: member.record.clone(),
-            age: now.since(member.last_heartbeat),
-            claims_revision: self.claims.revision(&self.local, &member.record),
-        });
-        [local].into_iter().chain(others).take(limit).collect()
-    }
-
-    /// Sets the local instance's claims.
-    pub fn set_claims(&mut self, claims: Vec<ServerClaim>) {
-        self.claims.set_local(claims);
-    }
-
-    /// Claims of a member's current process.
-    pub fn claims(&self, record: &MemberRecord) -> &[Arc<ServerClaim>] {
-        self.claims.claims(record)
-    }
-
-    /// Claims that the sender of `records` lacks.
-    pub fn claims_newer_than(&self, records: &[AgedRecord]) -> Vec<MemberClaims> {
-        self.claims.newer_than(&self.local, records)
-    }
-
-    /// Members of which the sender of `records` has newer claims.
-    pub fn claims_older_than(&self, records: &[AgedRecord]) -> Vec<SmolStr> {
-        self.claims.older_than(&self.local, records)
-    }
-
-    /// Claims of the given members, as far as they are known.
-    pub fn claims_of(&self, members: &[SmolStr]) -> Vec<MemberClaims> {
-        self.claims.of_members(&self.local, members.iter())
-    }
-
-    /// Merges claims received from a peer; returns whether any of them were new.
-    pub fn merge_claims(&mut self, claims: &[MemberClaims]) -> bool {
-        self.claims.merge(&self.local, claims)
-    }
-
-    /// Merges the records received from a peer.
-    pub fn merge(&mut self, now: ClockTime, records: &[AgedRecord]) {
-        self.last_message = Some(now);
-        for aged in records {
-            self.merge_record(now, aged);
-        }
-    }
-
-    fn merge_record(&mut self, now: ClockTime, aged: &AgedRecord) {
-        let AgedRecord { record, age, .. } = aged;
-        if record.name == self.local.name {
-            // By its clock, an earlier process with this name started later than this one.
-            if record.incarnation > self.local.incarnation {
-                self.local.incarnation = record.incarnation + 1;
-            }
-            return;
-        }
-        let last_heartbeat = ClockTime::from_micros(
-            now.as_micros()
-                .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
-        );
-        match self.others.get_mut(&record.name) {
-            Some(member) => {
-                let known = (member.record.incarnation, member.record.heartbeat);
-                if (record.incarnation, record.heartbeat) > known {
-                    member.last_heartbeat = last_heartbeat.max(member.last_heartbeat);
-                    member.refused = false;
-                    member.record = record.clone();
-                }
-            }
-            None => {
-                let name = record.name.clone();
-                self.others.insert(
-                    name,
-                    MemberState {
-                        record: record.clone(),
-                        last_heartbeat,
-                        refused: false,
-                    },
-                );
-            }
-        }
-    }
-
     /// Marks the member at this address as dead, because its host refused a connection.
     pub fn mark_refused(&mut self, address: SocketAddr) {
         for member in self.others.values_mut() {
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -34,6 +34,15 @@
     pub catalog_age: Duration,
 }
 
+impl GossipMessage {
+    /// Whether members are mentioned in short form.
+    pub fn has_digest(&self) -> bool {
+        self.records
+            .first()
+            .is_some_and(|aged| aged.digest.is_some())
+    }
+}
+
 /// A call to a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerCall {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod catalog_fetch;
 mod choice;
 pub mod claims;
+pub mod digest;
 pub mod encoding;
 mod engines;
 pub mod event;
@@ -123,7 +124,7 @@
 /// Purpose of a call to a peer that has not been answered yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallPurpose {
-    Gossip,
+    Gossip { has_digest: bool },
     Catalog,
     Claims,
     Grant(RequestNumber, GatewayServerKey),
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -40,11 +40,24 @@
         self.refresh_own_record(now);
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
-            let message = PeerCall::Gossip(self.gossip_message(now, &[]));
-            self.call_peer(peer, message, CallPurpose::Gossip, effects);
+            let has_digest = self.members.may_send_digest(now, peer);
+            self.call_gossip(now, peer, has_digest, effects);
         }
     }
 
+    fn call_gossip(
+        &mut self,
+        now: ClockTime,
+        peer: SocketAddr,
+        has_digest: bool,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let message = self.gossip_message(now, has_digest, &[]);
+        let has_digest = message.has_digest();
+        let message = PeerCall::Gossip(message);
+        self.call_peer(peer, message, CallPurpose::Gossip { has_digest }, effects);
+    }
+
     /// Runs an extra gossip round after a change of the catalog.
     pub(super) fn spread_change(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
         if now.since(self.last_spread) < MIN_SPREAD_INTERVAL && self.last_spread > ClockTime::ZERO {
@@ -72,9 +85,19 @@
     }
 
     /// Builds a call, or the answer to a call with the records `received`.
-    fn gossip_message(&mut self, now: ClockTime, received: &[AgedRecord]) -> GossipMessage {
+    fn gossip_message(
+        &mut self,
+        now: ClockTime,
+        has_digest: bool,
+        received: &[AgedRecord],
+    ) -> GossipMessage {
+        let records = if has_digest {
+            self.members.records(now, &mut self.random)
+        } else {
+            self.members.whole_records(now, &mut self.random)
+        };
         GossipMessage {
-            records: self.members.records(now, &mut self.random),
+            records,
             claims: self.members.claims_newer_than(received),
             wanted: self.members.claims_older_than(received),
             revision: self.catalog.revision(),
@@ -93,7 +116,8 @@
         let answer = match message {
             PeerCall::Gossip(message) => {
                 let sender = message.records.first().map(|aged| aged.record.peer_address);
-                let answer = PeerAnswer::Gossip(self.gossip_message(now, &message.records));
+                let answer = self.gossip_message(now, message.has_digest(), &message.records);
+                let answer = PeerAnswer::Gossip(answer);
                 self.gossip_received(now, sender, &message, effects);
                 answer
             }
@@ -163,6 +187,18 @@
         }
     }
 
+    /// Sends whole records to a peer that may be of a version that does not decode digests.
+    fn digest_unanswered(
+        &mut self,
+        now: ClockTime,
+        peer: SocketAddr,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if self.members.digest_unanswered(now, peer) {
+            self.call_gossip(now, peer, false, effects);
+        }
+    }
+
     fn update_owners(&mut self, now: ClockTime) {
         let mut owners = std::collections::BTreeMap::new();
         for record in self.members.alive(now) {
@@ -217,9 +253,12 @@
             self.members.mark_refused(peer);
         }
         match (purpose, answer) {
-            (CallPurpose::Gossip, Ok(PeerAnswer::Gossip(message))) => {
+            (CallPurpose::Gossip { .. }, Ok(PeerAnswer::Gossip(message))) => {
                 self.gossip_answered(now, peer, &message, effects);
             }
+            (CallPurpose::Gossip { has_digest: true }, Err(PeerError::NoAnswer)) => {
+                self.digest_unanswered(now, peer, effects);
+            }
             (CallPurpose::Claims, Ok(PeerAnswer::Claims(claims))) => {
                 self.claims_received(now, &claims);
             }
--- a/lib/tests/gateway_gossip.rs
+++ b/lib/tests/gateway_gossip.rs
@@ -236,3 +236,27 @@
         );
     }
 }
+
+/// Regression: messages had records of so few members that heartbeats of live ones came too late.
+#[test]
+fn live_instances_of_a_large_fleet_seldom_seem_dead() {
+    for (count, per_thousand) in [(200, 1), (340, 5)] {
+        let mut fleet = Fleet::new(count, 11);
+        for _ in 0..65 {
+            fleet.round();
+        }
+        let mut missing = 0;
+        for _ in 0..10 {
+            fleet.round();
+            for table in &fleet.tables {
+                missing += count - 1 - table.alive(fleet.now).count();
+            }
+        }
+        let pairs = 10 * count * (count - 1);
+        println!("{count}: {missing} of {pairs} views of members");
+        assert!(
+            missing * 1_000 <= pairs * per_thousand,
+            "{count} instances: {missing} of {pairs} views of members"
+        );
+    }
+}
