--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -8,7 +8,7 @@
 
 use super::{
     availability::ProcessHash,
-    claims::MemberClaims,
+    claims::{MemberClaims, WantedClaims},
     members::AgedRecord,
     replica::CatalogPage,
     revision::StoreRevision,
@@ -23,8 +23,8 @@
     pub records: Vec<AgedRecord>,
     /// In an answer, claims that the caller lacks according to its records.
     pub claims: Vec<MemberClaims>,
-    /// In an answer, members of which the caller has newer claims.
-    pub wanted: Vec<SmolStr>,
+    /// In an answer, claims of which the caller has newer ones.
+    pub wanted: Vec<WantedClaims>,
     /// Number of the revision up to which the sender's replica of the catalog is complete.
     pub revision: u64,
     /// Number of the revision of the newest change in the sender's replica.
@@ -106,6 +106,15 @@
     }
 }
 
+impl GossipMessage {
+    /// Whether members are mentioned in short form.
+    pub fn has_digest(&self) -> bool {
+        self.records
+            .first()
+            .is_some_and(|aged| aged.digest.is_some())
+    }
+}
+
 /// A call to a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerCall {
@@ -115,8 +124,8 @@
     Claims {
         /// Claims that the peer wanted in its answer.
         claims: Vec<MemberClaims>,
-        /// Members of which the peer has newer claims.
-        wanted: Vec<SmolStr>,
+        /// Claims of which the peer has newer ones.
+        wanted: Vec<WantedClaims>,
     },
     /// Requests the changes of the catalog after a revision.
     #[serde(rename = "Board")]
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -13,7 +13,9 @@
 pub mod catalog;
 mod catalog_fetch;
 mod choice;
+pub mod claim_changes;
 pub mod claims;
+pub mod digest;
 pub mod encoding;
 mod engines;
 pub mod event;
@@ -129,7 +131,7 @@
 /// Purpose of a call to a peer that has not been answered yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallPurpose {
-    Gossip,
+    Gossip { has_digest: bool },
     Catalog,
     Claims,
     Grant(RequestNumber, GatewayServerKey),
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 use wasabistall_lib::gateway::{
     catalog::PublishedChange,
-    claims::MemberClaims,
+    claims::{MemberClaims, WantedClaims},
     encoding::{MAX_MESSAGE_BYTES, decode_answer, decode_call, encode_answer, encode_call},
     members::AgedRecord,
     message::{ChangesQuery, GossipMessage, PeerAnswer, PeerCall},
@@ -55,7 +55,7 @@
     GossipMessage {
         records: Vec::new(),
         claims: Vec::new(),
-        wanted: vec!["n-1".into()],
+        wanted: vec![WantedClaims::Whole("n-1".into())],
         revision: 40,
         last_change: 39,
         catalog_age: Duration::from_millis(120),
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -181,6 +181,7 @@
                 record,
                 age: Duration::ZERO,
                 claims_revision: 0,
+                digest: None,
             }],
             claims: Vec::new(),
             wanted: Vec::new(),
