tests: two instances with the same fencing token

The fake model server noted lower tokens, but not that two instances used the same one, which breaks the rule as well. It now notes that too.

--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -62,6 +62,8 @@
     /// Set when an accepted order had a lower fencing token than an earlier one.
     pub(crate) fence_regression: Option<(u64, u64)>,
     last_holder: Option<(SmolStr, ClockTime)>,
+    /// Set when two instances in turn had an order with the same fencing token accepted.
+    pub(crate) shared_fence: Option<(SmolStr, SmolStr, u64)>,
     /// Set when an order was accepted within the lease time of another instance.
     pub(crate) lease_violation: Option<(SmolStr, SmolStr, Duration)>,
     /// Set when an adapter was unloaded while requests ran on it.
@@ -88,6 +90,7 @@
             overfilled: None,
             fence_regression: None,
             last_holder: None,
+            shared_fence: None,
             lease_violation: None,
             unloaded_in_use: None,
         }
@@ -175,6 +178,7 @@
         order: &ServerOrder,
     ) -> ServerOrderOutcome {
         let was_valid = self.overfilled.is_none() && self.lease_violation.is_none();
+        let last_fence = self.last_fence;
         let outcome = self.order(now, order);
         if was_valid {
             let millis = now.as_micros() / 1_000;
@@ -189,6 +193,12 @@
             ServerOrderOutcome::Done | ServerOrderOutcome::Accepted
         );
         if accepted {
+            if let Some((last, _)) = &self.last_holder
+                && last != holder
+                && order.fence == last_fence
+            {
+                self.shared_fence = Some((last.clone(), holder.clone(), last_fence));
+            }
             if let Some((last, time)) = &self.last_holder
                 && last != holder
                 && now.since(*time) < LEASE
--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -200,6 +200,11 @@
             self.violations
                 .push(format!("token {fences:?} at {:?}\n{log}", self.now));
         }
+        if let Some(fence) = self.engine.shared_fence.take() {
+            let log = self.engine.log.join("\n");
+            self.violations
+                .push(format!("shared token {fence:?} at {:?}\n{log}", self.now));
+        }
         if let Some(turn) = self.engine.lease_violation.take() {
             let log = self.engine.log.join("\n");
             self.violations
