tests: tokens of a server's new process, forgotten when the store tells of it

An instance learns of a server's restart from a report, raises its token to that of the process before (the store does not tell of the new one yet) and gives orders to the new process. When the store tells of the restart, and a report was read since those orders, it forgets their token, as if they had gone to the process before.

--- a/lib/tests/gateway_order_takeovers.rs
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -117,3 +117,46 @@
         .expect("an order");
     assert!(order.fence < high_token, "{} is not lower", order.fence);
 }
+
+/// Regression test: an instance learned of a restart from a report and gave orders to the new process.
+/// When the store told of the same restart, it forgot their token and went on with lower ones.
+#[test]
+fn tokens_of_the_new_process_are_kept_when_the_store_tells_of_it() {
+    let config = engine_config(ADAPTER_SLOTS);
+    let mut engine = FakeEngine::new(ADAPTER_SLOTS);
+    let lease = LEASE + Duration::from_millis(500);
+    let mut now = ClockTime::from_millis(1_000);
+    let mut scheduler = ServerScheduler::new(now, LEASE, &config, &engine.report().models);
+    let read_report = |scheduler: &mut ServerScheduler, engine: &FakeEngine, now| {
+        assert!(scheduler.begin_report_read(now));
+        scheduler.observe_report(now, Some(&engine.report()));
+    };
+    read_report(&mut scheduler, &engine, now);
+    engine.restart();
+    for _ in 0..2 {
+        now = now.after(lease);
+        read_report(&mut scheduler, &engine, now);
+    }
+    // The gateway raises the token to that of the process before until the store tells of the restart.
+    scheduler.raise_fence(1_000 << FENCE_TIME_BITS);
+    request_adapter(&mut scheduler, now, 1, "a1");
+    let first = scheduler
+        .next_order(now, &config, UNIX_MILLIS)
+        .expect("an order");
+    scheduler.order_ended(now, engine.order(now, &first));
+    now = now.after(Duration::from_secs(2));
+    engine.advance(now);
+    scheduler.check_slots(now);
+    now = now.after(Duration::from_secs(1));
+    read_report(&mut scheduler, &engine, now);
+    scheduler.server_restarted(now, &engine.report().models);
+    for _ in 0..2 {
+        read_report(&mut scheduler, &engine, now);
+        now = now.after(lease);
+    }
+    request_adapter(&mut scheduler, now, 2, "a2");
+    let second = scheduler
+        .next_order(now, &config, UNIX_MILLIS)
+        .expect("an order");
+    assert!(second.fence >= first.fence, "{second:?} after {first:?}");
+}
