gateway: keep the tokens of a server's process that a report has told of

Found in review: an instance that learned of a server's restart from a report gave orders to the new process with the token of the process before, because the store still listed the old start. When the store told of the same restart, the instance forgot that token and went on with lower ones.

Tokens are now known by the start in the newest report, in the instance and in its claims, and news of the store about that same process change nothing.

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -201,8 +201,10 @@
         };
         let record = &self.servers.get(key).record;
         let (id, started, address) = (record.id.clone(), record.started, record.address);
+        // A report may tell of a restart before the store does.
+        let known_start = scheduler.order_lease().server_started().unwrap_or(started);
         if let Some((fence_start, fence)) = self.fencing_tokens.get(&id)
-            && *fence_start == started
+            && *fence_start == known_start
         {
             scheduler.raise_fence(*fence);
         }
@@ -322,11 +324,11 @@
         let Some(scheduler) = self.schedulers.get_mut(&server) else {
             return;
         };
-        let models = &self.servers.get(server).record.models;
+        let record = &self.servers.get(server).record;
         if is_new {
-            scheduler.server_restarted(now, models);
+            scheduler.server_restarted(now, record.started, &record.models);
         } else {
-            scheduler.apply_published(now, models);
+            scheduler.apply_published(now, &record.models);
         }
     }
 
--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Start of the server's process according to the newest report, in Unix milliseconds.
+    pub fn server_started(&self) -> Option<u64> {
+        self.server_started
+    }
+
     /// Whether a report is from another process of the server than the report before.
     pub fn is_restarted(&self, report: &ServerReport) -> bool {
         self.server_started.is_some()
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -73,7 +73,10 @@
             .iter()
             .map(|(key, scheduler)| ServerClaim {
                 server: self.servers.get(*key).record.id.clone(),
-                started: self.servers.get(*key).record.started,
+                started: scheduler
+                    .order_lease()
+                    .server_started()
+                    .unwrap_or(self.servers.get(*key).record.started),
                 active: scheduler.is_active(),
                 fence: scheduler.last_fence(),
                 models: scheduler.holdings(),
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -63,14 +63,18 @@
         false
     }
 
-    /// Resets the state for a server whose process was replaced.
-    pub fn server_restarted(&mut self, now: ClockTime, models: &[LoadedModel]) {
+    /// Resets the state for a server whose process was replaced by one that started at `started`, in
+    /// Unix milliseconds.
+    pub fn server_restarted(&mut self, now: ClockTime, started: u64, models: &[LoadedModel]) {
         self.clear_queue();
         self.recently_evicted.clear();
         self.prefix_cache.clear();
         self.adapter_slots.clear();
         self.models.clear();
-        self.forget_fences();
+        // A report may have told of this process before, which may have got orders since.
+        if self.order_lease.server_started() != Some(started) {
+            self.forget_fences();
+        }
         self.model_status = None;
         self.model_loading_until = now;
         self.apply_models(now, models);
--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -161,13 +161,14 @@
             .iter()
             .filter_map(|holder| holder.scheduler.as_ref())
         {
-            let claim = (self.published_start, scheduler.last_fence());
+            let started = known_start(scheduler, self.published_start);
+            let claim = (started, scheduler.last_fence());
             self.known_fence = self.known_fence.max(claim);
         }
         let (started, fence) = self.known_fence;
         for holder in &mut self.holders {
             if let Some(scheduler) = &mut holder.scheduler
-                && started == self.published_start
+                && started == known_start(scheduler, self.published_start)
             {
                 scheduler.raise_fence(fence);
             }
@@ -367,7 +368,7 @@
                 let models = self.engine.report().models;
                 for holder in &mut self.holders {
                     if let Some(scheduler) = &mut holder.scheduler {
-                        scheduler.server_restarted(now, &models);
+                        scheduler.server_restarted(now, self.published_start, &models);
                     }
                 }
             }
@@ -448,6 +449,12 @@
     }
 }
 
+/// Start of the server's process as far as the gateway of `scheduler` knows.
+fn known_start(scheduler: &ServerScheduler, published_start: u64) -> u64 {
+    let reported_start = scheduler.order_lease().server_started();
+    reported_start.unwrap_or(published_start)
+}
+
 fn grant_request(request: u64, adapter: &str) -> GrantRequest {
     GrantRequest {
         key: grant_key(request),
--- a/lib/tests/gateway_order_takeovers.rs
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -149,7 +149,7 @@
     scheduler.check_slots(now);
     now = now.after(Duration::from_secs(1));
     read_report(&mut scheduler, &engine, now);
-    scheduler.server_restarted(now, &engine.report().models);
+    scheduler.server_restarted(now, engine.started, &engine.report().models);
     for _ in 0..2 {
         read_report(&mut scheduler, &engine, now);
         now = now.after(lease);
