gateway: reset only connections that carry orders

Found in review: a reset is sent once, while the orderly end of a connection is repeated until it is acknowledged. When a caller's attempt is given up while the link to its server is cut, the server would never learn of it and go on with the request after the link is restored. Argued from the protocol, not shown by a run.

Connections for callers' requests and to peers are closed in order again, as before; those that carry orders and reports, which have a pool of their own by now, are still reset. an_abandoned_order_does_not_arrive_later passes as before.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -65,8 +65,8 @@
         ServerConnection::connect_with(address, None).await
     }
 
-    /// Connects to an address. The operating system drops the connection when data has not been
-    /// delivered for `delivery_timeout`, even while the process does not run.
+    /// Connects to an address. With a `delivery_timeout`, what has not been delivered is lost when the
+    /// connection is closed, or after that time even while the process does not run.
     async fn connect_with(
         address: SocketAddr,
         delivery_timeout: Option<Duration>,
@@ -77,14 +77,17 @@
             Ok(Err(_)) => return Err(ConnectionError::Refused),
             Err(_) => return Err(ConnectionError::Unreachable),
         };
-        // Closing the connection resets it. Otherwise the operating system would go on delivering what
-        // was written, also after a long outage of the link.
-        if stream.set_nodelay(true).is_err() || stream.set_zero_linger().is_err() {
+        if stream.set_nodelay(true).is_err() {
             return Err(ConnectionError::Refused);
         }
         if let Some(timeout) = delivery_timeout {
+            // Otherwise the operating system would go on delivering what was written after the
+            // connection is closed, also after a long outage of the link.
             let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
             set_tcp_user_timeout(&stream, millis).map_err(|_| ConnectionError::Refused)?;
+            stream
+                .set_zero_linger()
+                .map_err(|_| ConnectionError::Refused)?;
         }
         let local_port = stream.local_addr().map_or(0, |address| address.port());
         let (sender, connection) = http1::Builder::new()
@@ -118,7 +121,7 @@
             })
     }
 
-    /// Closes the connection, even with a request in progress. What has not been delivered is lost.
+    /// Closes the connection, even with a request in progress.
     pub(super) fn close(self) {
         drop(self);
     }
@@ -153,7 +156,7 @@
         }
     }
 
-    /// Makes the operating system drop connections on which data has not been delivered for `timeout`.
+    /// Makes connections lose what has not been delivered when they are closed, or after `timeout`.
     pub(super) fn with_delivery_timeout(mut self, timeout: Duration) -> ConnectionPool<K> {
         self.delivery_timeout = Some(timeout);
         self
