--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -1,8 +1,9 @@
 //! Stand-ins for the platform of a gateway: the store, and backend servers that record their runs.
 
+mod responses;
+
 use std::{
     collections::BTreeMap,
-    convert::Infallible,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -10,19 +11,21 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::{
-    Request, Response, StatusCode, Version,
+    Request, Response, StatusCode,
     body::{Frame, Incoming},
     header::{HeaderMap, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use tokio::{net::TcpListener, sync::Notify};
 
+use self::responses::{
+    StandinBody, full_response, header_text, json_response, misdirected_response, percent_decode,
+    serve, slow_body, without_length,
+};
+
 /// Duration of an adapter load.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 /// Interval between two events of a stream.
@@ -37,8 +40,6 @@
 /// See [`SLOW_PIECES`].
 pub const SLOW_INTERVAL: Duration = Duration::from_millis(200);
 
-type StandinBody = BoxBody<Bytes, std::io::Error>;
-
 /// How the store responds to requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreMode {
@@ -673,90 +674,6 @@
     engine.loaded.extend(ready.into_keys());
 }
 
-/// Rejects a request as not run; the answer echoes its attempt id.
-fn misdirected_response(request: &HeaderMap) -> Response<StandinBody> {
-    let mut response = full_response(StatusCode::MISDIRECTED_REQUEST, Vec::new());
-    if let Some(attempt) = request.get("attempt-id") {
-        response.headers_mut().insert("attempt-id", attempt.clone());
-    }
-    response
-}
-
-/// Turns a response into one that ends with its connection.
-fn without_length(response: Response<StandinBody>) -> Response<StandinBody> {
-    let (mut head, body) = response.into_parts();
-    // Bodies of this version have neither a length nor chunks.
-    head.version = Version::HTTP_10;
-    let frames = futures_util::stream::unfold(body, |mut body| async {
-        let frame = body.frame().await?;
-        Some((frame, body))
-    });
-    Response::from_parts(head, BodyExt::boxed(StreamBody::new(frames)))
-}
-
-fn percent_decode(text: &str) -> String {
-    let mut bytes = Vec::new();
-    let mut rest = text.as_bytes();
-    while let Some((byte, tail)) = rest.split_first() {
-        let hex = tail.get(..2).filter(|_| *byte == b'%');
-        let decoded = hex
-            .and_then(|hex| std::str::from_utf8(hex).ok())
-            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
-        bytes.push(decoded.unwrap_or(*byte));
-        rest = if decoded.is_some() { &tail[2..] } else { tail };
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
-    Some(headers.get(name)?.to_str().ok()?.to_owned())
-}
-
-fn full_response(status: StatusCode, body: Vec<u8>) -> Response<StandinBody> {
-    let body = Full::new(Bytes::from(body)).map_err(|never: Infallible| match never {});
-    let mut response = Response::new(body.boxed());
-    *response.status_mut() = status;
-    response
-}
-
-fn json_response(value: &Value) -> Response<StandinBody> {
-    full_response(StatusCode::OK, value.to_string().into_bytes())
-}
-
-fn slow_body(body: &[u8]) -> StandinBody {
-    let piece_bytes = body.len().div_ceil(SLOW_PIECES).max(1);
-    let pieces: Vec<Bytes> = body
-        .chunks(piece_bytes)
-        .map(Bytes::copy_from_slice)
-        .collect();
-    let frames = futures_util::stream::unfold(pieces.into_iter(), |mut pieces| async {
-        let piece = pieces.next()?;
-        tokio::time::sleep(SLOW_INTERVAL).await;
-        Some((Ok(Frame::data(piece)), pieces))
-    });
-    BodyExt::boxed(StreamBody::new(frames))
-}
-
-async fn serve<H, F>(listener: TcpListener, handle: H)
-where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<StandinBody>> + Send + 'static,
-{
-    while let Ok((stream, _)) = listener.accept().await {
-        let handle = handle.clone();
-        tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let response = handle(request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            // Clients may disconnect at any time.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
 /// Platform configuration with one streaming, one unsafe and one safe route; `key` is the API key
 /// of the only team.
 pub fn platform_config(version: u64, key: &str) -> Value {
