gateway: call one piece of code for process hashes, starts and tokens

Three things were written twice: the hash of a server's process (once for crashes, once for announcements that it leaves), the start of the newest known process (for tokens and for claims), and the raise of the known token of a claim. The calls of each go to one function now. Behaviour is the same.

--- a/daemon/src/gateway/orders.rs
+++ b/daemon/src/gateway/orders.rs
@@ -20,8 +20,7 @@
     decode_report,
     headers::control_headers,
     order::{ORDER_PATH, REPORT_PATH, encode_order, order_outcome},
-    response::answers_request,
-    response::decode_notice,
+    response::{answers_request, decode_notice},
 };
 
 use super::{
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -201,10 +201,8 @@
         };
         let record = &self.servers.get(key).record;
         let (id, started, address) = (record.id.clone(), record.started, record.address);
-        // A report may tell of a restart before the store does.
-        let known_start = scheduler.order_lease().server_started().unwrap_or(started);
         if let Some((fence_start, fence)) = self.fencing_tokens.get(&id)
-            && *fence_start == known_start
+            && *fence_start == scheduler.order_lease().known_start(started)
         {
             scheduler.raise_fence(*fence);
         }
--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -141,6 +141,12 @@
         self.server_started
     }
 
+    /// Start of the newest known process of the server. A report may tell of a restart before the
+    /// store does, which lists the start `published`.
+    pub fn known_start(&self, published: u64) -> u64 {
+        self.server_started.unwrap_or(published)
+    }
+
     /// Whether a report is from another process of the server than the report before.
     pub fn is_restarted(&self, report: &ServerReport) -> bool {
         self.server_started.is_some()
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -1,6 +1,8 @@
 //! Messages to and from the other instances of the gateway.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use smol_str::SmolStr;
 
 use super::{
     CallPurpose, GatewayReducer,
@@ -71,22 +73,21 @@
         let claims: Vec<ServerClaim> = self
             .schedulers
             .iter()
-            .map(|(key, scheduler)| ServerClaim {
-                server: self.servers.get(*key).record.id.clone(),
-                started: scheduler
-                    .order_lease()
-                    .server_started()
-                    .unwrap_or(self.servers.get(*key).record.started),
-                active: scheduler.is_active(),
-                fence: scheduler.last_fence(),
-                models: scheduler.holdings(),
-                recently_evicted: scheduler.recent_holdings(),
+            .map(|(key, scheduler)| {
+                let record = &self.servers.get(*key).record;
+                ServerClaim {
+                    server: record.id.clone(),
+                    started: scheduler.order_lease().known_start(record.started),
+                    active: scheduler.is_active(),
+                    fence: scheduler.last_fence(),
+                    models: scheduler.holdings(),
+                    recently_evicted: scheduler.recent_holdings(),
+                }
             })
             .collect();
         // The instance may schedule the server again later.
         for claim in &claims {
-            let known = self.fencing_tokens.entry(claim.server.clone()).or_default();
-            *known = (*known).max((claim.started, claim.fence));
+            record_fence(&mut self.fencing_tokens, claim);
         }
         self.members.set_claims(claims);
         self.share_suspects(now);
@@ -220,11 +221,10 @@
     }
 
     fn update_owners(&mut self, now: ClockTime) {
-        let mut owners = std::collections::BTreeMap::new();
+        let mut owners = BTreeMap::new();
         for record in self.members.alive(now) {
             for claim in self.members.claims(record) {
-                let known = self.fencing_tokens.entry(claim.server.clone()).or_default();
-                *known = (*known).max((claim.started, claim.fence));
+                record_fence(&mut self.fencing_tokens, claim);
                 let view = OwnerView::new(now, record, claim);
                 let known: Option<&OwnerView> = owners.get(&claim.server);
                 if known.is_none_or(|known| view.outranks(known, &claim.server)) {
@@ -310,3 +310,9 @@
         }
     }
 }
+
+/// Raises the largest known fencing token of a server to that of a claim.
+fn record_fence(fencing_tokens: &mut BTreeMap<SmolStr, (u64, u64)>, claim: &ServerClaim) {
+    let known = fencing_tokens.entry(claim.server.clone()).or_default();
+    *known = (*known).max((claim.started, claim.fence));
+}
--- a/lib/src/gateway/suspects.rs
+++ b/lib/src/gateway/suspects.rs
@@ -15,7 +15,7 @@
 
 use super::{
     GatewayReducer,
-    catalog::ServerRecord,
+    availability::process_hash,
     event::{GatewayEffect, GatewayRequest},
     log_event,
     servers::GatewayServerKey,
@@ -72,11 +72,6 @@
     }
 }
 
-/// Hash that identifies a server's process, and so its crash.
-fn crash_hash(record: &ServerRecord) -> u64 {
-    XxHash3_64::oneshot_with_seed(record.started, record.id.as_bytes())
-}
-
 #[derive(Debug)]
 struct BrokenConnection {
     server: GatewayServerKey,
@@ -225,7 +220,8 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let record = &self.servers.get(server).record;
-        let (id, crash) = (record.id.clone(), crash_hash(record));
+        // A process crashes once, so that its hash identifies the crash.
+        let (id, crash) = (record.id.clone(), process_hash(&record.id, record.started));
         if self.suspects.confirm_crash(now, server, crash) {
             log_event(effects, "server_crashed", "", &format!("server={id}"));
             self.share_suspects(now);
