tests: share grant requests and callers' requests between test files

The grant request stood in five test files of the library, a request and a stream of the only team in three of the daemon, and the check for violations four times in one file. Assertions, bounds and seeds are the same.

--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -14,16 +14,6 @@
 use self::site::TestSite;
 
 impl TestSite {
-    async fn call(&self, gateway: usize, method: Method, path: &str, id: &str) -> CallerResponse {
-        let address = self.gateways[gateway].ports.callers();
-        let mut connection = CallerConnection::open(address).await.expect("connect");
-        let headers = [("host", "host"), ("attempt-id", id), ("credential", "key")];
-        connection
-            .call(method, path, &headers, b"body")
-            .await
-            .expect("response")
-    }
-
     /// Waits until all gateways have applied a version of the configuration.
     async fn wait_for_version(&self, version: u64) {
         let line = format!("wasabistall_config_version {version}");
@@ -48,21 +38,10 @@
     /// Requests a stream until its adapter is loaded: a gateway needs some seconds to get the right to
     /// send orders to a server.
     async fn stream(&self, gateway: usize, id: &str) -> CallerResponse {
-        let address = self.gateways[gateway].ports.callers();
         for attempt in 0..60 {
-            let mut connection = CallerConnection::open(address).await.expect("connect");
             let id = format!("{id}-{attempt}");
-            let headers = [
-                ("host", "host"),
-                ("attempt-id", &id),
-                ("credential", "key"),
-                ("model", "base/a1"),
-                ("token-usage", "100,20"),
-            ];
-            let answer = connection
-                .call(Method::POST, "/chat/x", &headers, b"prompt")
-                .await
-                .expect("response");
+            let answer = self.request_stream(gateway, "a1", &id).await;
+            let answer = answer.expect("response");
             if answer.status != StatusCode::SERVICE_UNAVAILABLE {
                 return answer;
             }
--- a/daemon/tests/gateway_notices.rs
+++ b/daemon/tests/gateway_notices.rs
@@ -6,7 +6,7 @@
 
 use hyper::{Method, StatusCode};
 use wasabistall_testutils::{
-    gateway::{CallerConnection, CallerResponse},
+    gateway::CallerResponse,
     platform::{ServerFaults, StoreMode},
 };
 
@@ -25,33 +25,12 @@
 }
 
 impl TestSite {
-    async fn call(&self, gateway: usize, path: &str, id: &str) -> CallerResponse {
-        let address = self.gateways[gateway].ports.callers();
-        let mut connection = CallerConnection::open(address).await.expect("connect");
-        let headers = [("host", "host"), ("attempt-id", id), ("credential", "key")];
-        connection
-            .call(Method::POST, path, &headers, b"body")
-            .await
-            .expect("response")
-    }
-
     /// Requests a stream until its adapter is loaded.
     async fn stream(&self, gateway: usize, id: &str) -> CallerResponse {
-        let address = self.gateways[gateway].ports.callers();
         for attempt in 0..100 {
-            let mut connection = CallerConnection::open(address).await.expect("connect");
             let id = format!("{id}-{attempt}");
-            let headers = [
-                ("host", "host"),
-                ("attempt-id", &id),
-                ("credential", "key"),
-                ("model", "base/a1"),
-                ("token-usage", "100,20"),
-            ];
-            let answer = connection
-                .call(Method::POST, "/chat/x", &headers, b"prompt")
-                .await
-                .expect("response");
+            let answer = self.request_stream(gateway, "a1", &id).await;
+            let answer = answer.expect("response");
             if answer.status == StatusCode::OK {
                 return answer;
             }
@@ -64,7 +43,7 @@
     async fn call_until_used(&self, gateway: usize, server: &str) {
         for number in 0..500 {
             let id = format!("first-{gateway}-{number}");
-            self.call(gateway, "/once/x", &id).await;
+            self.call(gateway, Method::POST, "/once/x", &id).await;
             if self.arrived(&id, server) {
                 return;
             }
@@ -99,7 +78,9 @@
     site.call_until_used(0, "s-3").await;
     let answered_at = Instant::now();
     for number in 0..60 {
-        let answer = site.call(0, "/once/x", &format!("later-{number}")).await;
+        let answer = site
+            .call(0, Method::POST, "/once/x", &format!("later-{number}"))
+            .await;
         assert_eq!(answer.status, StatusCode::OK);
     }
     assert_eq!(site.arrivals_since("s-3", answered_at), 0);
@@ -118,7 +99,7 @@
     let known_at = Instant::now();
     for number in 0..60 {
         let id = format!("later-{number}");
-        let answer = site.call(number % 3, "/once/x", &id).await;
+        let answer = site.call(number % 3, Method::POST, "/once/x", &id).await;
         assert_eq!(answer.status, StatusCode::OK);
     }
     assert_eq!(site.arrivals_since("s-3", known_at), 0);
@@ -133,7 +114,7 @@
     site.platform.restart_server("s-3");
     for number in 0..500 {
         let id = format!("again-{number}");
-        site.call(0, "/once/x", &id).await;
+        site.call(0, Method::POST, "/once/x", &id).await;
         if site.arrived(&id, "s-3") {
             return;
         }
@@ -168,7 +149,9 @@
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
-        let answer = site.call(0, "/once/x", &format!("later-{number}")).await;
+        let answer = site
+            .call(0, Method::POST, "/once/x", &format!("later-{number}"))
+            .await;
         assert_eq!(answer.status, StatusCode::OK);
     }
     let arrivals = site.platform.arrivals();
@@ -190,9 +173,10 @@
     }
     // The first ones learn it from the servers.
     for number in 0..5 {
-        site.call(0, "/once/x", &format!("first-{number}")).await;
+        site.call(0, Method::POST, "/once/x", &format!("first-{number}"))
+            .await;
     }
-    let answer = site.call(0, "/once/x", "later").await;
+    let answer = site.call(0, Method::POST, "/once/x", "later").await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(!site.arrived("later", "s-3") && !site.arrived("later", "s-4"));
     let value = answer.headers.get("retry-after").expect("a time");
--- a/daemon/tests/gateway_orders.rs
+++ b/daemon/tests/gateway_orders.rs
@@ -4,11 +4,8 @@
 
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
-use wasabistall_testutils::{
-    gateway::CallerConnection,
-    proxy::{FaultProxy, ProxyMode},
-};
+use hyper::StatusCode;
+use wasabistall_testutils::proxy::{FaultProxy, ProxyMode};
 
 use self::site::TestSite;
 
@@ -38,19 +35,7 @@
 
     /// Requests a stream with an adapter once; `None` if the connection broke.
     async fn request(&self, adapter: &str, id: &str) -> Option<StatusCode> {
-        let address = self.site.gateways[0].ports.callers();
-        let mut connection = CallerConnection::open(address).await?;
-        let model = format!("base/{adapter}");
-        let headers = [
-            ("host", "host"),
-            ("attempt-id", id),
-            ("credential", "key"),
-            ("model", &model),
-            ("token-usage", "100,20"),
-        ];
-        let response = connection
-            .call(Method::POST, "/chat/x", &headers, b"prompt")
-            .await;
+        let response = self.site.request_stream(0, adapter, id).await;
         Some(response?.status)
     }
 
--- a/daemon/tests/site/mod.rs
+++ b/daemon/tests/site/mod.rs
@@ -1,4 +1,5 @@
 //! A fake platform with real gateway processes in front of its servers.
+#![allow(dead_code)]
 
 use std::{
     net::{IpAddr, Ipv4Addr},
@@ -6,8 +7,9 @@
     sync::atomic::{AtomicU8, Ordering},
 };
 
+use hyper::Method;
 use wasabistall_testutils::{
-    gateway::{GatewayPorts, GatewayProcess, wait_ready},
+    gateway::{CallerConnection, CallerResponse, GatewayPorts, GatewayProcess, wait_ready},
     platform::{PlatformStandin, platform_config},
 };
 
@@ -64,4 +66,42 @@
             _folder: folder,
         }
     }
+    /// Sends a request of the only team on a new connection.
+    pub(crate) async fn call(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> CallerResponse {
+        let address = self.gateways[gateway].ports.callers();
+        let mut connection = CallerConnection::open(address).await.expect("connect");
+        let headers = [("host", "host"), ("attempt-id", id), ("credential", "key")];
+        connection
+            .call(method, path, &headers, b"body")
+            .await
+            .expect("response")
+    }
+
+    /// Requests a stream with an adapter once; `None` if the connection broke.
+    pub(crate) async fn request_stream(
+        &self,
+        gateway: usize,
+        adapter: &str,
+        id: &str,
+    ) -> Option<CallerResponse> {
+        let address = self.gateways[gateway].ports.callers();
+        let mut connection = CallerConnection::open(address).await?;
+        let model = format!("base/{adapter}");
+        let headers = [
+            ("host", "host"),
+            ("attempt-id", id),
+            ("credential", "key"),
+            ("model", &model),
+            ("token-usage", "100,20"),
+        ];
+        connection
+            .call(Method::POST, "/chat/x", &headers, b"prompt")
+            .await
+    }
 }
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -7,7 +7,7 @@
     clock::ClockTime,
     gateway::{
         catalog::{EngineConfig, LoadedAdapter, LoadedModel, ModelConfig, ServerReport},
-        server_scheduler::{OrderAction, ServerOrder, ServerOrderOutcome},
+        server_scheduler::{GrantKey, GrantRequest, OrderAction, ServerOrder, ServerOrderOutcome},
     },
 };
 
@@ -21,6 +21,31 @@
 const LOGGED_ORDERS: usize = 16;
 const REPORT_LAG: Duration = Duration::from_millis(200);
 
+/// Key of a grant of one instance.
+pub(crate) fn grant_key(request: u64) -> GrantKey {
+    GrantKey {
+        instance: "a-1".into(),
+        incarnation: 1,
+        request,
+    }
+}
+
+/// Request for a grant of a prompt with 1,000 tokens.
+pub(crate) fn grant_request(request: u64, adapter: &str) -> GrantRequest {
+    GrantRequest {
+        key: grant_key(request),
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: Some(adapter.into()),
+        version: 0,
+        prompt_tokens: 1_000,
+        output_tokens: 50,
+        parts: Vec::new(),
+        max_wait: Duration::from_secs(10),
+        lifetime: Duration::from_secs(10),
+    }
+}
+
 /// Configuration of a service of such servers.
 pub(crate) fn engine_config(adapter_slots: usize) -> EngineConfig {
     EngineConfig {
--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::engine::{FakeEngine, engine_config};
+use gateway::engine::{FakeEngine, LEASE, engine_config, grant_key, grant_request};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
@@ -14,13 +14,11 @@
     gateway::{
         catalog::ServerReport,
         server_scheduler::{
-            GrantKey, GrantRelease, GrantReply, GrantRequest, LoadLimiter, ServerOrder,
-            ServerOrderOutcome, ServerScheduler,
+            GrantRelease, GrantReply, LoadLimiter, ServerOrder, ServerOrderOutcome, ServerScheduler,
         },
     },
 };
 
-const LEASE: Duration = Duration::from_millis(3_000);
 const STEP: Duration = Duration::from_millis(20);
 /// Time after which an instance gives up on an order or a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -161,14 +159,14 @@
             .iter()
             .filter_map(|holder| holder.scheduler.as_ref())
         {
-            let started = known_start(scheduler, self.published_start);
+            let started = scheduler.order_lease().known_start(self.published_start);
             let claim = (started, scheduler.last_fence());
             self.known_fence = self.known_fence.max(claim);
         }
         let (started, fence) = self.known_fence;
         for holder in &mut self.holders {
             if let Some(scheduler) = &mut holder.scheduler
-                && started == known_start(scheduler, self.published_start)
+                && started == scheduler.order_lease().known_start(self.published_start)
             {
                 scheduler.raise_fence(fence);
             }
@@ -449,33 +447,14 @@
     }
 }
 
-/// Start of the server's process as far as the gateway of `scheduler` knows.
-fn known_start(scheduler: &ServerScheduler, published_start: u64) -> u64 {
-    let reported_start = scheduler.order_lease().server_started();
-    reported_start.unwrap_or(published_start)
-}
-
-fn grant_request(request: u64, adapter: &str) -> GrantRequest {
-    GrantRequest {
-        key: grant_key(request),
-        server: "s-1".into(),
-        model: "base".into(),
-        adapter: Some(adapter.into()),
-        version: 0,
-        prompt_tokens: 1_000,
-        output_tokens: 50,
-        parts: Vec::new(),
-        max_wait: Duration::from_secs(10),
-        lifetime: Duration::from_secs(10),
-    }
-}
-
-fn grant_key(request: u64) -> GrantKey {
-    GrantKey {
-        instance: "a-1".into(),
-        incarnation: 1,
-        request,
-    }
+/// Fails if anything broke in a play.
+fn assert_no_violations(violations: &[String]) {
+    assert!(
+        violations.is_empty(),
+        "{} violations, the first: {}",
+        violations.len(),
+        violations[0]
+    );
 }
 
 /// Regression test: an order that its sender had given up arrived seconds later and was accepted,
@@ -497,12 +476,7 @@
         let tokens = network.violations.into_iter();
         violations.extend(tokens.map(|violation| format!("seed {seed}: {violation}")));
     }
-    assert!(
-        violations.is_empty(),
-        "{} violations, the first: {}",
-        violations.len(),
-        violations[0]
-    );
+    assert_no_violations(&violations);
 }
 
 /// Plays 50 seeds with two instances and returns what broke. `may_overlap` says whether an instance
@@ -529,12 +503,7 @@
 #[test]
 fn tokens_increase_across_takeovers_and_restarts_of_the_server() {
     let violations = play_two_instances(false);
-    assert!(
-        violations.is_empty(),
-        "{} violations, the first: {}",
-        violations.len(),
-        violations[0]
-    );
+    assert_no_violations(&violations);
 }
 
 /// Regression test: two instances that both hold the lease of a server, while orders are held back,
@@ -543,12 +512,7 @@
 #[test]
 fn late_orders_of_two_instances_keep_the_order_lease() {
     let violations = play_two_instances(true);
-    assert!(
-        violations.is_empty(),
-        "{} violations, the first: {}",
-        violations.len(),
-        violations[0]
-    );
+    assert_no_violations(&violations);
 }
 
 /// Regression test: an instance was paused with an order under way, which its operating system went on
@@ -567,12 +531,7 @@
         let found = network.violations.into_iter();
         violations.extend(found.map(|violation| format!("seed {seed}: {violation}")));
     }
-    assert!(
-        violations.is_empty(),
-        "{} violations, the first: {}",
-        violations.len(),
-        violations[0]
-    );
+    assert_no_violations(&violations);
 }
 
 /// Pauses the instance that schedules the server, for at most ten seconds. The other one claims the
--- a/lib/tests/gateway_numbers.rs
+++ b/lib/tests/gateway_numbers.rs
@@ -5,36 +5,22 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use gateway::engine::{FakeEngine, engine_config};
+use gateway::engine::{FakeEngine, LEASE, engine_config, grant_request};
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::{
         catalog::ServerRecord,
-        server_scheduler::{
-            DeclineReason, GrantKey, GrantReply, GrantRequest, LoadLimiter, ServerScheduler,
-        },
+        server_scheduler::{DeclineReason, GrantReply, GrantRequest, LoadLimiter, ServerScheduler},
         servers::{GatewayServers, ServerLoad},
     },
 };
 
-const LEASE: Duration = Duration::from_millis(3_000);
-
-fn grant_request(request: u64, prompt_tokens: u64, output_tokens: u64) -> GrantRequest {
+fn prompt_request(request: u64, prompt_tokens: u64, output_tokens: u64) -> GrantRequest {
     GrantRequest {
-        key: GrantKey {
-            instance: "a-1".into(),
-            incarnation: 1,
-            request,
-        },
-        server: "s-1".into(),
-        model: "base".into(),
         adapter: None,
-        version: 0,
         prompt_tokens,
         output_tokens,
-        parts: Vec::new(),
-        max_wait: Duration::from_secs(10),
-        lifetime: Duration::from_secs(10),
+        ..grant_request(request, "")
     }
 }
 
@@ -55,7 +41,7 @@
         (config.cache_tokens + 1, 0),
     ];
     for (number, (prompt, output)) in counts.into_iter().enumerate() {
-        let request = grant_request(number as u64, prompt, output);
+        let request = prompt_request(number as u64, prompt, output);
         replies.push(scheduler.decide(now, &config, &request, &mut limiter));
     }
     for reply in replies {
@@ -67,10 +53,10 @@
             }
         );
     }
-    let request = grant_request(9, 1_000, u64::MAX);
+    let request = prompt_request(9, 1_000, u64::MAX);
     let reply = scheduler.decide(now, &config, &request, &mut limiter);
     assert_matches!(reply, GrantReply::Granted { .. });
-    let request = grant_request(10, 1_000, u64::MAX);
+    let request = prompt_request(10, 1_000, u64::MAX);
     let reply = scheduler.decide(now, &config, &request, &mut limiter);
     assert_matches!(reply, GrantReply::Declined { .. });
 }
--- a/lib/tests/gateway_order_takeovers.rs
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -4,39 +4,22 @@
 
 use std::time::Duration;
 
-use gateway::engine::{FakeEngine, engine_config};
+use gateway::engine::{FakeEngine, LEASE, engine_config, grant_request};
 use smol_str::SmolStr;
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::server_scheduler::{
-        FENCE_TIME_BITS, GrantKey, GrantRequest, LoadLimiter, OrderAction, ServerOrder,
-        ServerOrderOutcome, ServerScheduler,
+        FENCE_TIME_BITS, LoadLimiter, OrderAction, ServerOrder, ServerOrderOutcome, ServerScheduler,
     },
 };
 
-const LEASE: Duration = Duration::from_millis(3_000);
 const ADAPTER_SLOTS: usize = 1;
 const UNIX_MILLIS: u64 = 1_770_000_000_000;
 
 fn request_adapter(scheduler: &mut ServerScheduler, now: ClockTime, request: u64, adapter: &str) {
     let mut load_limiter = LoadLimiter::new(1.0);
     load_limiter.set_server_count(8);
-    let request = GrantRequest {
-        key: GrantKey {
-            instance: "a-1".into(),
-            incarnation: 1,
-            request,
-        },
-        server: "s-1".into(),
-        model: "base".into(),
-        adapter: Some(adapter.into()),
-        version: 0,
-        prompt_tokens: 1_000,
-        output_tokens: 50,
-        parts: Vec::new(),
-        max_wait: Duration::from_secs(10),
-        lifetime: Duration::from_secs(10),
-    };
+    let request = grant_request(request, adapter);
     let config = engine_config(ADAPTER_SLOTS);
     scheduler.decide(now, &config, &request, &mut load_limiter);
 }
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -5,42 +5,21 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use assert_matches::assert_matches;
-use gateway::engine::{FakeEngine, engine_config};
+use gateway::engine::{FakeEngine, LEASE, engine_config, grant_key, grant_request};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::server_scheduler::{
-        DeclineReason, FENCE_TIME_BITS, GrantKey, GrantRelease, GrantReply, GrantRequest,
-        LoadLimiter, LoadTiming, OrderAction, ServerOrder, ServerOrderOutcome, ServerScheduler,
+        DeclineReason, FENCE_TIME_BITS, GrantRelease, GrantReply, GrantRequest, LoadLimiter,
+        LoadTiming, OrderAction, ServerOrder, ServerOrderOutcome, ServerScheduler,
     },
 };
 
-const LEASE: Duration = Duration::from_millis(3_000);
-
-fn grant_request(request: u64, adapter: &str) -> GrantRequest {
-    GrantRequest {
-        key: GrantKey {
-            instance: "a-1".into(),
-            incarnation: 1,
-            request,
-        },
-        server: "s-1".into(),
-        model: "base".into(),
-        adapter: Some(adapter.into()),
-        version: 0,
-        prompt_tokens: 1_000,
-        output_tokens: 50,
-        parts: Vec::new(),
-        max_wait: Duration::from_secs(10),
-        lifetime: Duration::from_secs(10),
-    }
-}
-
 fn release(request: u64, first_event: Option<Duration>, adapter_missing: bool) -> GrantRelease {
     GrantRelease {
         server: "s-1".into(),
-        key: grant_request(request, "a1").key,
+        key: grant_key(request),
         first_event,
         adapter_missing,
         ended: true,
--- a/lib/tests/gateway_slow_orders.rs
+++ b/lib/tests/gateway_slow_orders.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use gateway::engine::{FakeEngine, engine_config};
+use gateway::engine::{FakeEngine, LEASE, engine_config, grant_key, grant_request};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wasabistall_lib::{
@@ -12,13 +12,11 @@
     gateway::{
         catalog::ServerReport,
         server_scheduler::{
-            GrantKey, GrantRelease, GrantReply, GrantRequest, LoadLimiter, ServerOrder,
-            ServerOrderOutcome, ServerScheduler,
+            GrantRelease, GrantReply, LoadLimiter, ServerOrder, ServerOrderOutcome, ServerScheduler,
         },
     },
 };
 
-const LEASE: Duration = Duration::from_millis(3_000);
 const STEP: Duration = Duration::from_millis(20);
 /// Time after which the driver gives up on an order or a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -141,29 +139,10 @@
         }
     }
 
-    fn grant_key(request: u64) -> GrantKey {
-        GrantKey {
-            instance: "a-1".into(),
-            incarnation: 1,
-            request,
-        }
-    }
-
     /// Requests a grant for a random adapter.
     fn request(&mut self, request: u64) {
         let adapter = format!("a{}", self.random.random_range(0..ADAPTERS));
-        let grant = GrantRequest {
-            key: SlowLink::grant_key(request),
-            server: "s-1".into(),
-            model: "base".into(),
-            adapter: Some(adapter.as_str().into()),
-            version: 0,
-            prompt_tokens: 1_000,
-            output_tokens: 50,
-            parts: Vec::new(),
-            max_wait: Duration::from_secs(10),
-            lifetime: Duration::from_secs(10),
-        };
+        let grant = grant_request(request, &adapter);
         let config = engine_config(ADAPTER_SLOTS);
         let reply = self
             .scheduler
@@ -191,7 +170,7 @@
             self.running.remove(&request);
             let release = GrantRelease {
                 server: "s-1".into(),
-                key: SlowLink::grant_key(request),
+                key: grant_key(request),
                 first_event: holds.then_some(Duration::from_millis(40)),
                 adapter_missing: !holds,
                 ended: true,
