review: a cold server gets all requests that waited for it at once

A zone with the only model server is evacuated for 8 s and taken back cold, while 16 requests a second come for an adapter that the server does not hold. All that wait are granted and sent together once the adapter is loaded, since the limit counts only what was sent.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufReader, Write},
-    net::{TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -13,13 +13,14 @@
 
 use super::{
     Answer, Case, GRACE_S, JSON, Message, Record, SIGTERM, Store, Violations, ask, get, json_field,
-    lock, read_message, response, serve, start_gateways, unix_millis, wait_connected,
+    lock, read_message, response, serve, serve_until, start_gateways, unix_millis, wait_connected,
 };
 
 pub fn run(name: &str, case: &Case) -> Option<Violations> {
     match name {
         "stop" => stop(case),
         "version" => version(case),
+        "cold" => cold(case),
         _ => None,
     }
 }
@@ -240,10 +241,17 @@
 #[derive(Clone)]
 struct Engine {
     id: String,
+    address: SocketAddr,
     state: Arc<Mutex<EngineState>>,
     /// Held while a prompt is read, one after another.
     prefill: Arc<Mutex<()>>,
     begun: Arc<Mutex<Vec<Beginning>>>,
+    /// Arrivals of requests, other than those that got 421.
+    arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Until when the server is cold.
+    cold_until: Arc<Mutex<Option<Instant>>>,
+    /// Whether the server has crashed; it stays down.
+    is_down: Arc<AtomicBool>,
     record: Arc<Record>,
     born: u64,
 }
@@ -254,6 +262,7 @@
         let address = listener.local_addr().expect("address of a server");
         let engine = Engine {
             id: id.to_owned(),
+            address,
             state: Arc::new(Mutex::new(EngineState {
                 sequence: 0,
                 adapters: Vec::new(),
@@ -261,23 +270,44 @@
             })),
             prefill: Arc::default(),
             begun: Arc::default(),
+            arrivals: Arc::default(),
+            cold_until: Arc::default(),
+            is_down: Arc::default(),
             record: record.clone(),
             born: unix_millis(),
         };
-        let entry = format!(
-            r#"{{"Service":"models","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Stage":"both","Models":[{{"Name":"base","Version":1,"Adapters":[]}}],"Sequence":0,"born":{}}}"#,
-            engine.born
-        );
-        store.put(&format!("servers/{id}"), Some(&entry));
+        engine.register(store, 0);
         let served = engine.clone();
-        serve(listener, move |stream| served.handle(stream));
+        let is_down = engine.is_down.clone();
+        serve_until(listener, is_down, move |stream| served.handle(stream));
         engine
     }
 
+    /// Writes the server's entry in the store.
+    fn register(&self, store: &Store, cold_ms: u64) {
+        let report = self.report();
+        let models = report
+            .split_once("\"Models\":")
+            .map_or("", |(_, rest)| rest);
+        let models = models
+            .split_once(",\"Busy\"")
+            .map_or("[]", |(models, _)| models);
+        let entry = format!(
+            r#"{{"Service":"models","Address":"{}","Zone":"zone-b","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":{cold_ms},"Stage":"both","Models":{models},"Sequence":{},"born":{}}}"#,
+            self.address,
+            lock(&self.state).sequence,
+            self.born
+        );
+        store.put(&format!("servers/{}", self.id), Some(&entry));
+    }
+
     fn handle(&self, mut stream: TcpStream) {
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
         while let Some(request) = read_message(&mut reader) {
+            if self.is_down() {
+                return;
+            }
             let answer = if request.header("expect-instance") != Some(self.id.as_str()) {
                 refusal(&request, "421 Misdirected Request")
             } else {
@@ -296,6 +326,30 @@
         }
     }
 
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
+    }
+
+    /// Crashes a cold server that has got well above what it bears in the last second: more than
+    /// twice the bound of the rule.
+    fn count_arrival(&self, attempt: &str) {
+        let now = Instant::now();
+        let mut arrivals = lock(&self.arrivals);
+        arrivals.push((attempt.to_owned(), now));
+        let is_cold = lock(&self.cold_until).is_some_and(|end| now < end);
+        let is_recent = |(_, at): &&(String, Instant)| now - *at < Duration::from_secs(1);
+        let recent = arrivals.iter().filter(is_recent).count();
+        if is_cold && recent as f64 > 2.0 * COLD_BOUND && !self.is_down() {
+            self.is_down.store(true, Ordering::Relaxed);
+            // Wakes the accept loop, which closes the port.
+            let _ = TcpStream::connect(self.address);
+            self.record.line(&format!(
+                "server {} crashes: {recent} requests in a second while it is cold",
+                self.id
+            ));
+        }
+    }
+
     fn report(&self) -> String {
         let state = lock(&self.state);
         let list = |is_loading: bool, prefix: &str| {
@@ -404,12 +458,13 @@
         {
             return Some(refusal(request, "421 Misdirected Request"));
         }
+        self.count_arrival(&attempt);
         {
             let _reading = lock(&self.prefill);
             let pairs = tokens * tokens / 2.0 / 1_000_000.0;
             let millis = tokens / PREFILL_TOKENS_PER_MS + pairs * PREFILL_PAIRS_MS;
             let time = Duration::from_secs_f64(millis / 1_000.0);
-            if !wait_connected(stream, time) {
+            if !wait_connected(stream, time) || self.is_down() {
                 return None;
             }
         }
@@ -452,7 +507,8 @@
         for number in 1..=STREAM_EVENTS {
             let event = format!("id: {number}\ndata: version {version}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if stream.write_all(chunk.as_bytes()).is_err() || !wait_connected(stream, EVENT_TIME) {
+            let is_sent = stream.write_all(chunk.as_bytes()).is_ok();
+            if !is_sent || !wait_connected(stream, EVENT_TIME) || self.is_down() {
                 return false;
             }
         }
@@ -582,3 +638,124 @@
     };
     Some(late.map(describe).collect())
 }
+
+// ---------------------------------------------------------------------------------------------
+// Case `cold`: a cold server gets all requests that waited for it at once
+
+/// Requests of the team in a second, about those of `storyteller-lookup` on the Sauti sheet.
+const LOOKUPS_PER_S: f64 = 16.0;
+const LOOKUP_TOKENS: u64 = 826;
+const LOOKUP_TIMEOUT_MS: u64 = 12_000;
+const EVACUATION: Duration = Duration::from_millis(8_000);
+/// `ColdStartS` of the service.
+const COLD_MS: u64 = 3_000;
+/// `ColdPerS` x `ColdOverage` + `ColdSlack`.
+const COLD_BOUND: f64 = 6.9 * 1.5 + 5.0;
+
+fn cold(case: &Case) -> Option<Violations> {
+    let record = &case.record;
+    let store = Store::start();
+    let engine = Engine::start(&store, "engine-1", record);
+    stream_config(&store, LOOKUP_TIMEOUT_MS);
+    let gateways = start_gateways(2, &case.scratch, &store, record);
+    let end = Instant::now() + Duration::from_secs(15);
+    let mut warm = 0;
+    while warm < 3 {
+        let attempt = format!("warm-{warm}-{}", record.millis());
+        let request = summary(&attempt, "a1", LOOKUP_TOKENS, LOOKUP_TIMEOUT_MS);
+        let answer = ask(gateways[warm % 2].callers, &request);
+        if answer.status == 200 && answer.complete {
+            warm += 1;
+        }
+        if Instant::now() > end {
+            return None;
+        }
+    }
+    if case.has_trouble {
+        store.put("op/evacuate/zone-b", Some("{}"));
+        record.line("the evacuation of zone-b is acknowledged");
+    }
+    let started = Instant::now();
+    let sender = {
+        let record = record.clone();
+        let addresses = [gateways[0].callers, gateways[1].callers];
+        thread::spawn(move || {
+            let mut callers = Vec::new();
+            let mut number = 0;
+            while started.elapsed() < EVACUATION + Duration::from_millis(COLD_MS) {
+                let attempt = format!("lookup-{number}");
+                // The demand moves from one adapter to another.
+                let adapter = if started.elapsed() < Duration::from_secs(2) {
+                    "a1"
+                } else {
+                    "a2"
+                };
+                let (address, record) = (addresses[number % 2], record.clone());
+                callers.push(thread::spawn(move || {
+                    let request = summary(&attempt, adapter, LOOKUP_TOKENS, LOOKUP_TIMEOUT_MS);
+                    record.line(&format!("caller sends {attempt}"));
+                    let answer = ask(address, &request);
+                    record.line(&format!(
+                        "caller: {attempt}: status {} complete {} after {} ms",
+                        answer.status,
+                        answer.complete,
+                        answer.elapsed.as_millis()
+                    ));
+                    (attempt, answer)
+                }));
+                number += 1;
+                thread::sleep(Duration::from_secs_f64(1.0 / LOOKUPS_PER_S));
+            }
+            let answers = callers.into_iter().filter_map(|caller| caller.join().ok());
+            answers.collect::<Vec<(String, Answer)>>()
+        })
+    };
+    thread::sleep(EVACUATION);
+    let reopened = Instant::now();
+    if case.has_trouble {
+        *lock(&engine.cold_until) = Some(reopened + Duration::from_millis(COLD_MS));
+        engine.register(&store, COLD_MS);
+        store.put("op/evacuate/zone-b", None);
+        record.line("the end of the evacuation is acknowledged; the server is cold for 3 s");
+    }
+    let answers = sender.join().ok()?;
+    if !case.has_trouble {
+        return Some(Violations::new());
+    }
+    let arrived: Vec<String> = lock(&engine.arrivals)
+        .iter()
+        .filter(|(_, at)| *at >= reopened)
+        .map(|(attempt, _)| attempt.clone())
+        .collect();
+    let lost = answers
+        .iter()
+        .filter(|(attempt, answer)| {
+            arrived.contains(attempt) && (answer.status != 200 || !answer.complete)
+        })
+        .count();
+    record.line(&format!(
+        "{lost} requests that reached the server after the evacuation were not answered by it"
+    ));
+    let cold_end = reopened + Duration::from_millis(COLD_MS);
+    let arrivals: Vec<Instant> = lock(&engine.arrivals)
+        .iter()
+        .map(|(_, at)| *at)
+        .filter(|at| *at >= reopened && *at < cold_end)
+        .collect();
+    let in_second = |from: &Instant| {
+        let end = *from + Duration::from_secs(1);
+        arrivals
+            .iter()
+            .filter(|at| *at >= from && **at < end)
+            .count()
+    };
+    let most = arrivals.iter().map(in_second).max()?;
+    record.line(&format!(
+        "{} requests reached the cold server, at most {most} of them in one second; the bound is \
+         {COLD_BOUND}",
+        arrivals.len()
+    ));
+    let is_broken = most as f64 > COLD_BOUND;
+    let text = format!("FAILBACK: {most} requests reached a cold server in one second");
+    Some(is_broken.then_some(text).into_iter().collect())
+}
--- a/review/rig.rs
+++ b/review/rig.rs
@@ -12,7 +12,11 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -159,12 +163,23 @@
 
 /// Serves each connection on a thread of its own.
 pub fn serve<F>(listener: TcpListener, handle: F)
+where
+    F: Fn(TcpStream) + Send + Sync + 'static,
+{
+    serve_until(listener, Arc::default(), handle);
+}
+
+/// The same, until `is_down` is set; the next connection after that closes the port.
+pub fn serve_until<F>(listener: TcpListener, is_down: Arc<AtomicBool>, handle: F)
 where
     F: Fn(TcpStream) + Send + Sync + 'static,
 {
     let handle = Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if is_down.load(Ordering::Relaxed) {
+                return;
+            }
             let handle = handle.clone();
             let _ = stream.set_nodelay(true);
             let builder = thread::Builder::new().stack_size(256 * 1024);
@@ -384,7 +399,7 @@
         ("{{Zone}}", "zone-a".to_owned()),
         (
             r#"{{#Zones}}"{{@}}"{{,}}{{/Zones}}"#,
-            r#""zone-a""#.to_owned(),
+            r#""zone-a","zone-b""#.to_owned(),
         ),
         ("{{Listen.Front}}", listen(0)),
         ("{{Listen.Ready}}", listen(1)),
