review: requests begin on the old version after a failed order

A grey model server resets 0.45 of its calls for 4 s, 5.5 s after new versions of its adapters were announced. The scheduler counts an adapter as replaced before its order is accepted, and the requests carry no expected version.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -21,6 +21,7 @@
         "stop" => stop(case),
         "version" => version(case),
         "cold" => cold(case),
+        "replace" => replace(case),
         _ => None,
     }
 }
@@ -250,6 +251,9 @@
     arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
     /// Until when the server is cold.
     cold_until: Arc<Mutex<Option<Instant>>>,
+    /// Whether the server fails part of what it is asked, and the number of calls so far.
+    is_grey: Arc<AtomicBool>,
+    calls: Arc<AtomicU64>,
     /// Whether the server has crashed; it stays down.
     is_down: Arc<AtomicBool>,
     record: Arc<Record>,
@@ -272,6 +276,8 @@
             begun: Arc::default(),
             arrivals: Arc::default(),
             cold_until: Arc::default(),
+            is_grey: Arc::default(),
+            calls: Arc::default(),
             is_down: Arc::default(),
             record: record.clone(),
             born: unix_millis(),
@@ -305,7 +311,7 @@
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
         while let Some(request) = read_message(&mut reader) {
-            if self.is_down() {
+            if self.is_down() || self.fails(&request) {
                 return;
             }
             let answer = if request.header("expect-instance") != Some(self.id.as_str()) {
@@ -326,6 +332,26 @@
         }
     }
 
+    /// Whether a grey server closes the connection instead of doing what it is asked.
+    fn fails(&self, request: &Message) -> bool {
+        if !self.is_grey.load(Ordering::Relaxed) {
+            return false;
+        }
+        let number = self.calls.fetch_add(1, Ordering::Relaxed);
+        // The high bits of a multiplicative hash are spread evenly.
+        let share = (number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as f64 / 2_f64.powi(32);
+        let fails = share < GREY_SHARE;
+        if fails {
+            self.record.line(&format!(
+                "server {} resets {} {}",
+                self.id,
+                request.path(),
+                request.header("attempt-id").unwrap_or("")
+            ));
+        }
+        fails
+    }
+
     fn is_down(&self) -> bool {
         self.is_down.load(Ordering::Relaxed)
     }
@@ -623,20 +649,7 @@
     if begun.len() < 5 {
         return None;
     }
-    let late = begun.iter().filter(|beginning| {
-        beginning.adapter == "a1"
-            && beginning.version < 2
-            && beginning.at > acknowledged + VERSION_MS
-    });
-    let describe = |beginning: &Beginning| {
-        format!(
-            "VERSION {}: began on version {} {} ms after version 2 was acknowledged",
-            beginning.attempt,
-            beginning.version,
-            beginning.at.duration_since(acknowledged).as_millis()
-        )
-    };
-    Some(late.map(describe).collect())
+    Some(old_beginnings(&begun, acknowledged))
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -759,3 +772,94 @@
     let text = format!("FAILBACK: {most} requests reached a cold server in one second");
     Some(is_broken.then_some(text).into_iter().collect())
 }
+
+// ---------------------------------------------------------------------------------------------
+// Case `replace`: requests begin on the old version after an order to replace it has failed
+
+/// Share of its calls that a grey server fails, and how long.
+const GREY_SHARE: f64 = 0.45;
+const GREY_TIME: Duration = Duration::from_millis(4_000);
+const REPLACED: [&str; 5] = ["a1", "a2", "a3", "a4", "a5"];
+/// Requests of each adapter in a second.
+const REPLACED_PER_S: f64 = 2.0;
+
+fn replace(case: &Case) -> Option<Violations> {
+    let record = &case.record;
+    let store = Store::start();
+    let engine = Engine::start(&store, "engine-1", record);
+    stream_config(&store, LOOKUP_TIMEOUT_MS);
+    let gateways = start_gateways(2, &case.scratch, &store, record);
+    let addresses = [gateways[0].callers, gateways[1].callers];
+    let end = Instant::now() + Duration::from_secs(20);
+    for adapter in REPLACED {
+        loop {
+            let attempt = format!("warm-{adapter}-{}", record.millis());
+            let request = summary(&attempt, adapter, LOOKUP_TOKENS, LOOKUP_TIMEOUT_MS);
+            let answer = ask(addresses[0], &request);
+            if answer.status == 200 && answer.complete {
+                break;
+            }
+            if Instant::now() > end {
+                return None;
+            }
+        }
+    }
+    record.line("five adapters are loaded in version 1");
+    lock(&engine.state).newest = 2;
+    for adapter in REPLACED {
+        let value = format!(r#"{{"Model":"base","Adapter":"{adapter}","Version":2}}"#);
+        store.put(&format!("op/version/base.{adapter}"), Some(&value));
+    }
+    let acknowledged = Instant::now();
+    record.line("version 2 of the adapters is acknowledged");
+    thread::sleep(VERSION_MS + Duration::from_millis(500));
+    if case.has_trouble {
+        engine.is_grey.store(true, Ordering::Relaxed);
+        record.line("the server resets a part of its calls from now on");
+    }
+    let started = Instant::now();
+    let mut callers = Vec::new();
+    let mut number = 0;
+    while started.elapsed() < GREY_TIME {
+        let adapter = REPLACED[number % REPLACED.len()];
+        let (attempt, address) = (format!("{adapter}-{number}"), addresses[number % 2]);
+        let record = record.clone();
+        callers.push(thread::spawn(move || {
+            let request = summary(&attempt, adapter, LOOKUP_TOKENS, LOOKUP_TIMEOUT_MS);
+            record.line(&format!("caller sends {attempt}"));
+            let answer = ask(address, &request);
+            record.line(&format!(
+                "caller: {attempt}: status {} complete {} after {} ms",
+                answer.status,
+                answer.complete,
+                answer.elapsed.as_millis()
+            ));
+        }));
+        number += 1;
+        let pause = 1.0 / (REPLACED_PER_S * REPLACED.len() as f64);
+        thread::sleep(Duration::from_secs_f64(pause));
+    }
+    engine.is_grey.store(false, Ordering::Relaxed);
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let begun = lock(&engine.begun).clone();
+    Some(old_beginnings(&begun, acknowledged))
+}
+
+/// Requests that began on a version below 2 later than the rule allows.
+fn old_beginnings(begun: &[Beginning], acknowledged: Instant) -> Violations {
+    let late = begun
+        .iter()
+        .filter(|beginning| beginning.version < 2 && beginning.at > acknowledged + VERSION_MS);
+    let describe = |beginning: &Beginning| {
+        format!(
+            "VERSION {}: began on {}@{} {} ms after version 2 was acknowledged",
+            beginning.attempt,
+            beginning.adapter,
+            beginning.version,
+            beginning.at.duration_since(acknowledged).as_millis()
+        )
+    };
+    late.map(describe).collect()
+}
