review: heads without end of one server hold up the answers of all

One model server answers streams with interim answers without end, at no more than the link's 1,000 Mbit/s; the gateways run in a quarter of each tenth of a second, as with the site's share of a core. Calls to a sound server stay unanswered for seconds after their timeout.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -12,8 +12,9 @@
 };
 
 use super::{
-    Answer, Case, GRACE_S, JSON, Message, Record, SIGTERM, Store, Violations, ask, get, json_field,
-    lock, read_message, response, serve, serve_until, start_gateways, unix_millis, wait_connected,
+    Answer, Case, GRACE_S, JSON, Message, Record, SIGCONT, SIGSTOP, SIGTERM, Store, Violations,
+    ask, get, json_field, lock, read_message, response, serve, serve_until, start_gateways,
+    unix_millis, wait_connected,
 };
 
 pub fn run(name: &str, case: &Case) -> Option<Violations> {
@@ -22,6 +23,7 @@
         "version" => version(case),
         "cold" => cold(case),
         "replace" => replace(case),
+        "endless" => endless(case),
         _ => None,
     }
 }
@@ -254,6 +256,10 @@
     /// Whether the server fails part of what it is asked, and the number of calls so far.
     is_grey: Arc<AtomicBool>,
     calls: Arc<AtomicU64>,
+    /// Whether the server answers with heads without end.
+    is_endless: Arc<AtomicBool>,
+    /// When the server's link has sent what is queued on it.
+    link_free_at: Arc<Mutex<Option<Instant>>>,
     /// Whether the server has crashed; it stays down.
     is_down: Arc<AtomicBool>,
     record: Arc<Record>,
@@ -278,6 +284,8 @@
             cold_until: Arc::default(),
             is_grey: Arc::default(),
             calls: Arc::default(),
+            is_endless: Arc::default(),
+            link_free_at: Arc::default(),
             is_down: Arc::default(),
             record: record.clone(),
             born: unix_millis(),
@@ -485,6 +493,24 @@
             return Some(refusal(request, "421 Misdirected Request"));
         }
         self.count_arrival(&attempt);
+        if self.is_endless.load(Ordering::Relaxed) {
+            let piece = ENDLESS.repeat(PIECE_BYTES / ENDLESS.len());
+            loop {
+                let turn = {
+                    let mut next = lock(&self.link_free_at);
+                    let turn = next.unwrap_or_else(Instant::now).max(Instant::now());
+                    *next = Some(turn + PIECE_TIME);
+                    turn
+                };
+                thread::sleep(turn.saturating_duration_since(Instant::now()));
+                if stream.write_all(piece.as_bytes()).is_err() {
+                    break;
+                }
+            }
+            self.record
+                .line(&format!("server {}: {attempt} was closed", self.id));
+            return None;
+        }
         {
             let _reading = lock(&self.prefill);
             let pairs = tokens * tokens / 2.0 / 1_000_000.0;
@@ -548,6 +574,9 @@
     response(status, &head, "")
 }
 
+/// The service of the model servers in the configuration.
+const MODEL_SERVICE: &str = r#"{"Name":"models","HealthPath":"/health","MaxConnections":360,"ColdStartS":3.0,"ColdPerS":6.9,"Engine":{"Slots":64,"KvCapacityTokens":224867,"KvTokenBytes":163840,"LinkMbps":0,"Stride":5,"Models":[{"Name":"base","WeightsMb":65100.0,"LoadS":1.9,"Adapters":3000,"AdapterMb":12.0}],"WeightsMb":66500.0,"AdapterSlots":6,"LoadsPerS":2.1}}"#;
+
 /// Configuration with one route of streams.
 fn stream_config(store: &Store, timeout_ms: u64) {
     config(
@@ -556,7 +585,7 @@
         &format!(
             r#"{{"Name":"summary","Host":"host.example","Prefix":"/summary/","Kind":"streaming","TimeoutMs":{timeout_ms},"TargetLatencyMs":1000,"Priority":2,"Service":"models","MaxAttempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapAimMs":600}}"#
         ),
-        r#"{"Name":"models","HealthPath":"/health","MaxConnections":360,"ColdStartS":3.0,"ColdPerS":6.9,"Engine":{"Slots":64,"KvCapacityTokens":224867,"KvTokenBytes":163840,"LinkMbps":0,"Stride":5,"Models":[{"Name":"base","WeightsMb":65100.0,"LoadS":1.9,"Adapters":3000,"AdapterMb":12.0}],"WeightsMb":66500.0,"AdapterSlots":6,"LoadsPerS":2.1}}"#,
+        MODEL_SERVICE,
     );
 }
 
@@ -863,3 +892,128 @@
     };
     late.map(describe).collect()
 }
+
+// ---------------------------------------------------------------------------------------------
+// Case `endless`: heads without end of one server hold up the answers of all
+
+/// An interim answer that nobody asked for, again and again.
+const ENDLESS: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+/// The server's link bears 1,000 Mbit/s: so many bytes in so much time.
+const PIECE_BYTES: usize = 65_536;
+const PIECE_TIME: Duration = Duration::from_nanos(PIECE_BYTES as u64 * 8);
+/// A machine has a quarter of a core: it runs in the first quarter of each tenth of a second.
+const RUN_TIME: Duration = Duration::from_millis(25);
+const PAUSE_TIME: Duration = Duration::from_millis(75);
+const STREAM_TIMEOUT_MS: u64 = 5_000;
+const CONFIRM_TIMEOUT_MS: u64 = 1_500;
+const TRAFFIC_TIME: Duration = Duration::from_secs(15);
+/// Requests in a second: 16 streams and 8 calls.
+const REQUESTS_PER_S: f64 = 24.0;
+
+fn endless(case: &Case) -> Option<Violations> {
+    let record = &case.record;
+    let store = Store::start();
+    let engine = Engine::start(&store, "engine-1", record);
+    let runs = Arc::new(Mutex::new(Vec::new()));
+    start_desk(&store, "desk-1", Duration::from_millis(60), &runs, record);
+    let services = format!(
+        r#"{{"Name":"desk","HealthPath":"/health","MaxConnections":96,"ColdStartS":0.0,"ColdPerS":0.0}},{MODEL_SERVICE}"#
+    );
+    let routes = format!(
+        r#"{{"Name":"lookup","Host":"host.example","Prefix":"/summary/","Kind":"streaming","TimeoutMs":{STREAM_TIMEOUT_MS},"TargetLatencyMs":800,"Priority":0,"Service":"models","MaxAttempts":1,"Public":false,"Sticky":true,"Resumable":false,"GapAimMs":600}},{{"Name":"confirm","Host":"host.example","Prefix":"/confirm/","Kind":"unsafe","TimeoutMs":{CONFIRM_TIMEOUT_MS},"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":1,"Public":false}}"#
+    );
+    config(&store, 1, &routes, &services);
+    let gateways = start_gateways(2, &case.scratch, &store, record);
+    let addresses = [gateways[0].callers, gateways[1].callers];
+    let end = Instant::now() + Duration::from_secs(15);
+    loop {
+        let attempt = format!("warm-{}", record.millis());
+        let request = summary(&attempt, "a1", LOOKUP_TOKENS, STREAM_TIMEOUT_MS);
+        let answer = ask(addresses[0], &request);
+        if answer.status == 200 && answer.complete {
+            break;
+        }
+        if Instant::now() > end {
+            return None;
+        }
+    }
+    engine.is_endless.store(case.has_trouble, Ordering::Relaxed);
+    let has_ended = AtomicBool::new(false);
+    let answers = thread::scope(|scope| {
+        for gateway in &gateways {
+            let has_ended = &has_ended;
+            scope.spawn(move || {
+                while !has_ended.load(Ordering::Relaxed) {
+                    thread::sleep(RUN_TIME);
+                    gateway.signal(SIGSTOP);
+                    thread::sleep(PAUSE_TIME);
+                    gateway.signal(SIGCONT);
+                }
+            });
+        }
+        let answers = mixed_traffic(addresses, record);
+        has_ended.store(true, Ordering::Relaxed);
+        answers
+    });
+    let mut violations = Violations::new();
+    for (kind, timeout_ms) in [("stream", STREAM_TIMEOUT_MS), ("call", CONFIRM_TIMEOUT_MS)] {
+        let of_kind = || {
+            answers
+                .iter()
+                .filter(|(attempt, _)| attempt.starts_with(kind))
+        };
+        let timeout = Duration::from_millis(timeout_ms);
+        let unanswered = of_kind()
+            .filter(|(_, answer)| answer.elapsed >= timeout)
+            .count();
+        let limit = timeout + Duration::from_millis(500);
+        let late = of_kind()
+            .filter(|(_, answer)| answer.elapsed >= limit)
+            .count();
+        let text = format!(
+            "{kind}s: {} sent, {} answered with 200, {unanswered} unanswered at {timeout_ms} ms, of \
+             which {late} had no answer half a second later; longest {:?}",
+            of_kind().count(),
+            of_kind().filter(|(_, answer)| answer.status == 200).count(),
+            of_kind().map(|(_, answer)| answer.elapsed).max()
+        );
+        record.line(&text);
+        if late >= 8 && late * 2 > unanswered {
+            violations.push(format!("CONFIG {text}"));
+        }
+    }
+    Some(violations)
+}
+
+/// Sends two streams and one call in turn to two gateways.
+fn mixed_traffic(addresses: [SocketAddr; 2], record: &Arc<Record>) -> Vec<(String, Answer)> {
+    let started = Instant::now();
+    let mut callers = Vec::new();
+    let mut number = 0;
+    while started.elapsed() < TRAFFIC_TIME {
+        let (address, record) = (addresses[number / 3 % 2], record.clone());
+        let (attempt, request) = if number % 3 == 2 {
+            let attempt = format!("call-{number}");
+            let head = headers(&attempt, CONFIRM_TIMEOUT_MS);
+            let head = format!("POST /confirm/session HTTP/1.1\r\n{head}");
+            (attempt, format!("{head}Content-Length: 2\r\n\r\n{{}}"))
+        } else {
+            let attempt = format!("stream-{number}");
+            let request = summary(&attempt, "a1", LOOKUP_TOKENS, STREAM_TIMEOUT_MS);
+            (attempt, request)
+        };
+        callers.push(thread::spawn(move || {
+            let answer = ask(address, &request);
+            record.line(&format!(
+                "caller: {attempt}: status {} after {} ms",
+                answer.status,
+                answer.elapsed.as_millis()
+            ));
+            (attempt, answer)
+        }));
+        number += 1;
+        thread::sleep(Duration::from_secs_f64(1.0 / REQUESTS_PER_S));
+    }
+    let answers = callers.into_iter().filter_map(|caller| caller.join().ok());
+    answers.collect()
+}
--- a/review/rig.rs
+++ b/review/rig.rs
@@ -351,6 +351,8 @@
 }
 
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 pub struct Gateway {
     pub name: String,
