review: two gateways that never found each other give orders to one server

One machine is lost just before two others start that have it as their seed. After 20 s each counts itself as a majority, and both give orders to the one model server, turning within the lease and with lower fencing tokens after higher ones.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -12,9 +12,10 @@
 };
 
 use super::{
-    Answer, Case, GRACE_S, JSON, Message, Record, SIGCONT, SIGSTOP, SIGTERM, Store, Violations,
-    ask, get, json_field, lock, read_message, response, serve, serve_until, start_gateways,
-    unix_millis, wait_connected,
+    Answer, Case, GRACE_S, JSON, Message, Record, SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM,
+    Store, Violations, ask, free_ports, get, json_field, lock, read_message, response, serve,
+    serve_until, start_gateway, start_gateways, unix_millis, wait_connected, wait_ready,
+    write_settings,
 };
 
 pub fn run(name: &str, case: &Case) -> Option<Violations> {
@@ -24,6 +25,7 @@
         "cold" => cold(case),
         "replace" => replace(case),
         "endless" => endless(case),
+        "holders" => holders(case),
         _ => None,
     }
 }
@@ -240,6 +242,14 @@
     at: Instant,
 }
 
+/// An order that a server answered 200 or 202.
+#[derive(Clone, Debug)]
+struct AcceptedOrder {
+    holder: String,
+    fence: u64,
+    at: Instant,
+}
+
 /// A model server with one base model, and room for six adapters.
 #[derive(Clone)]
 struct Engine {
@@ -251,6 +261,8 @@
     begun: Arc<Mutex<Vec<Beginning>>>,
     /// Arrivals of requests, other than those that got 421.
     arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Orders that were answered 200 or 202.
+    orders: Arc<Mutex<Vec<AcceptedOrder>>>,
     /// Until when the server is cold.
     cold_until: Arc<Mutex<Option<Instant>>>,
     /// Whether the server fails part of what it is asked, and the number of calls so far.
@@ -281,6 +293,7 @@
             prefill: Arc::default(),
             begun: Arc::default(),
             arrivals: Arc::default(),
+            orders: Arc::default(),
             cold_until: Arc::default(),
             is_grey: Arc::default(),
             calls: Arc::default(),
@@ -448,6 +461,13 @@
         };
         self.record
             .line(&format!("server {} order {body}: {status}", self.id));
+        if status.starts_with('2') {
+            lock(&self.orders).push(AcceptedOrder {
+                holder: field("Holder"),
+                fence: field("Fence").parse().unwrap_or(0),
+                at: Instant::now(),
+            });
+        }
         status
     }
 
@@ -1017,3 +1037,96 @@
     let answers = callers.into_iter().filter_map(|caller| caller.join().ok());
     answers.collect()
 }
+
+// ---------------------------------------------------------------------------------------------
+// Case `holders`: two gateways that were started beside a lost seed give orders to one server
+
+const LEASE: Duration = Duration::from_millis(3_000);
+/// `SeedLagS`: time after which the settings name machines that run.
+const SEED_LAG: Duration = Duration::from_millis(3_000);
+/// Time until the demand for further adapters begins, and the time between two of them.
+const ALONE: Duration = Duration::from_secs(24);
+const ADAPTER_INTERVAL: Duration = Duration::from_secs(6);
+/// Time between the requests for an adapter at the two gateways.
+const SECOND_REQUEST: Duration = Duration::from_millis(1_000);
+
+fn holders(case: &Case) -> Option<Violations> {
+    let record = &case.record;
+    let store = Store::start();
+    let engine = Engine::start(&store, "engine-1", record);
+    stream_config(&store, LOOKUP_TIMEOUT_MS);
+    let ports = free_ports(15);
+    let ports: Vec<&[SocketAddr]> = ports.chunks(5).collect();
+    let lost = start_gateway("front-1", ports[0], &[ports[0][2]], &case.scratch, &store);
+    wait_ready(std::slice::from_ref(&lost));
+    let seeds = [lost.control];
+    if case.has_trouble {
+        lost.signal(SIGKILL);
+        record.line("front-1 is lost for good");
+        thread::sleep(Duration::from_millis(500));
+    }
+    let gateways = [
+        start_gateway("front-2", ports[1], &seeds, &case.scratch, &store),
+        start_gateway("front-3", ports[2], &seeds, &case.scratch, &store),
+    ];
+    wait_ready(&gateways);
+    record.line("front-2 and front-3 are ready; their settings name front-1 as the seed");
+    thread::sleep(SEED_LAG);
+    let running = [gateways[0].control, gateways[1].control];
+    for (gateway, ports) in gateways.iter().zip(&ports[1..]) {
+        write_settings(&gateway.settings, &gateway.name, ports, &running, &store);
+        gateway.signal(SIGHUP);
+    }
+    record.line("their settings name each other as seeds, and they have got SIGHUP");
+    thread::sleep(ALONE);
+    for number in 1..=5 {
+        let adapter = format!("a{number}");
+        let callers: Vec<_> = gateways
+            .iter()
+            .enumerate()
+            .map(|(position, gateway)| {
+                let attempt = format!("{adapter}-at-{}", gateway.name);
+                let request = summary(&attempt, &adapter, LOOKUP_TOKENS, LOOKUP_TIMEOUT_MS);
+                let (address, record) = (gateway.callers, record.clone());
+                thread::spawn(move || {
+                    thread::sleep(SECOND_REQUEST * position as u32);
+                    let answer = ask(address, &request);
+                    record.line(&format!("caller: {attempt}: status {}", answer.status));
+                })
+            })
+            .collect();
+        for caller in callers {
+            let _ = caller.join();
+        }
+        thread::sleep(ADAPTER_INTERVAL);
+    }
+    let orders = lock(&engine.orders).clone();
+    if orders.is_empty() {
+        return None;
+    }
+    let mut violations = Violations::new();
+    for (position, order) in orders.iter().enumerate() {
+        let earlier = &orders[..position];
+        let turn = earlier
+            .iter()
+            .rev()
+            .find(|other| other.holder != order.holder);
+        if let Some(other) = turn
+            && order.at - other.at < LEASE
+        {
+            violations.push(format!(
+                "ONE: {} gave an order {} ms after {}, within the lease",
+                order.holder,
+                (order.at - other.at).as_millis(),
+                other.holder
+            ));
+        }
+        if let Some(higher) = earlier.iter().find(|other| other.fence > order.fence) {
+            violations.push(format!(
+                "ONE: {} gave an order with the fence {} after {} had given one with {}",
+                order.holder, order.fence, higher.holder, higher.fence
+            ));
+        }
+    }
+    Some(violations)
+}
--- a/review/rig.rs
+++ b/review/rig.rs
@@ -350,6 +350,8 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -358,7 +360,9 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub control: SocketAddr,
     pub directory: SocketAddr,
+    pub settings: PathBuf,
     process: Child,
 }
 
@@ -435,7 +439,7 @@
 pub const GRACE_S: u64 = 8;
 
 /// Free ports of a loopback address, all different.
-fn free_ports(count: usize) -> Vec<SocketAddr> {
+pub fn free_ports(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> = (0..count)
         .map(|_| TcpListener::bind("127.0.0.1:0").expect("bind a free port"))
         .collect();
@@ -443,48 +447,81 @@
     addresses.map(|address| address.expect("a port")).collect()
 }
 
-/// Starts `count` gateways and waits until all are ready.
+/// Starts `count` gateways that are each other's seeds, and waits until all are ready.
 pub fn start_gateways(count: usize, folder: &Path, store: &Store, record: &Record) -> Vec<Gateway> {
-    let command = deploy_command();
     let ports = free_ports(count * 5);
-    let control: Vec<String> = ports
+    let control: Vec<SocketAddr> = ports.chunks(5).map(|ports| ports[2]).collect();
+    let gateways: Vec<Gateway> = ports
         .chunks(5)
-        .take(3)
-        .map(|ports| format!("\"{}\"", ports[2]))
+        .enumerate()
+        .map(|(number, ports)| {
+            let name = format!("front-{}", number + 1);
+            start_gateway(&name, ports, &control, folder, store)
+        })
         .collect();
-    let seeds = format!("[{}]", control.join(","));
-    let mut gateways = Vec::new();
-    for (number, ports) in ports.chunks(5).enumerate() {
-        let name = format!("front-{}", number + 1);
-        let path = folder.join(format!("{name}.jsonc"));
-        fs::write(&path, settings(&name, ports, &seeds, store.address)).expect("write settings");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("create a log");
-        let process = Command::new(&command[0])
-            .args(&command[1..])
-            .env("WASABISTALL_NODE_FILE", &path)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("start a gateway");
-        gateways.push(Gateway {
-            name,
-            callers: ports[0],
-            readiness: ports[1],
-            directory: ports[3],
-            process,
-        });
+    wait_ready(&gateways);
+    // The instances find each other.
+    thread::sleep(Duration::from_secs(2));
+    record.line(&format!("{count} gateways are ready"));
+    gateways
+}
+
+/// Starts one gateway on five addresses.
+pub fn start_gateway(
+    name: &str,
+    addresses: &[SocketAddr],
+    seeds: &[SocketAddr],
+    folder: &Path,
+    store: &Store,
+) -> Gateway {
+    let command = deploy_command();
+    let path = folder.join(format!("{name}.jsonc"));
+    write_settings(&path, name, addresses, seeds, store);
+    let log = File::create(folder.join(format!("{name}.log"))).expect("create a log");
+    let process = Command::new(&command[0])
+        .args(&command[1..])
+        .env("WASABISTALL_NODE_FILE", &path)
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("start a gateway");
+    Gateway {
+        name: name.to_owned(),
+        callers: addresses[0],
+        readiness: addresses[1],
+        control: addresses[2],
+        directory: addresses[3],
+        settings: path,
+        process,
     }
+}
+
+/// Writes the settings file of a gateway, as the platform does at a start and when they change.
+pub fn write_settings(
+    path: &Path,
+    name: &str,
+    addresses: &[SocketAddr],
+    seeds: &[SocketAddr],
+    store: &Store,
+) {
+    let seeds: Vec<String> = seeds
+        .iter()
+        .take(3)
+        .map(|seed| format!("\"{seed}\""))
+        .collect();
+    let seeds = format!("[{}]", seeds.join(","));
+    fs::write(path, settings(name, addresses, &seeds, store.address)).expect("write settings");
+}
+
+/// Waits until all gateways are ready.
+pub fn wait_ready(gateways: &[Gateway]) {
     let end = Instant::now() + Duration::from_secs(20);
-    for gateway in &gateways {
+    for gateway in gateways {
         while !is_ready(gateway) {
             assert!(Instant::now() < end, "a gateway is not ready");
             thread::sleep(Duration::from_millis(50));
         }
     }
-    // The instances find each other.
-    thread::sleep(Duration::from_secs(2));
-    record.line(&format!("{count} gateways are ready"));
-    gateways
 }
 
 pub fn is_ready(gateway: &Gateway) -> bool {
