tests: share the harness of one instance and the scripted site

Moves InstanceHarness and ScriptedSite to files that several tests can use, for the tests of planned stops.

--- a/daemon/tests/site/mod.rs
+++ b/daemon/tests/site/mod.rs
@@ -1,6 +1,8 @@
 //! A fake platform with real gateway processes in front of its servers.
 #![allow(dead_code)]
 
+pub(crate) mod scripted;
+
 use std::{
     net::{IpAddr, Ipv4Addr},
     path::Path,
--- a/lib/tests/gateway/mod.rs
+++ b/lib/tests/gateway/mod.rs
@@ -3,5 +3,6 @@
 
 pub(crate) mod desk;
 pub(crate) mod engine;
+pub(crate) mod instance;
 pub(crate) mod link;
 pub(crate) mod world;
