shutdown: accept late requests only if they end within the grace period

Cause: an instance that shuts down accepted calls for 0.75 of its grace period whatever their timeouts were, and ended after 0.97 of it.

After the first 3 s (or 0.34 of a short grace period) a request is accepted only if its timeout, which bounds what it may take, ends before requests in progress are ended. Streams are closed as early as before. Refused callers know that the request did not run, and may go elsewhere after 10 ms.

Test: no_accepted_request_may_outlast_the_grace_period. With the old rule it fails at its first timeout (500 ms: last accepted at 5.98 s, too early for that one and too late for long ones).

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -7,11 +7,12 @@
 
 use super::{
     GatewayReducer, TimerKind,
-    catalog::{QuotaUnit, RetryPolicy, RouteConfig, TeamConfig},
+    catalog::{QuotaUnit, RouteConfig, TeamConfig},
     event::{GatewayEffect, GatewayRefusal, GatewayRequest, RequestNumber},
     log_event,
     requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
     routes::{RouteIndex, pick_target},
+    shutdown::SHUTDOWN_RETRY_DELAY,
     suspects::SuspectCauses,
 };
 use crate::{clock::ClockTime, error::ErrorKind, key::KeyDigest};
@@ -20,13 +21,6 @@
 const SELECTION_OBJECTIVE_FRACTION: f64 = 0.5;
 /// Minimum of that wait, as a fraction of the request's timeout.
 const SELECTION_TIMEOUT_FRACTION: f64 = 0.25;
-/// Retry delay that an instance gives while it shuts down; the caller can retry at another one
-/// almost immediately.
-const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Fractions of the grace period during which an instance that is shutting down still accepts
-/// streams and other requests.
-const STREAM_GRACE_FRACTION: f64 = 0.34;
-const CALL_GRACE_FRACTION: f64 = 0.75;
 /// Time that a request may take while no configuration is known.
 const UNKNOWN_ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Retry delay of requests that crash servers.
@@ -100,7 +94,7 @@
         let (route, team) = authorize(routes, &request.host, &request.path, request.key.as_ref())
             .map_err(|kind| refuse(kind, None, format!("config={version}")))?;
         let (route, team) = (route.clone(), team.cloned());
-        if self.is_closed_to(now, route.retry) {
+        if self.is_closed_to(now, route.retry, request_timeout(&request, &route)) {
             let detail = format!("route={}", route.name);
             let retry = Some(SHUTDOWN_RETRY_DELAY);
             return Err(refuse(ErrorKind::ShuttingDown, retry, detail));
@@ -137,17 +131,6 @@
         }
     }
 
-    /// Whether the instance is shutting down and might not complete such a request in time.
-    fn is_closed_to(&self, now: ClockTime, retry: RetryPolicy) -> bool {
-        let fraction = if retry.is_stream() {
-            STREAM_GRACE_FRACTION
-        } else {
-            CALL_GRACE_FRACTION
-        };
-        self.leaving_since
-            .is_some_and(|since| now.since(since) >= self.options.grace_period.mul_f64(fraction))
-    }
-
     fn new_record(
         &mut self,
         now: ClockTime,
@@ -161,7 +144,7 @@
         let service = pick_target(&route.targets, draw)
             .map(|target| target.service.clone())
             .unwrap_or_default();
-        let timeout = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let timeout = request_timeout(&request, route);
         RequestRecord {
             service,
             route: route.name.clone(),
@@ -240,6 +223,11 @@
     Ok((route, team))
 }
 
+/// How long a request may take.
+fn request_timeout(request: &GatewayRequest, route: &RouteConfig) -> Duration {
+    request.deadline.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Cost of a request, in the unit of its team's limit.
 fn request_cost(request: &GatewayRequest, team: Option<&TeamConfig>) -> f64 {
     match team {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod routes;
 pub mod server_scheduler;
 pub mod servers;
+pub mod shutdown;
 mod store;
 pub mod suspects;
 mod teams;
@@ -380,12 +381,6 @@
         self.read_store(now, effects);
     }
 
-    fn shutdown_requested(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        self.leaving_since.get_or_insert(now);
-        self.members.local_mut().phase = MemberPhase::Leaving;
-        self.gossip(now, effects);
-    }
-
     fn instance_count(&self, now: ClockTime) -> usize {
         self.members.instance_count(now)
     }
