shutdown: answer what is in progress at the end of the grace period

What callers saw: requests that were still in progress after 0.97 of the grace period, also those that no server had been sent, lost their connections without an answer; so did the last large answer of a process that was still being written, and new connections from 0.7 of the grace period on were closed with their requests unread.

Cause: the process ended at a fixed time or once no request was open in the reducer, which says nothing of answers on their way, and closed connections before its listener.

Now requests in progress get a final answer at 0.94 of the grace period: 503 not run where nothing was sent, else 502, which promises nothing. The tasks of connections are counted; the process ends when the last one has. The listener is open for 0.8, and connections in its queue are served after it.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -20,9 +20,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{mpsc, watch},
 };
 use tokio_io_timeout::TimeoutStream;
+use tokio_util::task::TaskTracker;
 use twox_hash::XxHash3_64;
 use wasabistall_lib::{
     error::{ErrorKind, RefusalBody, RunState},
@@ -68,17 +69,24 @@
 
 type CallerBody = BoxBody<Bytes, io::Error>;
 
-/// Accepts callers' connections until the task is aborted.
-pub(super) async fn serve(listener: TcpListener, core: Arc<GatewayCore>) {
-    listen::accept(listener, |stream| {
-        tokio::spawn(serve_connection(stream, core.clone()));
-    })
-    .await;
+/// Accepts callers' connections until they are to be closed; `connections` tracks their tasks.
+pub(super) async fn serve(listener: TcpListener, core: Arc<GatewayCore>, connections: TaskTracker) {
+    let on_connect = |stream| {
+        connections.spawn(serve_connection(stream, core.clone()));
+    };
+    listen::accept_until(listener, on_connect, closed(core.closing())).await;
+    connections.close();
+}
+
+/// Waits until callers' connections are to be closed.
+async fn closed(mut closing: watch::Receiver<bool>) {
+    // An error is impossible: the sender lives as long as the process.
+    let _ = closing.wait_for(|closing| *closing).await;
 }
 
 async fn serve_connection(stream: TcpStream, core: Arc<GatewayCore>) {
     let bounds = core.caller_bounds().unwrap_or(DEFAULT_BOUNDS);
-    let mut closing = core.closing();
+    let close_requested = closed(core.closing());
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(WRITE_TIMEOUT));
     let service = service_fn(|request| {
@@ -93,11 +101,9 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     tokio::pin!(connection);
-    let close_requested = async {
-        // An error is impossible: the sender lives as long as the process.
-        let _ = closing.wait_for(|closing| *closing).await;
-    };
     let result = tokio::select! {
+        // Reads a request that has already arrived before the connection counts as idle.
+        biased;
         result = connection.as_mut() => result,
         () = close_requested => {
             connection.as_mut().graceful_shutdown();
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -310,8 +310,13 @@
         self.handle_event(GatewayEvent::ShutdownRequested);
     }
 
-    /// Closes callers' connections as soon as they are idle.
-    pub(super) fn close_idle_connections(&self) {
+    /// Ends the requests that are still in progress.
+    pub(super) fn end_requests(self: &Arc<GatewayCore>) {
+        self.handle_event(GatewayEvent::ShutdownExpired);
+    }
+
+    /// Accepts no more connections of callers, and closes the open ones as soon as they are idle.
+    pub(super) fn close_connections(&self) {
         self.closing.send_replace(true);
     }
 
--- a/daemon/src/gateway/listen.rs
+++ b/daemon/src/gateway/listen.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, future::Future, time::Duration};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,7 +15,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Accepts connections forever and passes each to `on_connect`.
-pub(super) async fn accept(listener: TcpListener, on_connect: impl Fn(TcpStream)) {
+async fn accept(listener: &TcpListener, on_connect: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => on_connect(stream),
@@ -26,13 +27,29 @@
     }
 }
 
+/// Accepts connections until `closed` and passes each to `on_connect`. Then passes on those that wait in
+/// the accept queue, whose clients may have sent requests already, and closes the listener.
+pub(super) async fn accept_until(
+    listener: TcpListener,
+    on_connect: impl Fn(TcpStream),
+    closed: impl Future<Output = ()>,
+) {
+    tokio::select! {
+        () = accept(&listener, &on_connect) => {}
+        () = closed => {}
+    }
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        on_connect(stream);
+    }
+}
+
 /// Serves requests whose responses are buffered completely.
 pub(super) async fn serve_requests<H, F>(listener: TcpListener, handle: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    accept(listener, |stream| {
+    accept(&listener, |stream| {
         let handle = handle.clone();
         tokio::spawn(async move {
             let service = service_fn(|request| {
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -16,23 +16,24 @@
 mod store;
 mod transfers;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{SignalKind, signal};
-use wasabistall_lib::settings::GatewaySettings;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{Instant, sleep_until, timeout_at},
+};
+use tokio_util::task::TaskTracker;
+use wasabistall_lib::{gateway::shutdown::END_GRACE_FRACTION, settings::GatewaySettings};
 
 use self::{core::GatewayCore, metrics::GatewayMetrics};
 use crate::listen::bind;
 
-/// Fraction of the grace time during which a leaving instance still accepts connections, since
+/// Fraction of the grace period during which an instance that shuts down accepts connections, since
 /// callers may use its address for some seconds more.
-const ACCEPT_FRACTION: f64 = 0.7;
-/// Fraction of the grace time after which a leaving instance aborts the requests in progress.
-const ABORT_FRACTION: f64 = 0.97;
-/// Fraction of the grace time after which a leaving instance without requests stops.
-const IDLE_STOP_FRACTION: f64 = 0.8;
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+const ACCEPT_GRACE_FRACTION: f64 = 0.8;
+/// Fraction of the grace period after which the process ends, whatever is still open.
+const EXIT_GRACE_FRACTION: f64 = 0.97;
 
 /// Runs a gateway until SIGTERM.
 pub(crate) fn run(settings: GatewaySettings) -> Result<()> {
@@ -60,7 +61,8 @@
     tokio::spawn(endpoints::serve_addresses(addresses, core.clone()));
     tokio::spawn(endpoints::serve_readiness(readiness, core.clone()));
     tokio::spawn(endpoints::serve_operators(operators, core.clone()));
-    let accept_task = tokio::spawn(callers::serve(callers, core.clone()));
+    let connections = TaskTracker::new();
+    tokio::spawn(callers::serve(callers, core.clone(), connections.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -71,24 +73,34 @@
     }
     tracing::info!(event = "stopping", requests = core.open_requests());
     core.shut_down();
-    drain(&core, settings.grace, &accept_task).await;
-    tracing::info!(event = "stopped", requests = core.open_requests());
+    drain(&core, settings.grace, &connections).await;
+    tracing::info!(
+        event = "stopped",
+        requests = core.open_requests(),
+        connections = connections.len()
+    );
     logs.close();
     Ok(())
 }
 
-/// Keeps accepting callers for part of the grace time, then waits for requests in progress.
-async fn drain(core: &GatewayCore, grace: Duration, accept_task: &tokio::task::JoinHandle<()>) {
-    tokio::time::sleep(grace.mul_f64(ACCEPT_FRACTION)).await;
-    core.close_idle_connections();
-    let started = tokio::time::Instant::now();
-    let idle_stop = grace.mul_f64(IDLE_STOP_FRACTION - ACCEPT_FRACTION);
-    let end = grace.mul_f64(ABORT_FRACTION - ACCEPT_FRACTION);
-    while started.elapsed() < end {
-        if started.elapsed() >= idle_stop && core.open_requests() == 0 {
-            break;
-        }
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+/// Keeps accepting callers for part of the grace period, then waits until each connection has
+/// delivered its response. Requests still in progress are ended before the process is killed.
+async fn drain(core: &Arc<GatewayCore>, grace: Duration, connections: &TaskTracker) {
+    let started = Instant::now();
+    let time_at = |fraction: f64| started + grace.mul_f64(fraction);
+    sleep_until(time_at(ACCEPT_GRACE_FRACTION)).await;
+    core.close_connections();
+    if timeout_at(time_at(END_GRACE_FRACTION), connections.wait())
+        .await
+        .is_ok()
+    {
+        return;
+    }
+    core.end_requests();
+    if timeout_at(time_at(EXIT_GRACE_FRACTION), connections.wait())
+        .await
+        .is_err()
+    {
+        tracing::warn!(event = "stopped_early", connections = connections.len());
     }
-    accept_task.abort();
 }
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -183,6 +183,8 @@
     Tick,
     /// The process was asked to shut down.
     ShutdownRequested,
+    /// The grace period is almost over; requests still in progress must end.
+    ShutdownExpired,
 }
 
 /// One attempt to send a request to a server.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -306,6 +306,7 @@
             } => self.server_noticed(now, server, started, notice, effects),
             GatewayEvent::Tick => self.wake = None,
             GatewayEvent::ShutdownRequested => self.shutdown_requested(now, effects),
+            GatewayEvent::ShutdownExpired => self.shutdown_expired(now, effects),
         }
         self.run_timers(now, effects);
         self.schedule_wake(effects);
--- a/lib/src/gateway/shutdown.rs
+++ b/lib/src/gateway/shutdown.rs
@@ -9,10 +9,11 @@
 use super::{
     GatewayReducer,
     catalog::RetryPolicy,
-    event::GatewayEffect,
+    event::{GatewayEffect, RequestNumber},
+    log_event,
     members::MemberPhase,
 };
-use crate::clock::ClockTime;
+use crate::{clock::ClockTime, error::ErrorKind};
 
 /// Fraction of the grace period after which the requests in progress are ended.
 pub const END_GRACE_FRACTION: f64 = 0.94;
@@ -52,4 +53,15 @@
         let ends_in_time = elapsed + timeout < grace.mul_f64(END_GRACE_FRACTION);
         elapsed >= stream_time.min(MAX_OPEN_TIME) && !ends_in_time
     }
+
+    /// Ends the requests that are still in progress shortly before the process ends, so that their
+    /// callers learn whether they may have run.
+    pub(super) fn shutdown_expired(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        let open: Vec<RequestNumber> = self.requests.keys().copied().collect();
+        let detail = format!("requests={}", open.len());
+        log_event(effects, "shutdown_expired", "", &detail);
+        for number in open {
+            self.refuse(now, number, ErrorKind::ShuttingDown, effects);
+        }
+    }
 }
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -10,6 +10,7 @@
     log_event,
     requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
     servers::ServerOutcome,
+    shutdown::SHUTDOWN_RETRY_DELAY,
 };
 use crate::{
     clock::ClockTime,
@@ -75,11 +76,12 @@
             self.count_usage(number, &record, outcome);
         }
         let kind = match kind {
-            // `NoServer` states that the request did not run, so it is used only in that case.
+            // `NoServer` and `ShuttingDown` state that the request did not run, so they are used only
+            // in that case.
             ErrorKind::NoServer | ErrorKind::DeadlineExceeded if !may_have_run => {
                 ErrorKind::NoServer
             }
-            ErrorKind::NoServer => ErrorKind::ServerLost,
+            ErrorKind::NoServer | ErrorKind::ShuttingDown if may_have_run => ErrorKind::ServerLost,
             kind => kind,
         };
         if !may_have_run
@@ -99,11 +101,15 @@
             now.since(record.arrived).as_millis(),
         );
         log_event(effects, "request_refused", &record.request.attempt, &detail);
+        let default_retry_delay = match kind {
+            ErrorKind::NoServer => Some(DEFAULT_RETRY_DELAY),
+            ErrorKind::ShuttingDown => Some(SHUTDOWN_RETRY_DELAY),
+            _ => None,
+        };
         effects.push(GatewayEffect::Refuse(GatewayRefusal {
             request: number,
             kind,
-            retry_after: retry_after
-                .or((kind == ErrorKind::NoServer).then_some(DEFAULT_RETRY_DELAY)),
+            retry_after: retry_after.or(default_retry_delay),
         }));
         self.close_attempt(now, number, &record, effects);
     }
--- a/lib/tests/gateway_shutdown.rs
+++ b/lib/tests/gateway_shutdown.rs
@@ -52,3 +52,41 @@
         );
     }
 }
+
+/// Regression test: requests in progress at the end of the grace period got no answer. Now those that
+/// were not sent are refused as not run, and the others promise nothing.
+#[test]
+fn requests_in_progress_are_answered_at_the_end_of_the_grace_period() {
+    let mut harness = InstanceHarness::new(1);
+    harness.deadline = Some(Duration::from_secs(20));
+    let effects = harness.request("/once/x");
+    assert!(dispatched(&effects).is_some());
+    let sent = harness.number;
+    harness.publish(
+        "servers/s-1",
+        PublishedItem::Server(gateway::desk::server(1, true)),
+    );
+    let waiting = harness.request("/safe/x");
+    assert_eq!((dispatched(&waiting), refused(&waiting)), (None, None));
+    harness.handle(GatewayEvent::ShutdownRequested);
+    let effects = harness.handle(GatewayEvent::ShutdownExpired);
+    let mut lines = Vec::new();
+    for effect in &effects {
+        if let GatewayEffect::Refuse(refusal) = effect {
+            let name = if refusal.request == sent {
+                "sent"
+            } else {
+                "waiting"
+            };
+            lines.push(format!(
+                "{name}: {:?}, retry after {:?}",
+                refusal.kind, refusal.retry_after
+            ));
+        }
+    }
+    assert_snapshot!(lines.join("\n"), @r"
+    sent: ServerLost, retry after None
+    waiting: ShuttingDown, retry after Some(10ms)
+    ");
+    assert_eq!(harness.reducer.open_requests(), 0);
+}
