gateway: count unfinished events against the memory for bodies

What callers saw: nothing yet; reported by operators of similar systems.

Cause: up to 1 MB of an event was kept for each stream outside the budget for bodies, and the search for the end of the event began anew with each piece, so that processor time hid the memory.

The search goes on where it stopped; what is pending takes its share of the budget, and a stream that finds no room ends as broken.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -389,13 +389,14 @@
         headers.remove(CONTENT_LENGTH);
     }
     let status = upstream.status;
+    let resume_buffer = resumable.then(|| ResumeBuffer::new(&request.core.bodies));
     let relay = StreamRelay {
         request,
         commands,
         call,
         sender,
         media_type: media_type(&upstream.headers),
-        resume_buffer: resumable.then(ResumeBuffer::default),
+        resume_buffer,
         tail: EventTail::default(),
     };
     tokio::spawn(relay.run(upstream));
--- a/daemon/src/gateway/held.rs
+++ b/daemon/src/gateway/held.rs
@@ -49,6 +49,26 @@
 }
 
 impl HeldBytes {
+    /// Creates a share of no bytes.
+    pub(super) fn new(budget: &BodyBudget) -> HeldBytes {
+        HeldBytes {
+            budget: budget.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Changes the share to `bytes`; returns whether the budget has room for them.
+    pub(super) fn resize(&mut self, bytes: usize) -> bool {
+        if let Some(missing) = bytes.checked_sub(self.bytes) {
+            return self.grow(missing);
+        }
+        self.budget
+            .used
+            .fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
+
     fn grow(&mut self, bytes: usize) -> bool {
         let is_reserved = self.budget.reserve(bytes);
         if is_reserved {
@@ -88,10 +108,7 @@
     limit: usize,
     budget: &BodyBudget,
 ) -> Result<HeldBody, BodyError> {
-    let mut held = HeldBytes {
-        budget: budget.clone(),
-        bytes: 0,
-    };
+    let mut held = HeldBytes::new(budget);
     let mut first = Bytes::new();
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/daemon/src/gateway/resume.rs
+++ b/daemon/src/gateway/resume.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use super::held::{BodyBudget, HeldBytes};
 use crate::sse::{EventBuffer, EventTooLong};
 
 /// Why the bytes of a stream cannot be forwarded.
@@ -10,6 +11,8 @@
 pub(super) enum ResumeError {
     /// An event is too long for [`EventBuffer`].
     EventTooLong,
+    /// The budget of the process has no room for the rest of an event.
+    NoMemory,
     /// The stream of another server does not go on at the next event.
     NotContinued,
 }
@@ -21,9 +24,10 @@
 }
 
 /// Splits a stream into complete events and tracks the id of the last one.
-#[derive(Default)]
 pub(super) struct ResumeBuffer {
     pending: EventBuffer,
+    /// Memory for what is pending.
+    held: HeldBytes,
     last_id: Option<SmolStr>,
     /// Whether the ids seen so far, if any, do not grow by one each.
     has_gaps: bool,
@@ -32,12 +36,23 @@
 }
 
 impl ResumeBuffer {
+    /// Creates a buffer whose content counts against `budget`.
+    pub(super) fn new(budget: &BodyBudget) -> ResumeBuffer {
+        ResumeBuffer {
+            pending: EventBuffer::default(),
+            held: HeldBytes::new(budget),
+            last_id: None,
+            has_gaps: false,
+            continues: false,
+        }
+    }
+
     /// Appends bytes of the stream and returns the events that are now complete, concatenated.
     ///
     /// # Errors
     ///
-    /// Fails when an event is too long, or the first event of a server that continues the stream does
-    /// not follow the last one of the server before.
+    /// Fails when an event is too long or finds no memory, or the first event of a server that continues
+    /// the stream does not follow the last one of the server before.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, ResumeError> {
         self.pending.push(bytes)?;
         let mut complete = Vec::new();
@@ -45,6 +60,9 @@
             self.track_event(&event)?;
             complete.extend_from_slice(&event);
         }
+        if !self.held.resize(self.pending.len()) {
+            return Err(ResumeError::NoMemory);
+        }
         Ok(complete.into())
     }
 
--- a/daemon/src/sse.rs
+++ b/daemon/src/sse.rs
@@ -17,6 +17,10 @@
 #[derive(Default)]
 pub(crate) struct EventBuffer {
     pending: BytesMut,
+    /// Number of pending bytes that contain no end of an event.
+    searched: usize,
+    /// End of these bytes.
+    tail: EventTail,
 }
 
 impl EventBuffer {
@@ -31,18 +35,27 @@
 
     /// Removes the next complete event and returns it with its terminator.
     pub(crate) fn next_event(&mut self) -> Option<Bytes> {
-        let mut tail = EventTail::default();
-        let end = self.pending.iter().position(|byte| {
-            let was_within = tail.is_within_event();
-            tail.push(&[*byte]);
-            was_within && !tail.is_within_event()
-        })?;
-        Some(self.pending.split_to(end + 1).freeze())
+        while let Some(byte) = self.pending.get(self.searched) {
+            let was_within = self.tail.is_within_event();
+            self.tail.push(&[*byte]);
+            self.searched += 1;
+            if was_within && !self.tail.is_within_event() {
+                let end = std::mem::take(&mut self.searched);
+                self.tail = EventTail::default();
+                return Some(self.pending.split_to(end).freeze());
+            }
+        }
+        None
+    }
+
+    /// Number of bytes that are buffered.
+    pub(crate) fn len(&self) -> usize {
+        self.pending.len()
     }
 
     /// Removes everything that is buffered.
     pub(crate) fn take(&mut self) -> Bytes {
-        self.pending.split().freeze()
+        std::mem::take(self).pending.freeze()
     }
 
     /// Whether part of an incomplete event is buffered.
--- a/daemon/tests/site/scripted.rs
+++ b/daemon/tests/site/scripted.rs
@@ -12,7 +12,8 @@
 
 use super::TestSite;
 
-/// A gateway whose service `desk` is a scripted server, listed under one or two ids.
+/// A gateway whose service `desk` is a scripted server, listed under one or two ids. Its service `calm`
+/// has a sound server.
 pub(crate) struct ScriptedSite {
     pub(crate) site: TestSite,
     pub(crate) server: ScriptedServer,
@@ -35,6 +36,17 @@
             json!({"Name": "slow", "Host": "host", "Prefix": "/slow/", "Kind": "unsafe",
             "TimeoutMs": 20_000, "TargetLatencyMs": 300, "Service": "desk", "MaxAttempts": 1}),
         );
+        routes.push(
+            json!({"Name": "calm", "Host": "host", "Prefix": "/calm/", "Kind": "safe",
+            "TimeoutMs": 3000, "TargetLatencyMs": 300, "Service": "calm", "MaxAttempts": 2}),
+        );
+        let services = config["Services"].as_array_mut().expect("services");
+        services.push(
+            json!({"Name": "calm", "MaxConnections": 300, "ColdStartS": 0.0, "ColdPerS": 0.0}),
+        );
+        let calm_ip = site.gateways[0].ports.ip;
+        let platform = &site.platform;
+        platform.start_server(calm_ip, "s-7", "calm", false).await;
         site.platform.put("op/config", Some(&config));
         for id in ids {
             site.platform
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,6 +17,9 @@
 /// Report of a model server without adapters.
 const REPORT: &str = r#"{"Stage":"both","Models":[{"Name":"base","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"born":1}"#;
 
+/// Bytes in one write of an answer without end.
+const WRITE_BYTES: usize = 64 * 1024;
+
 /// A request as a [`ScriptedServer`] received it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScriptedRequest {
@@ -36,6 +42,8 @@
 pub enum AnswerStep {
     /// Sends these bytes.
     Send(String),
+    /// Sends these bytes again and again until the connection is closed.
+    Repeat(String),
     /// Waits.
     Pause(Duration),
     /// Closes the connection in order.
@@ -53,6 +61,8 @@
     /// Address on which it accepts connections.
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<ScriptedRequest>>>,
+    /// Number of answers without end in progress.
+    endless: Arc<AtomicUsize>,
     script: AnswerScript,
 }
 
@@ -67,6 +77,7 @@
         let server = ScriptedServer {
             address: listener.local_addr().expect("address of a server"),
             requests: Arc::default(),
+            endless: Arc::default(),
             script,
         };
         let accepting = server.clone();
@@ -91,6 +102,11 @@
         requests.iter().filter(of_attempt).cloned().collect()
     }
 
+    /// Number of answers without end that the other side has not broken off.
+    pub fn endless_answers(&self) -> usize {
+        self.endless.load(Ordering::SeqCst)
+    }
+
     async fn serve(self, mut stream: TcpStream, connection: usize) {
         let mut received = Vec::new();
         let mut earlier_on_connection = 0;
@@ -112,6 +128,13 @@
                             return;
                         }
                     }
+                    AnswerStep::Repeat(bytes) => {
+                        self.endless.fetch_add(1, Ordering::SeqCst);
+                        let bytes = bytes.repeat(WRITE_BYTES / bytes.len().max(1) + 1);
+                        while stream.write_all(bytes.as_bytes()).await.is_ok() {}
+                        self.endless.fetch_sub(1, Ordering::SeqCst);
+                        return;
+                    }
                     AnswerStep::Pause(time) => tokio::time::sleep(time).await,
                     AnswerStep::Close => return,
                     AnswerStep::Reset => {
