gateway: bound what a server sends before the head of its response

With 200 requests to a server that sends interim heads without end, a request to a sound server was not answered within its timeout of 3 s.

Cause: the HTTP client bounds one head and skips interim ones without a bound, for as long as data is there; all connections of the process share one thread.

Test: interim_heads_without_end (the first sound request got no 200 before). The stand-alone daemon's client is not changed.

--- a/daemon/src/gateway/connections.rs
+++ b/daemon/src/gateway/connections.rs
@@ -16,6 +16,7 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 use wasabistall_lib::gateway::exchange::ExchangeTimeouts;
 
+use super::head_limit::{HeadAllowance, HeadLimitStream};
 use crate::client::FullResponse;
 
 /// Largest head, and largest piece of a body that is read at once, in bytes.
@@ -56,6 +57,7 @@
 pub(super) struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_allowance: HeadAllowance,
     local_port: u16,
 }
 
@@ -90,6 +92,8 @@
                 .map_err(|_| ConnectionError::Refused)?;
         }
         let local_port = stream.local_addr().map_or(0, |address| address.port());
+        let stream = HeadLimitStream::new(stream);
+        let head_allowance = stream.allowance();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -103,6 +107,7 @@
         Ok(ServerConnection {
             sender,
             task: task.abort_handle(),
+            head_allowance,
             local_port,
         })
     }
@@ -112,13 +117,13 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => SendError::NotSent,
-                None => SendError::Broken,
-            })
+        self.head_allowance.expect_head();
+        let sent = self.sender.try_send_request(request).await;
+        self.head_allowance.allow_body();
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::Broken,
+        })
     }
 
     /// Closes the connection, even with a request in progress.
--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod endpoints;
 mod forward;
+mod head_limit;
 mod held;
 mod listen;
 mod logs;
--- a/daemon/tests/gateway_endless.rs
+++ b/daemon/tests/gateway_endless.rs
@@ -155,6 +155,12 @@
     .await;
 }
 
+/// Regression test: interim heads without end kept the process from answering other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_heads_without_end() {
+    call_endless_server("/safe/x", |_| vec![repeat("HTTP/1.1 100 Continue\r\n\r\n")]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_without_length() {
     call_endless_server("/safe/x", |attempt| {
