members: count silent instances for the quorum as long as a partition may last

Cause: after 20 s without news an instance no longer counted the others as running. Where two of six were cut off and a third one later, both sides regained the quorum 20 s after the first cut, observed the same quiet count, became holders 10 ms apart and ordered with the same token.

No silence shows that an instance has stopped. Known instances and seed peers count until they say that they leave, have refused connections for 60 s, or were silent for two hours. A process that has never reached a majority does not order while a server's count moves without its side.

Tests: both_sides_of_a_long_partition_never_order and a_partition_of_an_hour_creates_no_second_scheduler failed before (lib/tests/gateway_partitions.rs).

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -157,7 +157,8 @@
     /// Updates the quorum. Without a majority of the instances that may be running, none may give
     /// orders.
     fn check_quorum(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        let has_quorum = self.members.has_quorum(now);
+        let quorum = self.members.quorum(now);
+        let has_quorum = quorum.is_majority();
         if has_quorum == self.has_quorum {
             return;
         }
@@ -167,7 +168,11 @@
         } else {
             "quorum_lost"
         };
-        log_event(effects, event, "", "");
+        let running = quorum
+            .running
+            .map_or("unknown".into(), |running| running.to_string());
+        let detail = format!("reachable={} running={running}", quorum.reachable);
+        log_event(effects, event, "", &detail);
         for scheduler in self.schedulers.values_mut() {
             scheduler.set_may_order(has_quorum);
             scheduler.suspend(now);
@@ -285,6 +290,12 @@
             let detail = format!("server={id} sequence={sequence}");
             log_event(effects, "report_outdated", "", &detail);
         }
+        if scheduler.take_other_order() {
+            self.members.record_unknown_order(now);
+            let sequence = report.map_or(0, |report| report.sequence);
+            let detail = format!("server={id} sequence={sequence}");
+            log_event(effects, "other_order_seen", "", &detail);
+        }
         if scheduler.is_active() != was_active {
             let detail = format!("server={id} active={}", !was_active);
             log_event(effects, "order_right", "", &detail);
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -7,6 +7,7 @@
 //! mentioned in short form.
 
 mod messages;
+mod quorum;
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -16,6 +17,8 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use smol_str::SmolStr;
 
+use self::quorum::QuorumState;
+pub use self::quorum::QuorumView;
 use super::{
     claims::ClaimTable,
     digest::{MemberDigest, MemberKey},
@@ -33,7 +36,7 @@
 /// large fleet too.
 const MAX_TIMEOUT_ADDITION: Duration = Duration::from_millis(2_500);
 /// Members whose heartbeat has grown within this time may still be running and count when limits
-/// are divided.
+/// are divided. A new process may not know which instances it cannot reach for as long.
 const RECENT_TIME: Duration = Duration::from_secs(20);
 /// Time after its start during which a process may not know all members.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -109,8 +112,9 @@
 struct MemberState {
     record: MemberRecord,
     last_heartbeat: ClockTime,
-    /// Its host refused a connection, so no process listens at its address.
-    refused: bool,
+    /// Time since which its host refuses connections: no process listens at its address, or a
+    /// partition refuses them.
+    refused_since: Option<ClockTime>,
     key: MemberKey,
     /// Local gossip round in which the content was learned.
     learned_in: u64,
@@ -126,7 +130,7 @@
             key: MemberKey::new(&record),
             record,
             last_heartbeat,
-            refused: false,
+            refused_since: None,
             learned_in: round,
             sends_digests: false,
             whole_records_until: None,
@@ -134,7 +138,7 @@
     }
 
     fn is_alive(&self, now: ClockTime, timeout: Duration) -> bool {
-        !self.refused && now.since(self.last_heartbeat) < timeout
+        self.refused_since.is_none() && now.since(self.last_heartbeat) < timeout
     }
 }
 
@@ -160,6 +164,7 @@
     rounds: u64,
     last_message: Option<ClockTime>,
     last_alive: BTreeMap<SmolStr, bool>,
+    quorum: QuorumState,
 }
 
 impl GossipTable {
@@ -183,6 +188,7 @@
             rounds: 0,
             last_message: None,
             last_alive: BTreeMap::new(),
+            quorum: QuorumState::default(),
         };
         table.index_keys();
         table
@@ -306,23 +312,6 @@
             .collect()
     }
 
-    /// Whether a majority of the instances that may be running is reachable, counting the local
-    /// one.
-    ///
-    /// Instances that were alive recently count as running unless their host refused a connection.
-    pub fn has_quorum(&self, now: ClockTime) -> bool {
-        let recent = |member: &&MemberState| {
-            !member.refused && now.since(member.last_heartbeat) < RECENT_TIME
-        };
-        let mut running = self.others.values().filter(recent).count() + 1;
-        if now.since(ClockTime::ZERO) < RECENT_TIME {
-            // A new process does not know which instances it cannot reach.
-            running = running.max(self.min_instances / 2 + 1);
-        }
-        let reachable = self.alive(now).count() + 1;
-        reachable * 2 > running
-    }
-
     fn all_records(&self) -> impl Iterator<Item = &MemberRecord> {
         let others = self.others.values().map(|member| &member.record);
         others.chain([&self.local])
@@ -354,8 +343,14 @@
             }
         }
         let count = self.others.len();
-        self.others
-            .retain(|_, member| now.since(member.last_heartbeat) < REMOVAL_TIME);
+        let quorum = &mut self.quorum;
+        self.others.retain(|_, member| {
+            let is_kept = now.since(member.last_heartbeat) < REMOVAL_TIME;
+            if !is_kept {
+                quorum.remember(member);
+            }
+            is_kept
+        });
         if self.others.len() < count {
             self.index_keys();
         }
@@ -414,18 +409,21 @@
     }
 
     /// Marks the member at this address as dead, because its host refused a connection.
-    pub fn mark_refused(&mut self, address: SocketAddr) {
+    pub fn mark_refused(&mut self, now: ClockTime, address: SocketAddr) {
         for member in self.others.values_mut() {
             if member.record.peer_address == address {
-                member.refused = true;
+                member.refused_since.get_or_insert(now);
             }
         }
+        if self.seed_peers.contains(&address) {
+            self.quorum.mark_refused(now, address);
+        }
     }
 
     /// Restarts every member's timeout after the local process was paused.
     pub fn restart_timeouts(&mut self, now: ClockTime) {
         for member in self.others.values_mut() {
-            if !member.refused {
+            if member.refused_since.is_none() {
                 member.last_heartbeat = now;
             }
         }
--- a/lib/src/gateway/members/messages.rs
+++ b/lib/src/gateway/members/messages.rs
@@ -324,7 +324,7 @@
         let known = (member.record.incarnation, member.record.heartbeat);
         if (record.incarnation, record.heartbeat) > known {
             member.last_heartbeat = last_heartbeat.max(member.last_heartbeat);
-            member.refused = false;
+            member.refused_since = None;
             let key = MemberKey::new(record);
             let is_changed = key != member.key;
             if is_changed {
@@ -351,7 +351,7 @@
         if growth > 0 {
             member.record.heartbeat += u64::from(growth.unsigned_abs());
             member.last_heartbeat = before(now, form.age).max(member.last_heartbeat);
-            member.refused = false;
+            member.refused_since = None;
         }
     }
 }
--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -60,6 +60,8 @@
     /// Time until which no other instance can have observed the count for the lease time, because an
     /// order of this one has changed it.
     exclusive_until: ClockTime,
+    /// A report has shown an order of another instance.
+    has_seen_other_order: bool,
 }
 
 impl OrderLease {
@@ -77,6 +79,7 @@
             order_sent_at: ClockTime::ZERO,
             late_until: ClockTime::ZERO,
             exclusive_until: ClockTime::ZERO,
+            has_seen_other_order: false,
         }
     }
 
@@ -215,10 +218,19 @@
                 self.exclusive_until = self.order_sent_at.after(self.quiet_time());
                 LeasePhase::Active { sequence }
             }
-            _ => self.start_observing(now, sequence),
+            LeasePhase::Unknown => self.start_observing(now, sequence),
+            _ => {
+                self.has_seen_other_order = true;
+                self.start_observing(now, sequence)
+            }
         };
     }
 
+    /// Whether a report since the last call has shown an order of another instance.
+    pub fn take_other_order(&mut self) -> bool {
+        std::mem::take(&mut self.has_seen_other_order)
+    }
+
     fn quiet_time(&self) -> Duration {
         self.lease_time + REPORT_LAG
     }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -270,7 +270,7 @@
             return;
         };
         if answer == Err(PeerError::ConnectionRefused) {
-            self.members.mark_refused(peer);
+            self.members.mark_refused(now, peer);
         }
         match (purpose, answer) {
             (CallPurpose::Gossip { .. }, Ok(PeerAnswer::Gossip(message))) => {
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -209,6 +209,11 @@
         self.order_lease.suspend(now);
     }
 
+    /// Whether a report since the last call has shown an order of another instance.
+    pub fn take_other_order(&mut self) -> bool {
+        self.order_lease.take_other_order()
+    }
+
     /// Time until the server could start on another prompt.
     pub fn backlog(&self, now: ClockTime) -> Duration {
         self.prefill_until.since(now)
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -91,6 +91,10 @@
     pub(crate) shared_fence: Option<(SmolStr, SmolStr, u64)>,
     /// Set when an order was accepted within the lease time of another instance.
     pub(crate) lease_violation: Option<(SmolStr, SmolStr, Duration)>,
+    last_attempt: Option<(SmolStr, ClockTime, u64)>,
+    /// Set when an order, accepted or not, arrived within the lease time of another instance's order, or
+    /// with the same or a lower fencing token than that one.
+    pub(crate) holder_conflict: Option<String>,
     /// Set when an adapter was unloaded while requests ran on it.
     pub(crate) unloaded_in_use: Option<SmolStr>,
 }
@@ -117,6 +121,8 @@
             last_holder: None,
             shared_fence: None,
             lease_violation: None,
+            last_attempt: None,
+            holder_conflict: None,
             unloaded_in_use: None,
         }
     }
@@ -202,6 +208,19 @@
         holder: &SmolStr,
         order: &ServerOrder,
     ) -> ServerOrderOutcome {
+        if let Some((last, time, fence)) = &self.last_attempt
+            && last != holder
+            && (now.since(*time) < LEASE || order.fence <= *fence)
+        {
+            let millis = now.as_micros() / 1_000;
+            let conflict = format!(
+                "{holder} ordered with token {} at {millis} ms, {:?} after {last} with {fence}",
+                order.fence,
+                now.since(*time)
+            );
+            self.holder_conflict.get_or_insert(conflict);
+        }
+        self.last_attempt = Some((holder.clone(), now, order.fence));
         let was_valid = self.overfilled.is_none() && self.lease_violation.is_none();
         let last_fence = self.last_fence;
         let outcome = self.order(now, order);
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -118,6 +118,8 @@
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
+    /// Whether connections between the two sides of a partition are refused instead of lost.
+    pub(crate) partition_refuses: bool,
     /// Links of limited bandwidth; without them, messages of any size take the same time.
     links: Option<LinkTable>,
     exchanges: BTreeMap<ExchangeNumber, LinkExchange>,
@@ -225,6 +227,7 @@
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
+            partition_refuses: false,
             links: None,
             exchanges: BTreeMap::new(),
             next_exchange: 0,
@@ -571,6 +574,11 @@
                     WorldAction::Deliver(target, from, call, peer, message, None),
                 );
             }
+            Some(_) if self.partition_refuses => {
+                let answer = Err(PeerError::ConnectionRefused);
+                let event = GatewayEvent::PeerAnswered { call, peer, answer };
+                self.schedule(NETWORK_DELAY, index, incarnation, event);
+            }
             _ => {
                 let answer = Err(PeerError::NoAnswer);
                 let event = GatewayEvent::PeerAnswered { call, peer, answer };
