tests: orders of instances that a new process has never heard of

Two instances are cut off and restart there, with the others in none of their tables; each server gets an order every few seconds.

--- a/lib/tests/gateway_partitions.rs
+++ b/lib/tests/gateway_partitions.rs
@@ -21,6 +21,10 @@
 
 /// Sends requests for many adapters to all instances for `time`.
 fn send_requests(world: &mut GatewayWorld, time: Duration) {
+    send_requests_each(world, time, REQUEST_INTERVAL);
+}
+
+fn send_requests_each(world: &mut GatewayWorld, time: Duration, interval: Duration) {
     let end = world.now.after(time);
     while world.now < end {
         let index = world.random().random_range(0..INSTANCES);
@@ -28,7 +32,7 @@
         if world.is_up(index) {
             world.request(index, &adapter, 500);
         }
-        world.run(REQUEST_INTERVAL);
+        world.run(interval);
     }
 }
 
@@ -124,6 +128,26 @@
     }
 }
 
+/// Regression test for ONE: a process that had started in a partition acquired leases between the orders
+/// of instances of which it had never heard.
+#[test]
+fn unknown_instances_are_noticed_by_their_orders() {
+    for seed in SEEDS {
+        for cut in [&[0, 1][..], &[3, 4], &[2]] {
+            let mut world = GatewayWorld::new(seed, INSTANCES, SERVERS);
+            send_requests(&mut world, secs(10));
+            partition(&mut world, cut);
+            for index in cut {
+                world.kill(*index);
+                world.start(*index);
+            }
+            // Each server gets an order every few seconds.
+            send_requests_each(&mut world, secs(120), Duration::from_millis(1_500));
+            check_servers(&world, &format!("seed {seed}, cut {cut:?}"));
+        }
+    }
+}
+
 /// After the loss of most instances, the others order again once they know that the rest has stopped.
 #[test]
 fn the_rest_orders_again_after_most_instances_have_left() {
