members: notice unknown instances in published counts; one process an address

A process took part in the orders of one side after hearing of the other side for a moment, and it looked for orders of unknown instances only at servers that it schedules itself.

A process counts as having reached a majority only once it has settled; published counts of all servers that no known instance orders to are watched too. An instance that was replaced by a process at its address no longer counts beside it.

Tests: unknown_instances_are_noticed_by_their_orders with twelve seeds, and replaced_instances_do_not_count_beside_their_successors.

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -7,7 +7,7 @@
 
 use super::{
     CallPurpose, GatewayReducer, JOIN_TIME, TimerKind,
-    catalog::{EngineConfig, ServerReport},
+    catalog::{EngineConfig, ServerRecord, ServerReport},
     claims::ServerClaim,
     event::{GatewayEffect, ModelName, RequestNumber},
     log_event,
@@ -290,16 +290,15 @@
             let detail = format!("server={id} sequence={sequence}");
             log_event(effects, "report_outdated", "", &detail);
         }
-        if scheduler.take_other_order() {
-            self.members.record_unknown_order(now);
-            let sequence = report.map_or(0, |report| report.sequence);
-            let detail = format!("server={id} sequence={sequence}");
-            log_event(effects, "other_order_seen", "", &detail);
-        }
+        let has_other_order = scheduler.take_other_order();
         if scheduler.is_active() != was_active {
             let detail = format!("server={id} active={}", !was_active);
             log_event(effects, "order_right", "", &detail);
         }
+        if has_other_order {
+            let sequence = report.map_or(0, |report| report.sequence);
+            self.other_order_seen(now, &id, sequence, effects);
+        }
         self.run_scheduler(now, server, effects);
     }
 
@@ -324,6 +323,40 @@
         self.run_scheduler(now, server, effects);
     }
 
+    /// Looks for orders of unknown instances in the published count of a server's accepted orders.
+    pub(super) fn check_published_count(
+        &mut self,
+        now: ClockTime,
+        record: &ServerRecord,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        // With the quorum this instance may have given the orders itself.
+        let owner = self.owners.get(&record.id);
+        if self.has_quorum || owner.is_some_and(|view| view.claim.active) {
+            return;
+        }
+        let known = self.servers.key(&record.id);
+        let has_moved = known.is_some_and(|key| {
+            let known = &self.servers.get(key).record;
+            known.started == record.started && known.sequence < record.sequence
+        });
+        if has_moved {
+            self.other_order_seen(now, &record.id, record.sequence, effects);
+        }
+    }
+
+    fn other_order_seen(
+        &mut self,
+        now: ClockTime,
+        id: &SmolStr,
+        sequence: u64,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.members.record_unknown_order(now);
+        let detail = format!("server={id} sequence={sequence}");
+        log_event(effects, "other_order_seen", "", &detail);
+    }
+
     pub(super) fn server_published(
         &mut self,
         now: ClockTime,
--- a/lib/src/gateway/members/quorum.rs
+++ b/lib/src/gateway/members/quorum.rs
@@ -9,11 +9,15 @@
 //! name all of them. Until it has once reached a majority of the instances that a deployment of its
 //! size has, it does not order while a server's count of accepted orders moves without its side.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use smol_str::SmolStr;
 
-use super::{GossipTable, MemberPhase, MemberState, RECENT_TIME};
+use super::{GossipTable, MemberPhase, MemberState, RECENT_TIME, SETTLING_TIME};
 use crate::clock::ClockTime;
 
 /// Longest partition. An instance that was silent for longer counts as stopped.
@@ -94,7 +98,8 @@
     pub fn quorum(&mut self, now: ClockTime) -> QuorumView {
         let reachable = self.alive(now).count() + 1;
         let majority = self.min_instances / 2 + 1;
-        self.quorum.has_reached_majority |= reachable >= majority;
+        let has_settled = now.since(ClockTime::ZERO) >= SETTLING_TIME;
+        self.quorum.has_reached_majority |= has_settled && reachable >= majority;
         let is_recent = |time: ClockTime| now.since(time) < UNKNOWN_ORDER_TIME;
         if !self.quorum.has_reached_majority && self.quorum.unknown_order_at.is_some_and(is_recent)
         {
@@ -103,7 +108,7 @@
                 running: None,
             };
         }
-        let mut running = self.running_count(now);
+        let mut running = reachable + self.unreachable_count(now);
         if now.since(ClockTime::ZERO) < RECENT_TIME {
             // A new process does not know which instances it cannot reach.
             running = running.max(majority);
@@ -114,28 +119,34 @@
         }
     }
 
-    /// Number of instances that may be running, reachable or not.
-    fn running_count(&mut self, now: ClockTime) -> usize {
+    /// Number of instances that may be running and cannot be reached.
+    fn unreachable_count(&mut self, now: ClockTime) -> usize {
         let others = &self.others;
         self.quorum.silent.retain(|name, member| {
             !others.contains_key(name) && may_run(now, member.last_heartbeat, member.refused_since)
         });
+        // Another process took the place of an earlier one with its address.
+        let mut reachable: BTreeSet<SocketAddr> =
+            self.alive(now).map(|record| record.peer_address).collect();
+        reachable.insert(self.local.peer_address);
         let timeout = self.timeout();
-        let is_running = |member: &&MemberState| {
-            member.is_alive(now, timeout)
-                || member.record.phase != MemberPhase::Leaving
-                    && may_run(now, member.last_heartbeat, member.refused_since)
-        };
-        let known = self.others.values().filter(is_running).count();
-        let silent = &self.quorum.silent;
+        let known = self.others.values().filter(|member| {
+            !member.is_alive(now, timeout)
+                && member.record.phase != MemberPhase::Leaving
+                && may_run(now, member.last_heartbeat, member.refused_since)
+        });
+        let known = known.map(|member| member.record.peer_address);
+        let silent = self.quorum.silent.values();
+        let silent = silent.map(|member| member.peer_address);
+        let unreachable: Vec<SocketAddr> = known
+            .chain(silent)
+            .filter(|address| !reachable.contains(address))
+            .collect();
         let unknown_seeds = self.unknown_seed_peers().filter(|address| {
             let refused_since = self.quorum.refused_seeds.get(address).copied();
-            !silent
-                .values()
-                .any(|member| member.peer_address == *address)
-                && may_run(now, ClockTime::ZERO, refused_since)
+            !unreachable.contains(address) && may_run(now, ClockTime::ZERO, refused_since)
         });
-        known + silent.len() + unknown_seeds.count() + 1
+        unreachable.len() + unknown_seeds.count()
     }
 
     /// Records that a server's count of accepted orders moved without an order of a known
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -398,6 +398,7 @@
                 *known = (*known).max(*version);
             }
             Some(PublishedItem::Server(record)) => {
+                self.check_published_count(now, record, effects);
                 let (key, is_new) = self.servers.apply_record(now, record.clone());
                 if is_new {
                     let detail = format!("server={} started={}", record.id, record.started);
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -255,7 +255,7 @@
         self.store.write(self.now, key, item);
     }
 
-    fn publish_server(&mut self, index: usize) {
+    pub(crate) fn publish_server(&mut self, index: usize) {
         let record = ServerRecord {
             id: format_smolstr!("s-{index}"),
             service: "models".into(),
@@ -264,7 +264,7 @@
             slots: 64,
             draining: self.notice_table.draining.contains(&index),
             cold_for: Duration::ZERO,
-            sequence: 0,
+            sequence: self.engines[index].report().sequence,
             started: self.engines[index].started,
             models: self.engines[index].report().models,
         };
--- a/lib/tests/gateway_partitions.rs
+++ b/lib/tests/gateway_partitions.rs
@@ -13,7 +13,7 @@
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Seeds of the schedules.
-const SEEDS: std::ops::Range<u64> = 0..4;
+const SEEDS: std::ops::Range<u64> = 0..12;
 
 const fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -33,6 +33,12 @@
             world.request(index, &adapter, 500);
         }
         world.run(interval);
+        for server in 0..SERVERS {
+            // Servers write their entries every second or so.
+            if world.random().random_bool(interval.as_secs_f64().min(1.0)) {
+                world.publish_server(server);
+            }
+        }
     }
 }
 
@@ -72,15 +78,31 @@
             send_requests(&mut world, secs(30));
             check_servers(&world, &format!("seed {seed}, cut {cut:?}"));
             if cut.len() * 2 < INSTANCES {
-                assert!(
-                    order_count(&world) > before + 20,
-                    "the majority gives no orders"
-                );
+                let count = order_count(&world) - before;
+                assert!(count > 20, "the majority gave {count} orders");
             }
         }
     }
 }
 
+/// Processes that take the addresses of killed ones under other names take their place in the quorum.
+#[test]
+fn replaced_instances_do_not_count_beside_their_successors() {
+    let mut world = GatewayWorld::new(2, INSTANCES, SERVERS);
+    send_requests(&mut world, secs(10));
+    for generation in 0..3 {
+        for index in 0..INSTANCES - 1 {
+            world.kill(index);
+            world.nodes[index].name = format!("m-{generation}-{index}").into();
+            world.start(index);
+            send_requests(&mut world, secs(6));
+        }
+    }
+    let before = order_count(&world);
+    send_requests(&mut world, secs(20));
+    assert!(order_count(&world) > before + 10);
+}
+
 /// The same with a partition of an hour, which regions may have.
 #[test]
 fn a_partition_of_an_hour_creates_no_second_scheduler() {
