--- a/lib/src/gateway/members/quorum.rs
+++ b/lib/src/gateway/members/quorum.rs
@@ -17,7 +17,7 @@
 
 use smol_str::SmolStr;
 
-use super::{GossipTable, MemberPhase, MemberState, RECENT_TIME, SETTLING_TIME};
+use super::{GossipTable, MemberPhase, MemberState, RECENT_TIME};
 use crate::clock::ClockTime;
 
 /// Longest partition. An instance that was silent for longer counts as stopped.
@@ -98,8 +98,7 @@
     pub fn quorum(&mut self, now: ClockTime) -> QuorumView {
         let reachable = self.alive(now).count() + 1;
         let majority = self.min_instances / 2 + 1;
-        let has_settled = now.since(ClockTime::ZERO) >= SETTLING_TIME;
-        self.quorum.has_reached_majority |= has_settled && reachable >= majority;
+        self.quorum.has_reached_majority |= reachable >= majority;
         let is_recent = |time: ClockTime| now.since(time) < UNKNOWN_ORDER_TIME;
         if !self.quorum.has_reached_majority && self.quorum.unknown_order_at.is_some_and(is_recent)
         {
--- a/lib/tests/gateway_partitions.rs
+++ b/lib/tests/gateway_partitions.rs
@@ -7,6 +7,7 @@
 
 use gateway::world::GatewayWorld;
 use rand::Rng;
+use wasabistall_lib::clock::ClockTime;
 
 const INSTANCES: usize = 6;
 const SERVERS: usize = 3;
@@ -170,6 +171,39 @@
     }
 }
 
+/// Regression test: after a loss of power of all instances, published counts of earlier orders kept the new
+/// processes from ordering until they had run for four seconds.
+#[test]
+fn counts_of_earlier_orders_do_not_delay_a_restart_of_all() {
+    for seed in SEEDS {
+        let mut world = GatewayWorld::new(seed, INSTANCES, SERVERS);
+        send_requests(&mut world, secs(10));
+        for index in 0..INSTANCES {
+            world.kill(index);
+        }
+        let restarted = world.now;
+        for starting in [0..2, 2..INSTANCES] {
+            for index in starting {
+                world.start(index);
+            }
+            for _ in 0..20 {
+                world.run(Duration::from_millis(50));
+                for server in 0..SERVERS {
+                    world.engines[server].order_by_other_instance(world.now);
+                    world.publish_server(server);
+                }
+            }
+        }
+        for index in 0..INSTANCES {
+            let is_regained = |(time, node, event): &(ClockTime, usize, &str)| {
+                *node == index && *event == "quorum_regained" && *time >= restarted
+            };
+            let is_ready = world.events.iter().any(is_regained);
+            assert!(is_ready, "seed {seed}, instance {index}");
+        }
+    }
+}
+
 /// After the loss of most instances, the others order again once they know that the rest has stopped.
 #[test]
 fn the_rest_orders_again_after_most_instances_have_left() {
