--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -168,6 +168,7 @@
             failed_selections: 0,
             phase: RequestPhase::AwaitingQuota,
             lenders: Vec::new(),
+            grant: 0,
             has_grant: false,
             uncached_tokens: 0,
             busy_replies: 0,
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -66,6 +66,42 @@
     Direct(GatewayServerKey),
 }
 
+/// Cost of sending a request to a model server, by part. The unit is that of a millisecond until the
+/// first event, times [`EARLY_WEIGHT`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct EngineCost {
+    /// Time until the first event.
+    pub(super) time: f64,
+    /// Load of the adapter from the weight store.
+    pub(super) store_load: f64,
+    /// Position in the adapter's rendezvous order, if the adapter has to be loaded.
+    pub(super) rank: f64,
+    /// Traffic between data centres.
+    pub(super) crossing: f64,
+    /// Long prompts and streams on one server.
+    pub(super) mixing: f64,
+    /// Recent failures of the server.
+    pub(super) failures: f64,
+    /// No instance schedules the server.
+    pub(super) unscheduled: f64,
+}
+
+impl EngineCost {
+    /// Sum of all parts.
+    pub(super) fn total(&self) -> f64 {
+        let EngineCost {
+            time,
+            store_load,
+            rank,
+            crossing,
+            mixing,
+            failures,
+            unscheduled,
+        } = self;
+        time + store_load + rank + crossing + mixing + failures + unscheduled
+    }
+}
+
 /// State of a model server with respect to a request.
 struct EngineView {
     residency: AdapterResidency,
@@ -144,11 +180,12 @@
             } else {
                 MIXING_COST
             };
-            if let Some((cost, choice)) = self.engine_cost(now, *key, record, version, ranks)
-                && let cost = cost + mixing_cost
-                && best.is_none_or(|(least, _)| cost < least)
-            {
-                best = Some((cost, choice));
+            if let Some((mut cost, choice)) = self.engine_cost(now, *key, record, version, ranks) {
+                cost.mixing = mixing_cost;
+                let cost = cost.total();
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, choice));
+                }
             }
         }
         best.map(|(_, choice)| choice)
@@ -260,7 +297,7 @@
         record: &RequestRecord,
         version: u64,
         (adapter_rank, prefix_rank): (usize, usize),
-    ) -> Option<(f64, EngineChoice)> {
+    ) -> Option<(EngineCost, EngineChoice)> {
         let wanted = record.request.model.as_ref()?;
         let server = self.servers.get(key);
         let view = self.engine_view(now, key, wanted, version);
@@ -272,12 +309,15 @@
             _ => 0,
         };
         let prefill_ms = tokens.saturating_sub(shared) as f64 / PREFILL_TOKENS_PER_MS;
-        let mut cost = server.failure_share(now) * FAILURE_COST;
+        let mut cost = EngineCost {
+            failures: server.failure_share(now) * FAILURE_COST,
+            ..EngineCost::default()
+        };
         let load_ms = match view.residency {
             AdapterResidency::Loaded => 0.0,
             AdapterResidency::RecentlyEvicted if view.active => RECENT_LOAD_MS,
             AdapterResidency::Missing if view.active => {
-                cost += STORE_LOAD_COST;
+                cost.store_load = STORE_LOAD_COST;
                 STORE_LOAD_MS
             }
             AdapterResidency::RecentlyEvicted | AdapterResidency::Missing => return None,
@@ -286,16 +326,16 @@
             if self.load_pauses.get(&key).is_some_and(|until| now < *until) {
                 return None;
             }
-            cost += adapter_rank as f64 * RANK_COST;
+            cost.rank = adapter_rank as f64 * RANK_COST;
         }
         if server.record.data_centre != self.options.data_centre {
-            cost += CROSSING_COST
+            cost.crossing = CROSSING_COST
                 + tokens as f64 * CROSSING_PROMPT_TOKEN_COST
                 + output_tokens as f64 * CROSSING_OUTPUT_TOKEN_COST;
         }
         let first_ms = (view.backlog.as_secs_f64() * 1_000.0).max(load_ms) + prefill_ms;
         let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_SHARE;
-        cost += first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
+        cost.time = first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
         if view.scheduled {
             let choice = EngineChoice::Scheduled {
                 server: key,
@@ -303,8 +343,8 @@
             };
             return Some((cost, choice));
         }
-        (server.in_flight < MAX_DIRECT_REQUESTS)
-            .then_some((cost + UNSCHEDULED_COST, EngineChoice::Direct(key)))
+        cost.unscheduled = UNSCHEDULED_COST;
+        (server.in_flight < MAX_DIRECT_REQUESTS).then_some((cost, EngineChoice::Direct(key)))
     }
 
     fn engine_view(
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -14,8 +14,8 @@
     members::{MemberPhase, MemberRecord},
     message::PeerCall,
     server_scheduler::{
-        DeclineReason, GrantKey, GrantRelease, GrantReply, GrantRequest, ServerOrderOutcome,
-        ServerScheduler,
+        DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
+        ServerOrderOutcome, ServerScheduler,
     },
     servers::GatewayServerKey,
 };
@@ -437,32 +437,47 @@
         };
         if self.schedulers.contains_key(&server) {
             let reply = self.handle_grant_request(now, &request, effects);
-            self.grant_answered(now, number, server, Some(&reply), effects);
+            self.grant_answered(
+                now,
+                number,
+                request.key.number,
+                server,
+                Some(&reply),
+                effects,
+            );
             return;
         }
         let Some(peer) = self.owners.get(&request.server).map(|view| view.peer) else {
             return;
         };
+        let grant = request.key.number;
         self.call_peer(
             peer,
             PeerCall::Grant(request),
-            CallPurpose::Grant(number, server),
+            CallPurpose::Grant {
+                request: number,
+                grant,
+                server,
+            },
             effects,
         );
     }
 
     fn build_grant_request(
-        &self,
+        &mut self,
         now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
         max_wait: Duration,
     ) -> Option<GrantRequest> {
+        let grant = self.next_grant;
+        self.next_grant += 1;
+        self.requests.get_mut(&number)?.grant = grant;
         let record = self.requests.get(&number)?;
         let wanted = record.request.model.as_ref()?;
         let (prompt_tokens, output_tokens) = record.request.tokens.unwrap_or_default();
         Some(GrantRequest {
-            key: self.grant_key(number),
+            key: self.grant_key(grant),
             server: self.servers.get(server).record.id.clone(),
             model: wanted.model.clone(),
             adapter: wanted.adapter.clone(),
@@ -475,11 +490,11 @@
         })
     }
 
-    pub(super) fn grant_key(&self, request: RequestNumber) -> GrantKey {
+    pub(super) fn grant_key(&self, number: GrantNumber) -> GrantKey {
         GrantKey {
             instance: self.options.instance.clone(),
             incarnation: self.options.incarnation,
-            request,
+            number,
         }
     }
 
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -40,6 +40,10 @@
     /// Processes of servers that recently announced that they leave.
     #[serde(default)]
     pub leaving: Vec<ProcessHash>,
+    /// Time that the sender expects a load from the weight store to take.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub load_time: Option<Duration>,
 }
 
 impl GossipMessage {
@@ -58,7 +62,7 @@
 impl Serialize for GossipMessage {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
-        let mut map = serializer.serialize_map(Some(8))?;
+        let mut map = serializer.serialize_map(Some(9))?;
         map.serialize_entry("records", &self.records)?;
         map.serialize_entry("claims", &self.claims)?;
         map.serialize_entry("wanted", &self.wanted)?;
@@ -67,6 +71,9 @@
         map.serialize_entry("board_age", &age)?;
         map.serialize_entry("era", &self.era)?;
         map.serialize_entry("leaving", &self.leaving)?;
+        let load_time =
+            SerializeAsWrap::<_, Option<DurationMilliSeconds<u64>>>::new(&self.load_time);
+        map.serialize_entry("load_time", &load_time)?;
         map.end()
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -58,7 +58,7 @@
     requests::RequestRecord,
     revision::StoreRevision,
     routes::RouteIndex,
-    server_scheduler::{GrantRelease, LoadLimiter, ServerScheduler},
+    server_scheduler::{GrantNumber, GrantRelease, LoadLimiter, ServerScheduler},
     servers::{GatewayServerKey, GatewayServers},
     store::{DoubtedChanges, StoreReader},
     suspects::SuspectList,
@@ -132,10 +132,16 @@
 /// Purpose of a call to a peer that has not been answered yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallPurpose {
-    Gossip { has_digest: bool },
+    Gossip {
+        has_digest: bool,
+    },
     Catalog,
     Claims,
-    Grant(RequestNumber, GatewayServerKey),
+    Grant {
+        request: RequestNumber,
+        grant: GrantNumber,
+        server: GatewayServerKey,
+    },
     Borrow(RequestNumber),
     Releases,
 }
@@ -192,6 +198,7 @@
     /// adapter.
     load_pauses: BTreeMap<GatewayServerKey, ClockTime>,
     releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
+    next_grant: GrantNumber,
     suspects: SuspectList,
     has_quorum: bool,
     timers: BTreeSet<(ClockTime, TimerKind)>,
@@ -246,6 +253,7 @@
             fencing_tokens: BTreeMap::new(),
             load_pauses: BTreeMap::new(),
             releases: BTreeMap::new(),
+            next_grant: 1,
             suspects: SuspectList::default(),
             has_quorum: false,
             timers,
@@ -309,6 +317,7 @@
             GatewayEvent::ShutdownExpired => self.shutdown_expired(now, effects),
         }
         self.run_timers(now, effects);
+        self.flush_releases(effects);
         self.schedule_wake(effects);
     }
 
@@ -348,7 +357,6 @@
         self.sync_schedulers(now, effects);
         self.load_limiter.adjust(now);
         self.run_schedulers(now, effects);
-        self.flush_releases(effects);
         self.set_timer(now.after(HOUSEKEEPING_INTERVAL), TimerKind::Housekeeping);
     }
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -114,6 +114,7 @@
             catalog_age: self.catalog_age(now),
             era: self.catalog.revision().era,
             leaving: self.servers.shared_leaving(now),
+            load_time: Some(self.load_limiter.load_time()),
         }
     }
 
@@ -165,6 +166,9 @@
         self.members.merge(now, &message.records);
         self.claims_received(now, &message.claims);
         self.leaving_heard(now, &message.leaving, effects);
+        if let Some(load_time) = message.load_time {
+            self.load_limiter.merge_load_time(load_time);
+        }
         let known = self.catalog.revision();
         if !self.trusts_peer_era(now, message.era) {
             return;
@@ -289,11 +293,19 @@
                 self.fetch_ended(now, effects);
             }
             (CallPurpose::Catalog, _) => self.fetch_ended(now, effects),
-            (CallPurpose::Grant(request, server), Ok(PeerAnswer::Grant(reply))) => {
-                self.grant_answered(now, request, server, Some(&reply), effects);
-            }
-            (CallPurpose::Grant(request, server), _) => {
-                self.grant_answered(now, request, server, None, effects);
+            (
+                CallPurpose::Grant {
+                    request,
+                    grant,
+                    server,
+                },
+                answer,
+            ) => {
+                let reply = match &answer {
+                    Ok(PeerAnswer::Grant(reply)) => Some(reply),
+                    _ => None,
+                };
+                self.grant_answered(now, request, grant, server, reply, effects);
             }
             (CallPurpose::Borrow(request), Ok(PeerAnswer::Lent(lent))) => {
                 self.quota_lent(now, request, lent, effects);
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -14,7 +14,7 @@
         AttemptEnd, AttemptStats, GatewayEffect, GatewayRequest, RequestNumber, ServerDispatch,
     },
     log_event,
-    server_scheduler::{DeclineReason, GrantRelease, GrantReply},
+    server_scheduler::{DeclineReason, GrantNumber, GrantRelease, GrantReply},
     servers::{GatewayServerKey, ServerOutcome},
     suspects::SuspectCauses,
 };
@@ -97,6 +97,8 @@
     pub(super) phase: RequestPhase,
     /// Peers that can still be asked to lend quota.
     pub(super) lenders: Vec<SocketAddr>,
+    /// Number of the newest grant that was requested.
+    pub(super) grant: GrantNumber,
     pub(super) has_grant: bool,
     /// Prompt tokens that the server has to prefill, according to its scheduler.
     pub(super) uncached_tokens: u64,
@@ -241,14 +243,14 @@
         &mut self,
         now: ClockTime,
         number: RequestNumber,
+        grant: GrantNumber,
         server: GatewayServerKey,
         reply: Option<&GrantReply>,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let is_waiting = self
-            .requests
-            .get(&number)
-            .is_some_and(|record| record.phase == RequestPhase::AwaitingGrant(server));
+        let is_waiting = self.requests.get(&number).is_some_and(|record| {
+            record.phase == RequestPhase::AwaitingGrant(server) && record.grant == grant
+        });
         match reply {
             Some(&GrantReply::Granted {
                 wait,
@@ -257,7 +259,7 @@
             }) => {
                 self.record_backlog(now, server, backlog);
                 if !is_waiting {
-                    self.release_grant(now, number, server, None, false, effects);
+                    self.release_grant(now, grant, server, None, false, effects);
                     return;
                 }
                 if let Some(record) = self.requests.get_mut(&number) {
@@ -278,8 +280,13 @@
                     self.grant_declined(now, number, server, reason, effects);
                 }
             }
-            None if is_waiting => self.try_another_server(now, number, server, effects),
-            None => {}
+            None => {
+                // The scheduler may have granted the request and its reply may be lost.
+                self.release_grant(now, grant, server, None, false, effects);
+                if is_waiting {
+                    self.try_another_server(now, number, server, effects);
+                }
+            }
         }
     }
 
@@ -439,7 +446,7 @@
     pub(super) fn release_grant(
         &mut self,
         now: ClockTime,
-        number: RequestNumber,
+        grant: GrantNumber,
         server: GatewayServerKey,
         first_event: Option<Duration>,
         adapter_missing: bool,
@@ -447,7 +454,7 @@
     ) {
         let release = GrantRelease {
             server: self.servers.get(server).record.id.clone(),
-            key: self.grant_key(number),
+            key: self.grant_key(grant),
             first_event,
             adapter_missing,
             ended: true,
@@ -465,12 +472,11 @@
         adapter_missing: bool,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let has_grant = self
-            .requests
-            .get_mut(&number)
-            .is_some_and(|record| std::mem::take(&mut record.has_grant));
-        if has_grant {
-            self.release_grant(now, number, server, first_event, adapter_missing, effects);
+        if let Some(record) = self.requests.get_mut(&number)
+            && std::mem::take(&mut record.has_grant)
+        {
+            let grant = record.grant;
+            self.release_grant(now, grant, server, first_event, adapter_missing, effects);
         }
     }
 
@@ -490,9 +496,10 @@
         };
         self.servers.record_answer(now, server);
         if record.has_grant {
+            let grant = record.grant;
             let release = GrantRelease {
                 server: self.servers.get(server).record.id.clone(),
-                key: self.grant_key(number),
+                key: self.grant_key(grant),
                 first_event: Some(first_event),
                 adapter_missing: false,
                 ended: false,
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -8,7 +8,13 @@
 
 use crate::gateway::prompt::PromptPart;
 
-/// Identifies a grant by the requesting instance and the number of the request on it.
+/// Number of a grant, unique within the requesting process.
+pub type GrantNumber = u64;
+
+/// Identifies a grant by the requesting instance and the number of the grant on it.
+///
+/// Each grant request of a caller's request has a number of its own, so that a release that arrives
+/// late does not end the grant that followed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GrantKey {
     /// Name of the requesting instance.
@@ -17,8 +23,9 @@
     /// Start time of its process, in Unix milliseconds.
     #[serde(rename = "life")]
     pub incarnation: u64,
-    /// Number of the request, unique within the process.
-    pub request: u64,
+    /// Number of the grant.
+    #[serde(rename = "request")]
+    pub number: GrantNumber,
 }
 
 /// Requests permission to send a request to a model server.
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -26,12 +26,27 @@
 /// window again, and the window doesn't grow meanwhile.
 const LATE_CUT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Load time that is assumed before the first loads, while few loads are running.
+pub(super) const INITIAL_LOAD_TIME: Duration = Duration::from_millis(250);
+/// Factor on the time after which an adapter was still missing, for the next expected load time.
+const DELAYED_LOAD_MARGIN: f64 = 1.1;
+/// Factor on the expected load time for each load that was in time. It makes the expectation follow a
+/// store that becomes faster, at the cost of one late load in about fifty.
+const LOAD_TIME_DECAY: f64 = 0.998;
+/// Weight of the load time that another instance expects.
+const PEER_WEIGHT: f64 = 0.25;
+/// Bounds of the expected load time.
+const MIN_LOAD_TIME: Duration = Duration::from_millis(20);
+const MAX_LOAD_TIME: Duration = Duration::from_secs(5);
+
 /// What a request shows about a load from the weight store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadTiming {
     /// The adapter was loaded when it was expected to be.
     Timely,
-    /// It was not.
+    /// It was slightly late: it was still missing this long after the load began.
+    Delayed(Duration),
+    /// It was so late that the weight store must be overloaded.
     Late,
 }
 
@@ -55,6 +70,8 @@
     late_until: ClockTime,
     /// Whether no load has been late yet.
     starting: bool,
+    /// Expected time of a load while few loads are running.
+    load_time: Duration,
 }
 
 impl Default for LoadLimiter {
@@ -74,9 +91,24 @@
             is_limited: false,
             late_until: ClockTime::ZERO,
             starting: true,
+            load_time: INITIAL_LOAD_TIME,
         }
     }
 
+    /// Expected time of a load from the weight store while few loads are running. It is not
+    /// published, so it is learned from loads.
+    pub fn load_time(&self) -> Duration {
+        self.load_time
+    }
+
+    /// Takes the load time that another instance expects into account. Most instances see few loads,
+    /// and a new one none.
+    pub fn merge_load_time(&mut self, peer: Duration) {
+        let merged = self.load_time.mul_f64(1.0 - PEER_WEIGHT)
+            + peer.min(MAX_LOAD_TIME).mul_f64(PEER_WEIGHT);
+        self.load_time = merged.clamp(MIN_LOAD_TIME, MAX_LOAD_TIME);
+    }
+
     /// Sets the number of servers that the instance schedules.
     pub fn set_server_count(&mut self, server_count: usize) {
         self.server_count = server_count;
@@ -107,12 +139,18 @@
 
     /// Adapts the window to what a request shows about a load.
     pub fn record_timing(&mut self, now: ClockTime, timing: LoadTiming) {
+        let load_time = match timing {
+            LoadTiming::Timely => self.load_time.mul_f64(LOAD_TIME_DECAY),
+            LoadTiming::Delayed(time) => self.load_time.max(time.mul_f64(DELAYED_LOAD_MARGIN)),
+            LoadTiming::Late => self.load_time,
+        };
+        self.load_time = load_time.clamp(MIN_LOAD_TIME, MAX_LOAD_TIME);
         match timing {
             LoadTiming::Timely if self.starting && self.is_limited => {
                 let growth = 1.0 + STARTUP_GROWTH / self.max_loads().max(1.0);
                 self.window = (self.window * growth).min(MAX_WINDOW);
             }
-            LoadTiming::Timely => {}
+            LoadTiming::Timely | LoadTiming::Delayed(_) => {}
             LoadTiming::Late => self.record_late_load(now),
         }
     }
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -19,7 +19,7 @@
 
 use self::prefill::PrefillModel;
 pub use self::{
-    grant::{DeclineReason, GrantKey, GrantRelease, GrantReply, GrantRequest},
+    grant::{DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest},
     load_limiter::{LoadLimiter, LoadTiming},
     orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
 };
@@ -30,8 +30,6 @@
 };
 use crate::clock::ClockTime;
 
-/// Time to load an adapter from the weight store while few loads are running.
-const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(250);
 /// Time to load an adapter that the server evicted recently and still has in its local cache.
 const RECENT_LOAD_TIME: Duration = Duration::from_millis(25);
 /// Time for an order to reach the server.
@@ -45,8 +43,13 @@
 const LOAD_TIME_FACTOR_GROWTH: f64 = 1.25;
 const LOAD_TIME_FACTOR_DECAY: f64 = 0.8;
 const MAX_LOAD_TIME_FACTOR: f64 = 2.0;
-/// Time after which a late adapter is expected to be loaded.
-const LATE_LOAD_WAIT: Duration = Duration::from_millis(120);
+/// Factor on the expected load time above which a late load shows that the weight store is
+/// overloaded, not just slower than expected.
+const OVERLOAD_FACTOR: f64 = 1.3;
+/// Time after which an adapter that is slightly late is expected to be loaded, and the same while
+/// the weight store is overloaded.
+const LATE_LOAD_WAIT: Duration = Duration::from_millis(40);
+const OVERLOADED_LOAD_WAIT: Duration = Duration::from_millis(120);
 /// Share of a server's cache memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.9;
 /// Time of one decode step, in which a server generates a token for each stream. Published steps
@@ -84,7 +87,11 @@
     confirmed: bool,
     /// Whether its load was ordered from the weight store.
     from_store: bool,
-    /// Whether a request found the adapter missing after the load should have been complete.
+    /// Expected duration of that load.
+    load_time: Duration,
+    /// Time since the load began at which a request last found the adapter missing.
+    missing_after: Option<Duration>,
+    /// Whether the load took so long that the weight store must be overloaded.
     late: bool,
 }
 
@@ -411,7 +418,7 @@
             slot.version = version;
             slot.confirmed = false;
             slot.changed_at = now;
-            slot.ready_at = now.after(ADAPTER_LOAD_TIME + ORDER_LATENCY);
+            slot.ready_at = now.after(load_limiter.load_time() + ORDER_LATENCY);
             let ready_at = slot.ready_at;
             self.queue_load(model, adapter, version);
             return Ok(ready_at);
@@ -426,7 +433,7 @@
         let load_time = if is_recently_evicted {
             RECENT_LOAD_TIME
         } else {
-            ADAPTER_LOAD_TIME.mul_f64(self.load_time_factor)
+            load_limiter.load_time().mul_f64(self.load_time_factor)
         };
         if self.occupied_slots() + self.reserved_slots() >= config.adapter_slots
             && self.eviction_candidates(now).count() <= self.reserved_slots()
@@ -454,6 +461,8 @@
             last_used_at: now,
             confirmed: false,
             from_store: !is_recently_evicted,
+            load_time,
+            missing_after: None,
             late: false,
         });
         self.start_loads(now, config);
@@ -599,7 +608,13 @@
             && let Some(slot) = self.slot(&grant.model, adapter)
         {
             let was_confirmed = std::mem::replace(&mut slot.confirmed, true);
-            timing = (slot.from_store && !was_confirmed).then_some(LoadTiming::Timely);
+            if slot.from_store && !was_confirmed {
+                timing = match slot.missing_after {
+                    None => Some(LoadTiming::Timely),
+                    Some(_) if slot.late => None,
+                    Some(time) => Some(LoadTiming::Delayed(time)),
+                };
+            }
         }
         if grant.uncached_tokens < LONG_PREFILL_TOKENS {
             return timing;
@@ -627,8 +642,10 @@
 
     /// Handles a response that says that the server lacks an adapter which should be loaded by now.
     ///
-    /// The load may still be running, so the slot is kept until a report says otherwise. Only the
-    /// first such response counts as a late load: others say nothing new about the weight store.
+    /// The load may still be running, so the slot is kept until a report says otherwise. A load that
+    /// is slightly late only shows that loads take longer than expected. Of the responses about one
+    /// load that is later than that, only the first counts: others say nothing new about the weight
+    /// store.
     fn record_late_load(
         &mut self,
         now: ClockTime,
@@ -637,7 +654,13 @@
     ) -> Option<LoadTiming> {
         self.order_lease.request_report(now);
         let slot = self.slot(model, adapter)?;
-        slot.ready_at = now.after(LATE_LOAD_WAIT);
+        let time = now.since(slot.changed_at).saturating_sub(ORDER_LATENCY);
+        slot.missing_after = Some(time);
+        if time <= slot.load_time.mul_f64(OVERLOAD_FACTOR) {
+            slot.ready_at = now.after(LATE_LOAD_WAIT);
+            return None;
+        }
+        slot.ready_at = now.after(OVERLOADED_LOAD_WAIT);
         if std::mem::replace(&mut slot.late, true) {
             return None;
         }
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::{AdapterSlot, ServerScheduler, SlotPhase};
+use super::{AdapterSlot, ServerScheduler, SlotPhase, load_limiter::INITIAL_LOAD_TIME};
 use crate::{
     clock::ClockTime,
     gateway::catalog::{EngineConfig, ModelConfig},
@@ -246,6 +246,8 @@
                 last_used_at: now,
                 confirmed: true,
                 from_store: false,
+                load_time: INITIAL_LOAD_TIME,
+                missing_after: None,
                 late: false,
             });
         }
@@ -274,6 +276,8 @@
                     last_used_at: ClockTime::ZERO,
                     confirmed: true,
                     from_store: false,
+                    load_time: INITIAL_LOAD_TIME,
+                    missing_after: None,
                     late: false,
                 });
             }
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -5,7 +5,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    ADAPTER_LOAD_TIME, AdapterSlot, ModelStatus, ServerScheduler, SlotPhase,
+    AdapterSlot, ModelStatus, ServerScheduler, SlotPhase,
+    load_limiter::INITIAL_LOAD_TIME,
     orders::{MODEL_RECHECK_INTERVAL, OrderAction},
 };
 use crate::{
@@ -54,7 +55,7 @@
         }
         self.apply_models(now, &report.models);
         for (model, adapter) in &report.loading_adapters {
-            self.apply_adapter(now, model, adapter, now.after(ADAPTER_LOAD_TIME));
+            self.apply_adapter(now, model, adapter, now.after(INITIAL_LOAD_TIME));
         }
         let unloading = |slot: &AdapterSlot| slot.phase == SlotPhase::Unloading;
         if self.adapter_slots.iter().any(unloading) {
@@ -153,6 +154,8 @@
             last_used_at: now,
             confirmed: ready_at <= now,
             from_store: false,
+            load_time: INITIAL_LOAD_TIME,
+            missing_after: None,
             late: false,
         });
     }
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -111,7 +111,7 @@
             kind,
             retry_after: retry_after.or(default_retry_delay),
         }));
-        self.close_attempt(now, number, &record, effects);
+        self.close_attempt(now, &record, effects);
     }
 
     /// Accounts a request that a server ran, or may have run, to its team.
@@ -145,7 +145,6 @@
     fn close_attempt(
         &mut self,
         now: ClockTime,
-        number: RequestNumber,
         record: &RequestRecord,
         effects: &mut Vec<GatewayEffect>,
     ) {
@@ -160,7 +159,7 @@
             | RequestPhase::AwaitingGrant(_) => return,
         };
         if record.has_grant {
-            self.release_grant(now, number, server, None, false, effects);
+            self.release_grant(now, record.grant, server, None, false, effects);
         }
     }
 
@@ -184,7 +183,7 @@
             if record.runs > 0 || matches!(record.phase, RequestPhase::Sent(_)) {
                 self.count_usage(number, &record, UsageOutcome::Partial);
             }
-            self.close_attempt(now, number, &record, effects);
+            self.close_attempt(now, &record, effects);
         }
     }
 }
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -26,7 +26,7 @@
     GrantKey {
         instance: "a-1".into(),
         incarnation: 1,
-        request,
+        number: request,
     }
 }
 
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -61,6 +61,7 @@
         catalog_age: Duration::from_millis(120),
         era,
         leaving: Vec::new(),
+        load_time: None,
     }
 }
 
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -190,6 +190,7 @@
             catalog_age: Duration::ZERO,
             era,
             leaving: Vec::new(),
+            load_time: None,
         });
         self.handle(GatewayEvent::PeerCalled { call: 0, message });
     }
