scheduler: pace long prefills by the pauses of streams

Cause: long prompts were sent to a server with a fixed gap of one event interval between them, about a fifth of the time of a prefill, also where no stream was late.

Change: schedulers learn from each complete stream whether it had a pause beyond its route's objective, and narrow the gap while few have; routes carry the objective for pauses.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -150,6 +150,7 @@
             route: route.name.clone(),
             retry: route.retry,
             objective: route.objective,
+            pause_objective: route.pause_objective,
             max_attempts: route.max_attempts.max(1),
             priority: team
                 .and_then(|team| team.priority)
--- a/lib/src/gateway/catalog.rs
+++ b/lib/src/gateway/catalog.rs
@@ -67,6 +67,10 @@
     /// Latency objective of the response, or for streams of the first event.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub objective: Duration,
+    /// Objective for the longest pause between two events of a stream, if there is one.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub pause_objective: Option<Duration>,
     /// Maximum number of servers that may run one request.
     pub max_attempts: u32,
     /// Priority; 0 is the most urgent.
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -84,6 +84,7 @@
     pub(super) route: SmolStr,
     pub(super) retry: RetryPolicy,
     pub(super) objective: Duration,
+    pub(super) pause_objective: Option<Duration>,
     pub(super) max_attempts: u32,
     pub(super) priority: u8,
     pub(super) team: Option<SmolStr>,
@@ -117,6 +118,17 @@
     pub(super) causes: SuspectCauses,
 }
 
+/// What the end of a granted request shows about its server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct GrantOutcome {
+    /// Time from sending to the first event.
+    first_event: Option<Duration>,
+    /// Whether the server answered that the adapter is not loaded.
+    adapter_missing: bool,
+    /// Whether a complete stream had a pause beyond its objective.
+    late_pause: Option<bool>,
+}
+
 impl GatewayReducer {
     /// Takes the next step for a request that has not been sent.
     pub(super) fn continue_request(
@@ -259,7 +271,7 @@
             }) => {
                 self.record_backlog(now, server, backlog);
                 if !is_waiting {
-                    self.release_grant(now, grant, server, None, false, effects);
+                    self.release_grant(now, grant, server, GrantOutcome::default(), effects);
                     return;
                 }
                 if let Some(record) = self.requests.get_mut(&number) {
@@ -282,7 +294,7 @@
             }
             None => {
                 // The scheduler may have granted the request and its reply may be lost.
-                self.release_grant(now, grant, server, None, false, effects);
+                self.release_grant(now, grant, server, GrantOutcome::default(), effects);
                 if is_waiting {
                     self.try_another_server(now, number, server, effects);
                 }
@@ -354,7 +366,7 @@
     ) {
         if !self.servers.accepts_selected(now, server) {
             self.record_diversion(now, number, server, effects);
-            self.release_held_grant(now, number, server, None, false, effects);
+            self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.try_another_server(now, number, server, effects);
             return;
         }
@@ -365,13 +377,13 @@
             return;
         };
         if self.suspects.is_refused(&record.causes) {
-            self.release_held_grant(now, number, server, None, false, effects);
+            self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.refuse(now, number, ErrorKind::NoServer, effects);
             return;
         }
         let time_left = record.deadline.since(now);
         if time_left < MIN_SEND_TIME {
-            self.release_held_grant(now, number, server, None, false, effects);
+            self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.refuse(now, number, ErrorKind::DeadlineExceeded, effects);
             return;
         }
@@ -389,7 +401,7 @@
                 &record.request.attempt,
                 &detail,
             );
-            self.release_held_grant(now, number, server, None, false, effects);
+            self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.refuse(now, number, ErrorKind::NoServer, effects);
             return;
         } else {
@@ -448,16 +460,16 @@
         now: ClockTime,
         grant: GrantNumber,
         server: GatewayServerKey,
-        first_event: Option<Duration>,
-        adapter_missing: bool,
+        outcome: GrantOutcome,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let release = GrantRelease {
             server: self.servers.get(server).record.id.clone(),
             key: self.grant_key(grant),
-            first_event,
-            adapter_missing,
+            first_event: outcome.first_event,
+            adapter_missing: outcome.adapter_missing,
             ended: true,
+            late_pause: outcome.late_pause,
         };
         self.send_grant_release(now, server, release, effects);
     }
@@ -468,15 +480,14 @@
         now: ClockTime,
         number: RequestNumber,
         server: GatewayServerKey,
-        first_event: Option<Duration>,
-        adapter_missing: bool,
+        outcome: GrantOutcome,
         effects: &mut Vec<GatewayEffect>,
     ) {
         if let Some(record) = self.requests.get_mut(&number)
             && std::mem::take(&mut record.has_grant)
         {
             let grant = record.grant;
-            self.release_grant(now, grant, server, first_event, adapter_missing, effects);
+            self.release_grant(now, grant, server, outcome, effects);
         }
     }
 
@@ -503,6 +514,7 @@
                 first_event: Some(first_event),
                 adapter_missing: false,
                 ended: false,
+                late_pause: None,
             };
             self.send_grant_release(now, server, release, effects);
         }
@@ -531,6 +543,7 @@
         );
         log_event(effects, "attempt_ended", &record.request.attempt, &detail);
         let causes = record.causes.clone();
+        let pause_objective = record.pause_objective;
         let was_starting = record
             .started_at
             .is_none_or(|time| now.since(time) < STARTING_TIME);
@@ -553,15 +566,21 @@
             }
             _ => {}
         }
-        let adapter_missing = matches!(end, AttemptEnd::Rejected { misdirected: true });
         // The time to the first event of any other response depends neither on prefill nor on the
         // adapter.
         let ran = matches!(
             end,
             AttemptEnd::Completed { success: true } | AttemptEnd::Interrupted
         );
-        let first_event = stats.first_event.filter(|_| ran);
-        self.release_held_grant(now, number, server, first_event, adapter_missing, effects);
+        let is_complete = matches!(end, AttemptEnd::Completed { success: true });
+        let outcome = GrantOutcome {
+            first_event: stats.first_event.filter(|_| ran),
+            adapter_missing: matches!(end, AttemptEnd::Rejected { misdirected: true }),
+            late_pause: pause_objective
+                .filter(|_| is_complete)
+                .map(|objective| stats.longest_pause > objective),
+        };
+        self.release_held_grant(now, number, server, outcome, effects);
         self.decide_retry(now, number, server, end, effects);
     }
 
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -122,4 +122,8 @@
     pub adapter_missing: bool,
     /// Whether the request has ended. If not, this reports its first event.
     pub ended: bool,
+    /// Whether a stream that was complete had a pause beyond its route's objective; `None` if the
+    /// route has none or there was no complete stream.
+    #[serde(default)]
+    pub late_pause: Option<bool>,
 }
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod grant;
 mod load_limiter;
 mod orders;
+mod pacer;
 mod prefill;
 mod report;
 
@@ -22,6 +23,7 @@
     grant::{DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest},
     load_limiter::{LoadLimiter, LoadTiming},
     orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
+    pacer::PrefillPacer,
 };
 use super::{
     catalog::{EngineConfig, LoadedAdapter, LoadedModel},
@@ -55,9 +57,8 @@
 /// Time of one decode step, in which a server generates a token for each stream. Published steps
 /// take 4.4 to 5.3 ms and grow with the batch.
 const DECODE_STEP_TIME: Duration = Duration::from_millis(6);
-/// Prompts with at least this many uncached tokens are sent to a server one after another. Two
-/// prefills in a row would stall the server's streams for longer than the objective for pauses. The
-/// gap between two of them lets each stream emit an event.
+/// Prompts with at least this many uncached tokens are sent to a server one after another, with the
+/// gap of [`PrefillPacer`] between them.
 const LONG_PREFILL_TOKENS: u64 = 1_500;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,6 +141,7 @@
     prefix_cache: PrefixCache,
     prefill_until: ClockTime,
     prefill_model: PrefillModel,
+    prefill_pacer: PrefillPacer,
     queue: VecDeque<(SmolStr, OrderAction)>,
     pending_order: Option<(SmolStr, OrderAction)>,
     /// Largest fencing token of an accepted order, including orders of earlier schedulers.
@@ -173,6 +175,7 @@
             prefix_cache: PrefixCache::new(config.cache_tokens),
             prefill_until: now,
             prefill_model: PrefillModel::new(),
+            prefill_pacer: PrefillPacer::default(),
             queue: VecDeque::new(),
             pending_order: None,
             last_fence: 0,
@@ -346,7 +349,8 @@
         uncached_tokens: u64,
     ) -> ClockTime {
         if uncached_tokens >= LONG_PREFILL_TOKENS {
-            self.prefill_until.after(event_interval(config)).max(now)
+            let gap = self.prefill_pacer.gap(event_interval(config));
+            self.prefill_until.after(gap).max(now)
         } else {
             now
         }
@@ -580,6 +584,9 @@
         if !release.ended {
             return timing;
         }
+        if let Some(had_late_pause) = release.late_pause {
+            self.prefill_pacer.record_stream(had_late_pause);
+        }
         self.grants.remove(&release.key);
         match adapter {
             Some(adapter) if release.adapter_missing => {
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -8,7 +8,7 @@
     GatewayReducer,
     event::{GatewayEffect, GatewayRefusal, RequestNumber},
     log_event,
-    requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
+    requests::{DEFAULT_RETRY_DELAY, GrantOutcome, RequestPhase, RequestRecord},
     servers::ServerOutcome,
     shutdown::SHUTDOWN_RETRY_DELAY,
 };
@@ -159,7 +159,7 @@
             | RequestPhase::AwaitingGrant(_) => return,
         };
         if record.has_grant {
-            self.release_grant(now, record.grant, server, None, false, effects);
+            self.release_grant(now, record.grant, server, GrantOutcome::default(), effects);
         }
     }
 
--- a/lib/tests/gateway/desk.rs
+++ b/lib/tests/gateway/desk.rs
@@ -22,6 +22,7 @@
         retry,
         timeout: Duration::from_millis(3_000),
         objective: Duration::from_millis(300),
+        pause_objective: None,
         max_attempts,
         priority: 1,
         public: false,
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -151,6 +151,7 @@
             retry: RetryPolicy::Stream,
             timeout: Duration::from_secs(5),
             objective: Duration::from_secs(1),
+            pause_objective: Some(Duration::from_millis(500)),
             max_attempts: 1,
             priority: 1,
             public: false,
--- a/lib/tests/gateway_late_orders.rs
+++ b/lib/tests/gateway_late_orders.rs
@@ -441,6 +441,7 @@
                 first_event: holds.then_some(Duration::from_millis(40)),
                 adapter_missing: !holds,
                 ended: true,
+                late_pause: None,
             };
             scheduler.release(now, &release);
         }
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -23,6 +23,7 @@
         first_event,
         adapter_missing,
         ended: true,
+        late_pause: None,
     }
 }
 
@@ -654,3 +655,55 @@
         assert!(error < 0.15, "{tokens} tokens: {planned} ms");
     }
 }
+
+/// Time between the grants of two long prompts, requested at once, that remains after the first one's
+/// prefill.
+fn long_prefill_wait(scheduler: &mut ServerScheduler, now: ClockTime) -> Duration {
+    let config = engine_config(3);
+    let long = |request| GrantRequest {
+        prompt_tokens: 9_000,
+        adapter: None,
+        max_wait: Duration::from_secs(5),
+        ..grant_request(request, "a1")
+    };
+    let mut load_limiter = load_limiter(8);
+    let first = scheduler.decide(now, &config, &long(901), &mut load_limiter);
+    let second = scheduler.decide(now, &config, &long(902), &mut load_limiter);
+    for request in [901, 902] {
+        scheduler.release(now, &release(request, None, false));
+    }
+    match (first, second) {
+        (GrantReply::Granted { backlog, .. }, GrantReply::Granted { wait, .. }) => {
+            wait.saturating_sub(backlog)
+        }
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+/// Pattern: a burst of long prompts beside streams. Guards against a fixed gap between prefills, which
+/// leaves a fifth of the server idle although no stream is late, and against no gap at all where
+/// streams are.
+#[test]
+fn the_gap_between_long_prefills_follows_the_pauses_of_streams() {
+    let engine = FakeEngine::new(3);
+    let gap_after = |late_pause: Option<bool>| {
+        let (mut scheduler, now) = active_scheduler(&engine);
+        for request in 0..100 {
+            let short = GrantRequest {
+                adapter: None,
+                ..grant_request(request, "a1")
+            };
+            scheduler.decide(now, &engine_config(3), &short, &mut load_limiter(8));
+            let end = GrantRelease {
+                late_pause,
+                ..release(request, None, false)
+            };
+            scheduler.release(now, &end);
+        }
+        long_prefill_wait(&mut scheduler, now)
+    };
+    let initial = gap_after(None);
+    assert!(initial > Duration::ZERO);
+    assert_eq!(gap_after(Some(true)), initial);
+    assert_eq!(gap_after(Some(false)), Duration::ZERO);
+}
--- a/lib/tests/gateway_slow_orders.rs
+++ b/lib/tests/gateway_slow_orders.rs
@@ -174,6 +174,7 @@
                 first_event: holds.then_some(Duration::from_millis(40)),
                 adapter_missing: !holds,
                 ended: true,
+                late_pause: None,
             };
             self.scheduler.release(self.now, &release);
         }
