status: publish free adapter slots, backlog and speed of model servers

Schedulers now publish an entry of 8 bytes for each server in gossip messages and grant replies. The choice of a server uses the newest entry, less its age, plus the grants that the instance has requested since: a server without a free slot costs the expected wait for one, and prefill times are divided by the server's measured speed. Without an entry, the choice is as before. Replies are encoded with field names, so builds that do not know the entries ignore them.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -18,6 +18,9 @@
 const RECENT_LOAD_MS: f64 = 35.0;
 /// Prompt tokens that a server is assumed to prefill per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 33.0;
+/// Upper bound of the expected prefill time of one request. The number of tokens comes from the
+/// caller and can be anything.
+const MAX_PREFILL_TIME: Duration = Duration::from_secs(60);
 /// Cost of a millisecond until the first event.
 const EARLY_WEIGHT: f64 = 0.2;
 /// Additional cost of a millisecond that exceeds `EARLY_SHARE` of the objective.
@@ -172,7 +175,7 @@
         let prefill_servers = self.prefill_servers(&service);
         let adapter_ranks = self.ranks(&name, &candidates);
         let prefix_ranks = self.ranks(&prefix_name, &candidates);
-        let mut best: Option<(f64, EngineChoice)> = None;
+        let mut costs = Vec::new();
         for (position, key) in candidates.iter().enumerate() {
             let ranks = (adapter_ranks[position], prefix_ranks[position]);
             let mixing_cost = if is_long == prefill_servers.contains(key) {
@@ -182,13 +185,12 @@
             };
             if let Some((mut cost, choice)) = self.engine_cost(now, *key, record, version, ranks) {
                 cost.mixing = mixing_cost;
-                let cost = cost.total();
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, choice));
-                }
+                let needs_load = cost.store_load > 0.0 || cost.rank > 0.0;
+                let is_free_choice = !needs_load && self.expected_status(now, *key).is_some();
+                costs.push((cost.total(), is_free_choice, choice));
             }
         }
-        best.map(|(_, choice)| choice)
+        self.pick_cheapest(&costs)
     }
 
     /// Servers of the request's service that it may be sent to now.
@@ -308,7 +310,10 @@
             }
             _ => 0,
         };
-        let prefill_ms = tokens.saturating_sub(shared) as f64 / PREFILL_TOKENS_PER_MS;
+        let needs_slot = view.residency != AdapterResidency::Loaded;
+        let capacity = self.engine_capacity(now, key, needs_slot, view.backlog);
+        let prefill_ms =
+            tokens.saturating_sub(shared) as f64 / PREFILL_TOKENS_PER_MS / capacity.speed;
         let mut cost = EngineCost {
             failures: server.failure_share(now) * FAILURE_COST,
             ..EngineCost::default()
@@ -333,13 +338,15 @@
                 + tokens as f64 * CROSSING_PROMPT_TOKEN_COST
                 + output_tokens as f64 * CROSSING_OUTPUT_TOKEN_COST;
         }
-        let first_ms = (view.backlog.as_secs_f64() * 1_000.0).max(load_ms) + prefill_ms;
+        let slot_ms = capacity.slot_wait.as_secs_f64() * 1_000.0;
+        let backlog_ms = capacity.backlog.as_secs_f64() * 1_000.0;
+        let first_ms = backlog_ms.max(slot_ms + load_ms) + prefill_ms;
         let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_SHARE;
         cost.time = first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
         if view.scheduled {
             let choice = EngineChoice::Scheduled {
                 server: key,
-                backlog: view.backlog,
+                backlog: capacity.backlog,
             };
             return Some((cost, choice));
         }
@@ -347,6 +354,30 @@
         (server.in_flight < MAX_DIRECT_REQUESTS).then_some((cost, EngineChoice::Direct(key)))
     }
 
+    /// Expected time to prefill a request's prompt at a server, and whether its adapter has to be
+    /// loaded there.
+    pub(super) fn expected_use(
+        &self,
+        now: ClockTime,
+        number: RequestNumber,
+        server: GatewayServerKey,
+    ) -> Option<(Duration, bool)> {
+        let request = &self.requests.get(&number)?.request;
+        let wanted = request.model.as_ref()?;
+        let view = self.engine_view(now, server, wanted, self.min_version(wanted));
+        let needs_slot = view.residency != AdapterResidency::Loaded;
+        let speed = self
+            .engine_capacity(now, server, needs_slot, view.backlog)
+            .speed;
+        let (tokens, _) = request.tokens.unwrap_or_default();
+        let shared = request.prompt_parts.split_last().map_or(0, |(_, shared)| {
+            shared.iter().map(|part| u64::from(part.tokens)).sum()
+        });
+        let millis = tokens.saturating_sub(shared) as f64 / PREFILL_TOKENS_PER_MS / speed;
+        let prefill_time = Duration::from_secs_f64(millis / 1_000.0);
+        Some((prefill_time.min(MAX_PREFILL_TIME), needs_slot))
+    }
+
     fn engine_view(
         &self,
         now: ClockTime,
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -17,6 +17,7 @@
         DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
         ServerOrderOutcome, ServerScheduler,
     },
+    server_status::StatusList,
     servers::GatewayServerKey,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -140,6 +141,12 @@
         let mut scheduler =
             ServerScheduler::new(now, self.options.bounds.order_lease, engine_config, &models);
         scheduler.set_may_order(self.has_quorum);
+        if let Some(speed) = self
+            .expected_status(now, key)
+            .and_then(|status| status.speed)
+        {
+            scheduler.set_initial_speed(speed);
+        }
         self.schedulers.insert(key, scheduler);
         log_event(effects, "desk_claimed", "", &format!("server={id}"));
     }
@@ -384,6 +391,7 @@
         let declined = GrantReply::Declined {
             reason: DeclineReason::NotScheduled,
             backlog: Duration::ZERO,
+            statuses: StatusList::default(),
         };
         let Some(key) = self.servers.key(&request.server) else {
             return declined;
@@ -395,6 +403,7 @@
             return GrantReply::Declined {
                 reason: DeclineReason::Leaving,
                 backlog: Duration::ZERO,
+                statuses: StatusList::default(),
             };
         }
         self.load_limiter.set_server_count(self.schedulers.len());
@@ -450,6 +459,7 @@
         let Some(peer) = self.owners.get(&request.server).map(|view| view.peer) else {
             return;
         };
+        self.record_grant_request(now, number, server);
         let grant = request.key.number;
         self.call_peer(
             peer,
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -13,6 +13,7 @@
     replica::CatalogPage,
     revision::StoreRevision,
     server_scheduler::{GrantRelease, GrantReply, GrantRequest},
+    server_status::StatusList,
 };
 
 /// Membership and state of the catalog, as seen by one side of a gossip exchange.
@@ -44,6 +45,9 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default)]
     pub load_time: Option<Duration>,
+    /// Capacity of model servers.
+    #[serde(default)]
+    pub statuses: StatusList,
 }
 
 impl GossipMessage {
@@ -62,7 +66,8 @@
 impl Serialize for GossipMessage {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
-        let mut map = serializer.serialize_map(Some(9))?;
+        let has_statuses = !self.statuses.is_empty();
+        let mut map = serializer.serialize_map(Some(9 + usize::from(has_statuses)))?;
         map.serialize_entry("records", &self.records)?;
         map.serialize_entry("claims", &self.claims)?;
         map.serialize_entry("wanted", &self.wanted)?;
@@ -74,6 +79,9 @@
         let load_time =
             SerializeAsWrap::<_, Option<DurationMilliSeconds<u64>>>::new(&self.load_time);
         map.serialize_entry("load_time", &load_time)?;
+        if has_statuses {
+            map.serialize_entry("statuses", &self.statuses)?;
+        }
         map.end()
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod claims;
 pub mod digest;
 pub mod encoding;
+mod engine_capacity;
 mod engines;
 pub mod event;
 pub mod exchange;
@@ -30,6 +31,7 @@
 pub mod revision;
 pub mod routes;
 pub mod server_scheduler;
+pub mod server_status;
 pub mod servers;
 pub mod shutdown;
 mod store;
@@ -51,6 +53,7 @@
     allowance::{ColdBounds, QuotaBounds, RetryBounds, RetryBudget, TeamBucket},
     availability::PauseBounds,
     catalog_fetch::CatalogFetcher,
+    engine_capacity::CapacityView,
     engines::OwnerView,
     event::{GatewayEffect, GatewayEvent, LogEvent, RequestNumber},
     members::{GossipTable, MemberPhase, MemberRecord},
@@ -194,6 +197,7 @@
     /// Per server id, the start of its process in Unix milliseconds and the largest known fencing
     /// token.
     fencing_tokens: BTreeMap<SmolStr, (u64, u64)>,
+    capacity: CapacityView,
     /// Per server that declined a request, the time until which it is not asked to load another
     /// adapter.
     load_pauses: BTreeMap<GatewayServerKey, ClockTime>,
@@ -251,6 +255,7 @@
             owners: BTreeMap::new(),
             load_limiter: LoadLimiter::default(),
             fencing_tokens: BTreeMap::new(),
+            capacity: CapacityView::default(),
             load_pauses: BTreeMap::new(),
             releases: BTreeMap::new(),
             next_grant: 1,
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -115,6 +115,7 @@
             era: self.catalog.revision().era,
             leaving: self.servers.shared_leaving(now),
             load_time: Some(self.load_limiter.load_time()),
+            statuses: self.gossip_statuses(now),
         }
     }
 
@@ -141,7 +142,8 @@
                 PeerAnswer::CatalogChanges(self.catalog.changes_after(query.revision()))
             }
             PeerCall::Grant(request) => {
-                PeerAnswer::Grant(self.handle_grant_request(now, &request, effects))
+                let reply = self.handle_grant_request(now, &request, effects);
+                PeerAnswer::Grant(self.with_statuses(now, &request.server, reply))
             }
             PeerCall::Releases(releases) => {
                 for release in &releases {
@@ -169,6 +171,7 @@
         if let Some(load_time) = message.load_time {
             self.load_limiter.merge_load_time(load_time);
         }
+        self.gossip_statuses_received(now, &message.statuses);
         let known = self.catalog.revision();
         if !self.trusts_peer_era(now, message.era) {
             return;
@@ -305,6 +308,9 @@
                     Ok(PeerAnswer::Grant(reply)) => Some(reply),
                     _ => None,
                 };
+                if let Some(reply) = reply {
+                    self.reply_statuses_received(now, reply);
+                }
                 self.grant_answered(now, request, grant, server, reply, effects);
             }
             (CallPurpose::Borrow(request), Ok(PeerAnswer::Lent(lent))) => {
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -256,6 +256,7 @@
                 wait,
                 backlog,
                 uncached_tokens,
+                ..
             }) => {
                 self.record_backlog(now, server, backlog);
                 if !is_waiting {
@@ -274,7 +275,9 @@
                     self.set_timer(now.after(wait), TimerKind::Continue(number));
                 }
             }
-            Some(&GrantReply::Declined { reason, backlog }) => {
+            Some(&GrantReply::Declined {
+                reason, backlog, ..
+            }) => {
                 self.record_backlog(now, server, backlog);
                 if is_waiting {
                     self.grant_declined(now, number, server, reason, effects);
@@ -561,6 +564,9 @@
             AttemptEnd::Completed { success: true } | AttemptEnd::Interrupted
         );
         let first_event = stats.first_event.filter(|_| ran);
+        if let Some(first_event) = first_event {
+            self.record_hold_time(now, number, first_event);
+        }
         self.release_held_grant(now, number, server, first_event, adapter_missing, effects);
         self.decide_retry(now, number, server, end, effects);
     }
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeMap};
+use serde_with::{DurationMilliSeconds, ser::SerializeAsWrap, serde_as};
 use smol_str::SmolStr;
 
-use crate::gateway::prompt::PromptPart;
+use crate::gateway::{prompt::PromptPart, server_status::StatusList};
 
 /// Number of a grant, unique within the requesting process.
 pub type GrantNumber = u64;
@@ -83,7 +83,7 @@
 
 /// Response to a [`GrantRequest`].
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub enum GrantReply {
     /// The request may be sent after `wait`.
     Granted {
@@ -96,6 +96,9 @@
         /// Prompt tokens that are not in the server's prefix cache.
         #[serde(rename = "unread")]
         uncached_tokens: u64,
+        /// Capacity of this server, then of others.
+        #[serde(default)]
+        statuses: StatusList,
     },
     /// The request must be sent to another server.
     Declined {
@@ -104,9 +107,57 @@
         /// Time until the server could start on another prompt.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         backlog: Duration,
+        /// Capacity of this server, then of others.
+        #[serde(default)]
+        statuses: StatusList,
     },
 }
 
+/// Fields of a [`GrantReply`].
+struct ReplyFields<'r>(&'r GrantReply);
+
+// With field names, builds that do not know `statuses` ignore it.
+impl Serialize for ReplyFields<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let (GrantReply::Granted {
+            backlog, statuses, ..
+        }
+        | GrantReply::Declined {
+            backlog, statuses, ..
+        }) = self.0;
+        let millis = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new;
+        let count = match self.0 {
+            GrantReply::Granted { .. } => 4,
+            GrantReply::Declined { .. } => 3,
+        };
+        let mut map = serializer.serialize_map(Some(count))?;
+        match self.0 {
+            GrantReply::Granted {
+                wait,
+                uncached_tokens,
+                ..
+            } => {
+                map.serialize_entry("wait", &millis(wait))?;
+                map.serialize_entry("unread", uncached_tokens)?;
+            }
+            GrantReply::Declined { reason, .. } => map.serialize_entry("reason", reason)?,
+        }
+        map.serialize_entry("backlog", &millis(backlog))?;
+        map.serialize_entry("statuses", statuses)?;
+        map.end()
+    }
+}
+
+impl Serialize for GrantReply {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let (index, variant) = match self {
+            GrantReply::Granted { .. } => (0, "Granted"),
+            GrantReply::Declined { .. } => (1, "Declined"),
+        };
+        serializer.serialize_newtype_variant("GrantReply", index, variant, &ReplyFields(self))
+    }
+}
+
 /// Reports the progress or the end of a granted request to the scheduler.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod prefill;
 mod report;
+mod status;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -27,6 +28,7 @@
     catalog::{EngineConfig, LoadedAdapter, LoadedModel},
     order_lease::OrderLease,
     prompt::PrefixCache,
+    server_status::StatusList,
 };
 use crate::clock::ClockTime;
 
@@ -329,11 +331,13 @@
                     wait: start.since(now),
                     backlog: self.backlog(now),
                     uncached_tokens,
+                    statuses: StatusList::default(),
                 }
             }
             Err(reason) => GrantReply::Declined {
                 reason,
                 backlog: self.backlog(now),
+                statuses: StatusList::default(),
             },
         }
     }
--- a/lib/src/gateway/server_scheduler/prefill.rs
+++ b/lib/src/gateway/server_scheduler/prefill.rs
@@ -15,6 +15,10 @@
 const RETENTION: f64 = 0.97;
 /// Lower bound of the estimated time per token, in milliseconds.
 const MIN_TOKEN_MS: f64 = 1.0 / 200.0;
+/// Prompt length, in tokens, for which the speed is stated.
+const SPEED_PROMPT_TOKENS: u64 = 4_000;
+/// Number of measurements from which on the speed is known.
+const MIN_SPEED_MEASUREMENTS: u32 = 3;
 const PAIRS_IN_A_MILLION: f64 = 1_000_000.0;
 
 /// Prefill time as a function of the number of tokens and of token pairs, fitted by weighted least
@@ -26,17 +30,32 @@
     pairs_pairs: f64,
     token_ms: f64,
     pairs_ms: f64,
+    /// Speed for which the prior is weighted, relative to nominal.
+    prior_speed: f64,
+    /// Measurements that the speed is based on, up to [`MIN_SPEED_MEASUREMENTS`].
+    measurements: u32,
 }
 
 impl PrefillModel {
     /// Creates a model that consists of the prior only.
     pub(super) fn new() -> PrefillModel {
+        PrefillModel::with_prior(1.0, 0)
+    }
+
+    /// Creates a model of a server whose speed relative to the prior is known from elsewhere.
+    pub(super) fn with_speed(speed: f64) -> PrefillModel {
+        PrefillModel::with_prior(speed, MIN_SPEED_MEASUREMENTS)
+    }
+
+    fn with_prior(prior_speed: f64, measurements: u32) -> PrefillModel {
         let mut model = PrefillModel {
             token_token: 0.0,
             token_pairs: 0.0,
             pairs_pairs: 0.0,
             token_ms: 0.0,
             pairs_ms: 0.0,
+            prior_speed,
+            measurements,
         };
         model.add_prior(1.0);
         model
@@ -45,7 +64,7 @@
     fn add_prior(&mut self, part: f64) {
         for tokens in PRIOR_PROMPTS {
             let pairs = million_pairs(tokens, tokens);
-            let millis = tokens * PRIOR_TOKEN_MS + pairs * PRIOR_PAIRS_MS;
+            let millis = prior_millis(tokens, pairs) / self.prior_speed;
             self.add(tokens, pairs, millis, part * PRIOR_WEIGHT);
         }
     }
@@ -63,6 +82,7 @@
         }
         // The prior keeps its weight, so that prompts of a single length don't distort the fit.
         self.add_prior(1.0 - RETENTION);
+        self.measurements = (self.measurements + 1).min(MIN_SPEED_MEASUREMENTS);
         let pairs = million_pairs(tokens as f64, uncached as f64);
         self.add(uncached as f64, pairs, time.as_secs_f64() * 1_000.0, 1.0);
     }
@@ -86,6 +106,17 @@
         Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or(Duration::MAX)
     }
 
+    /// Speed relative to the prior, or `None` before there are enough measurements.
+    pub(super) fn speed(&self) -> Option<f64> {
+        if self.measurements < MIN_SPEED_MEASUREMENTS {
+            return None;
+        }
+        let tokens = SPEED_PROMPT_TOKENS as f64;
+        let prior = prior_millis(tokens, million_pairs(tokens, tokens));
+        let time = self.estimate(SPEED_PROMPT_TOKENS, SPEED_PROMPT_TOKENS);
+        Some(prior / (time.as_secs_f64() * 1_000.0))
+    }
+
     fn solve(&self) -> (f64, f64) {
         let determinant = self.token_token * self.pairs_pairs - self.token_pairs * self.token_pairs;
         // The two prompt lengths of the prior keep the determinant above zero.
@@ -97,6 +128,11 @@
     }
 }
 
+/// Time of the prior to prefill `tokens` tokens with `pairs` million pairs, in milliseconds.
+fn prior_millis(tokens: f64, pairs: f64) -> f64 {
+    tokens * PRIOR_TOKEN_MS + pairs * PRIOR_PAIRS_MS
+}
+
 /// Millions of token pairs that attend to each other while the last `uncached` of `tokens` are
 /// prefilled.
 fn million_pairs(tokens: f64, uncached: f64) -> f64 {
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -62,6 +62,7 @@
         era,
         leaving: Vec::new(),
         load_time: None,
+        statuses: Default::default(),
     }
 }
 
--- a/lib/tests/gateway_numbers.rs
+++ b/lib/tests/gateway_numbers.rs
@@ -50,6 +50,7 @@
             GrantReply::Declined {
                 reason: DeclineReason::Full,
                 backlog: Duration::ZERO,
+                ..
             }
         );
     }
--- a/lib/tests/gateway_scheduler.rs
+++ b/lib/tests/gateway_scheduler.rs
@@ -401,7 +401,8 @@
         declined,
         GrantReply::Declined {
             reason: DeclineReason::Busy,
-            backlog
+            backlog,
+            statuses: Default::default(),
         }
     );
     // A declined request leaves the state unchanged.
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -191,6 +191,7 @@
             era,
             leaving: Vec::new(),
             load_time: None,
+            statuses: Default::default(),
         });
         self.handle(GatewayEvent::PeerCalled { call: 0, message });
     }
