--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -268,6 +268,7 @@
                 wait,
                 backlog,
                 uncached_tokens,
+                ..
             }) => {
                 self.record_backlog(now, server, backlog);
                 if !is_waiting {
@@ -286,7 +287,9 @@
                     self.set_timer(now.after(wait), TimerKind::Continue(number));
                 }
             }
-            Some(&GrantReply::Declined { reason, backlog }) => {
+            Some(&GrantReply::Declined {
+                reason, backlog, ..
+            }) => {
                 self.record_backlog(now, server, backlog);
                 if is_waiting {
                     self.grant_declined(now, number, server, reason, effects);
@@ -580,6 +583,9 @@
                 .filter(|_| is_complete)
                 .map(|objective| stats.longest_pause > objective),
         };
+        if let Some(first_event) = outcome.first_event {
+            self.record_hold_time(now, number, first_event);
+        }
         self.release_held_grant(now, number, server, outcome, effects);
         self.decide_retry(now, number, server, end, effects);
     }
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod pacer;
 mod prefill;
 mod report;
+mod status;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -29,6 +30,7 @@
     catalog::{EngineConfig, LoadedAdapter, LoadedModel},
     order_lease::OrderLease,
     prompt::PrefixCache,
+    server_status::StatusList,
 };
 use crate::clock::ClockTime;
 
@@ -332,11 +334,13 @@
                     wait: start.since(now),
                     backlog: self.backlog(now),
                     uncached_tokens,
+                    statuses: StatusList::default(),
                 }
             }
             Err(reason) => GrantReply::Declined {
                 reason,
                 backlog: self.backlog(now),
+                statuses: StatusList::default(),
             },
         }
     }
