requests: check the adapter's version at the send

Adapters that were loaded but had not answered yet counted against the four that may load at once, for up to seconds, so that schedulers declined with LoadsBusy.

Change: a request whose grant is older than the newest announced version selects again, and servers are told the version that is expected. An adapter counts as loading until shortly after its load should have ended. A server that lacks an adapter it was known to have says nothing about the store.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -171,6 +171,7 @@
             lenders: Vec::new(),
             grant: 0,
             has_grant: false,
+            granted_version: 0,
             uncached_tokens: 0,
             busy_replies: 0,
             excluded: Vec::new(),
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -483,15 +483,17 @@
         let grant = self.next_grant;
         self.next_grant += 1;
         self.requests.get_mut(&number)?.grant = grant;
+        let wanted = self.requests.get(&number)?.request.model.clone()?;
+        let version = self.min_version(&wanted);
+        self.requests.get_mut(&number)?.granted_version = version;
         let record = self.requests.get(&number)?;
-        let wanted = record.request.model.as_ref()?;
         let (prompt_tokens, output_tokens) = record.request.tokens.unwrap_or_default();
         Some(GrantRequest {
             key: self.grant_key(grant),
             server: self.servers.get(server).record.id.clone(),
-            model: wanted.model.clone(),
-            adapter: wanted.adapter.clone(),
-            version: self.min_version(wanted),
+            model: wanted.model,
+            adapter: wanted.adapter,
+            version,
             prompt_tokens,
             output_tokens,
             parts: record.request.prompt_parts.clone(),
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -209,6 +209,8 @@
     /// Address of a server that probably has shared parts of the prompt cached, to be fetched from
     /// there.
     pub prompt_source: Option<SocketAddr>,
+    /// Version of the adapter that the server must have, if one was announced.
+    pub expected_version: Option<u64>,
     /// Team, as sent to the server.
     pub team: Option<SmolStr>,
     /// Priority, as sent to the server; 0 is the most urgent.
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -101,6 +101,8 @@
     /// Number of the newest grant that was requested.
     pub(super) grant: GrantNumber,
     pub(super) has_grant: bool,
+    /// Oldest version of the adapter that was acceptable when the grant was requested.
+    pub(super) granted_version: u64,
     /// Prompt tokens that the server has to prefill, according to its scheduler.
     pub(super) uncached_tokens: u64,
     /// Number of schedulers' replies that their server is busier than expected.
@@ -376,9 +378,21 @@
         let instances = self.instance_count(now);
         let bounds = self.options.bounds.retry;
         let prompt_source = self.prompt_source(now, number, server);
+        let min_version = self.requests.get(&number).map_or(0, |record| {
+            let wanted = record.request.model.as_ref();
+            wanted.map_or(0, |wanted| self.min_version(wanted))
+        });
+        let expected_version = (min_version > 0).then_some(min_version);
         let Some(record) = self.requests.get_mut(&number) else {
             return;
         };
+        // A newer version may have been announced while the request waited with its grant.
+        if record.has_grant && min_version > record.granted_version {
+            record.phase = RequestPhase::Selecting;
+            self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
+            self.continue_request(now, number, effects);
+            return;
+        }
         if self.suspects.is_refused(&record.causes) {
             self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.refuse(now, number, ErrorKind::NoServer, effects);
@@ -432,6 +446,7 @@
             time_left,
             timeout,
             prompt_source,
+            expected_version,
             team: record.team.clone(),
             priority: record.request.model.as_ref().map(|_| record.priority),
             retry_failures: can_retry,
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -54,6 +54,8 @@
 /// the weight store is overloaded.
 const LATE_LOAD_WAIT: Duration = Duration::from_millis(40);
 const OVERLOADED_LOAD_WAIT: Duration = Duration::from_millis(120);
+/// Time after the expected end of a load from which on it no longer counts against [`MAX_LOADING`].
+const LOADED_MARGIN: Duration = Duration::from_millis(40);
 /// Share of a server's cache memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.9;
 /// Time of one decode step, in which a server generates a token for each stream. Published steps
@@ -434,7 +436,7 @@
         if !is_active {
             return Err(DeclineReason::NoRight);
         }
-        if self.loading_count() >= MAX_LOADING {
+        if self.loading_count(now) >= MAX_LOADING {
             return Err(DeclineReason::LoadsBusy);
         }
         let is_recently_evicted = self.is_recently_evicted(model, adapter);
@@ -569,11 +571,15 @@
             .any(|grant| grant.model == model && grant.adapter.as_deref() == Some(adapter))
     }
 
-    /// Number of adapters that are not known to be loaded yet.
-    pub fn loading_count(&self) -> usize {
+    /// Number of adapters that may still be loading.
+    ///
+    /// The first event that confirms a load comes after the prefill, up to seconds later. An adapter
+    /// therefore also counts as loaded some time after it should be, unless a request found it
+    /// missing since, which makes that time later.
+    pub fn loading_count(&self, now: ClockTime) -> usize {
         self.adapter_slots
             .iter()
-            .filter(|slot| !slot.confirmed)
+            .filter(|slot| !slot.confirmed && now < slot.ready_at.after(LOADED_MARGIN))
             .count()
     }
 
@@ -666,6 +672,11 @@
         self.order_lease.request_report(now);
         let slot = self.slot(model, adapter)?;
         let time = now.since(slot.changed_at).saturating_sub(ORDER_LATENCY);
+        if slot.confirmed {
+            // The server lost the adapter or has another version of it.
+            slot.ready_at = now.after(LATE_LOAD_WAIT);
+            return None;
+        }
         slot.missing_after = Some(time);
         if time <= slot.load_time.mul_f64(OVERLOAD_FACTOR) {
             slot.ready_at = now.after(LATE_LOAD_WAIT);
--- a/lib/src/gateway/server_scheduler/status.rs
+++ b/lib/src/gateway/server_scheduler/status.rs
@@ -19,7 +19,7 @@
         let unused = config
             .adapter_slots
             .saturating_sub(self.adapter_slots.len());
-        let max_loads = MAX_LOADING.saturating_sub(self.loading_count());
+        let max_loads = MAX_LOADING.saturating_sub(self.loading_count(now));
         (unused + evictable.saturating_sub(reserved)).min(max_loads)
     }
 
