--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -67,7 +67,8 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
         let has_statuses = !self.statuses.is_empty();
-        let mut map = serializer.serialize_map(Some(9 + usize::from(has_statuses)))?;
+        let optional = usize::from(has_statuses) + usize::from(self.load_time.is_some());
+        let mut map = serializer.serialize_map(Some(8 + optional))?;
         map.serialize_entry("records", &self.records)?;
         map.serialize_entry("claims", &self.claims)?;
         map.serialize_entry("wanted", &self.wanted)?;
@@ -76,9 +77,10 @@
         map.serialize_entry("board_age", &age)?;
         map.serialize_entry("era", &self.era)?;
         map.serialize_entry("leaving", &self.leaving)?;
-        let load_time =
-            SerializeAsWrap::<_, Option<DurationMilliSeconds<u64>>>::new(&self.load_time);
-        map.serialize_entry("load_time", &load_time)?;
+        if let Some(load_time) = &self.load_time {
+            let load_time = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(load_time);
+            map.serialize_entry("load_time", &load_time)?;
+        }
         if has_statuses {
             map.serialize_entry("statuses", &self.statuses)?;
         }
