settings: log which fields are omitted and take their defaults

The platform's template omits what the platform does not state, and nothing showed which defaults a process used. Without data centres, a fleet of no instances was assumed. A window of zero made rates infinite, and zero as memory refused every body.

The reader lists the omitted fields, and the gateway logs each as setting_defaulted with its key and value before it starts. An empty list of data centres counts as omitted and means the gateway's own. Windows are 0.1 s or more and memory is 17 MB or more. Whole numbers may have a fraction of zero, and a syntax error names the field on its line.

--- a/daemon/src/gateway/mod.rs
+++ b/daemon/src/gateway/mod.rs
@@ -48,6 +48,13 @@
 
 async fn serve(settings: GatewaySettings) -> Result<()> {
     let logs = logs::start(&settings.telemetry)?;
+    for setting in &settings.defaults {
+        tracing::info!(
+            event = "setting_defaulted",
+            key = %setting.path,
+            value = %setting.value,
+        );
+    }
     let callers = bind(settings.listen.callers, "callers")?;
     let peers = bind(settings.listen.peers, "peers")?;
     let addresses = bind(settings.listen.addresses, "address lookups")?;
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -10,7 +10,7 @@
 use self::reader::{ErrorList, ObjectReader};
 pub use self::{
     gateway::{GatewayListen, GatewaySettings},
-    reader::SettingsError,
+    reader::{DefaultedSetting, SettingsError},
 };
 
 /// Minimum length of a peer secret.
@@ -296,12 +296,16 @@
     root: &mut ObjectReader<'_, '_>,
     errors: &mut ErrorList<'_>,
 ) -> Vec<SocketAddr> {
-    if !root.has("first_peers") {
-        return Vec::new();
-    }
     let hint = "write a list of IP:PORT, such as [\"10.0.0.2:7101\"]";
+    let mut texts = Vec::new();
+    if root.has("first_peers") {
+        texts = root.strings("first_peers", hint, errors);
+    }
+    if texts.is_empty() {
+        root.add_default("first_peers", "[]".into(), errors);
+    }
     let mut peers = Vec::new();
-    for (offset, text) in root.strings("first_peers", hint, errors) {
+    for (offset, text) in texts {
         match text.parse() {
             Ok(address) => peers.push(address),
             Err(_) => errors.add(offset, "first_peers", "not an IP address with a port", hint),
@@ -378,9 +382,9 @@
     mut reader: ObjectReader<'_, '_>,
     errors: &mut ErrorList<'_>,
 ) -> TelemetrySettings {
-    let format = reader.choice("log_format", &["text", "json"], errors);
+    let format = reader.choice("log_format", &["text", "json"], "text", errors);
     let levels = ["error", "warn", "info", "debug", "trace"];
-    let level = reader.choice("log_level", &levels, errors);
+    let level = reader.choice("log_level", &levels, "info", errors);
     let otlp = if reader.has("otlp") {
         reader.address("otlp", errors)
     } else {
@@ -389,10 +393,10 @@
     reader.close(errors);
     TelemetrySettings {
         format: match format {
-            Some("json") => LogFormat::Json,
+            "json" => LogFormat::Json,
             _ => LogFormat::Text,
         },
-        level: level.unwrap_or("info").into(),
+        level: level.into(),
         otlp,
     }
 }
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -17,7 +17,8 @@
     pub line: usize,
     /// Column, counted from 1.
     pub column: usize,
-    /// Path of the field, such as `listen.callers`; empty if the error concerns the whole file.
+    /// Path of the field, such as `listen.callers`; empty if the error concerns the whole file. Where
+    /// the file is no JSON, only the name of the field before the error on the same line, if any.
     pub path: SmolStr,
     /// What is wrong.
     pub message: SmolStr,
@@ -42,10 +43,20 @@
     }
 }
 
-/// The text of a settings file, and the errors found in it so far.
+/// A field that a settings file omits although it has a default.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DefaultedSetting {
+    /// Path of the field, such as `bounds.quota_window_s`.
+    pub path: SmolStr,
+    /// The default in the notation of the file, in the unit of the field.
+    pub value: SmolStr,
+}
+
+/// The text of a settings file, with the errors and the omitted fields found in it so far.
 pub(super) struct ErrorList<'t> {
     text: &'t str,
     errors: Vec<SettingsError>,
+    defaults: Vec<DefaultedSetting>,
 }
 
 impl<'t> ErrorList<'t> {
@@ -53,9 +64,15 @@
         ErrorList {
             text,
             errors: Vec::new(),
+            defaults: Vec::new(),
         }
     }
 
+    /// Returns the omitted fields in the order in which they were read.
+    pub(super) fn take_defaults(&mut self) -> Vec<DefaultedSetting> {
+        std::mem::take(&mut self.defaults)
+    }
+
     /// Adds an error at a byte offset of the file.
     pub(super) fn add(&mut self, offset: usize, path: &str, message: &str, hint: &str) {
         let before = self.text.get(..offset).unwrap_or(self.text);
@@ -97,7 +114,8 @@
             Err(error) => {
                 let message = error.kind().to_string();
                 let hint = "write JSON; // and /* */ comments are allowed";
-                self.add(error.range().start, "", &message, hint);
+                let offset = error.range().start;
+                self.add(offset, field_before(self.text, offset), &message, hint);
                 return None;
             }
         };
@@ -111,6 +129,27 @@
     }
 }
 
+/// Name of the last field that begins before a byte offset on the same line; empty if none does.
+fn field_before(text: &str, offset: usize) -> &str {
+    let before = text.get(..offset).unwrap_or(text);
+    let line = before.rsplit('\n').next().unwrap_or(before);
+    line.rsplit_once(':')
+        .and_then(|(field, _)| field.trim_end().strip_suffix('"'))
+        .and_then(|field| field.rsplit('"').next())
+        .unwrap_or("")
+}
+
+/// Parses a whole number. A fraction of zero is allowed: the values of templates may be written as
+/// floating-point numbers.
+fn whole_number(text: &str) -> Option<u64> {
+    let integer = match text.split_once('.') {
+        Some((integer, fraction)) if fraction.bytes().all(|digit| digit == b'0') => integer,
+        Some(_) => return None,
+        None => text,
+    };
+    integer.parse().ok()
+}
+
 /// Reads the fields of a JSON object, and keeps track of the field names it has looked up.
 ///
 /// Without an object, all fields are absent and nothing is reported.
@@ -146,6 +185,14 @@
         self.value(name).is_some()
     }
 
+    /// Records that the field is omitted and that `value` applies.
+    pub(super) fn add_default(&self, name: &str, value: SmolStr, errors: &mut ErrorList<'_>) {
+        errors.defaults.push(DefaultedSetting {
+            path: self.path_of(name),
+            value,
+        });
+    }
+
     fn path_of(&self, name: &str) -> SmolStr {
         if self.path.is_empty() {
             name.into()
@@ -250,16 +297,20 @@
         &mut self,
         name: &'static str,
         choices: &[&'static str],
+        default: &'static str,
         errors: &mut ErrorList<'_>,
-    ) -> Option<&'static str> {
-        let value = self.value(name)?;
+    ) -> &'static str {
+        let Some(value) = self.value(name) else {
+            self.add_default(name, default.into(), errors);
+            return default;
+        };
         let text = value.as_string_lit().map(|text| text.value.as_ref());
         let choice = choices.iter().find(|choice| Some(**choice) == text);
         if choice.is_none() {
             let hint = format!("write one of: {}", choices.join(", "));
             self.report(name, value, "not a known choice", &hint, errors);
         }
-        choice.copied()
+        choice.copied().unwrap_or(default)
     }
 
     /// Reads a required socket address.
@@ -289,6 +340,7 @@
         errors: &mut ErrorList<'_>,
     ) -> u64 {
         let Some(value) = self.value(name) else {
+            self.add_default(name, format_smolstr!("{default}"), errors);
             return default;
         };
         let (low, high) = (range.start(), range.end());
@@ -297,13 +349,13 @@
             self.report(name, value, "not a number", &hint, errors);
             return default;
         };
-        match number.value.parse::<u64>() {
-            Ok(number) if range.contains(&number) => number,
-            Ok(_) => {
+        match whole_number(number.value) {
+            Some(number) if range.contains(&number) => number,
+            Some(_) => {
                 self.report(name, value, "out of range", &hint, errors);
                 default
             }
-            Err(_) => {
+            None => {
                 self.report(name, value, "not a whole number", &hint, errors);
                 default
             }
@@ -318,6 +370,7 @@
         errors: &mut ErrorList<'_>,
     ) -> bool {
         let Some(value) = self.value(name) else {
+            self.add_default(name, format_smolstr!("{default}"), errors);
             return default;
         };
         let boolean = value.as_boolean_lit().map(|literal| literal.value);
@@ -333,25 +386,32 @@
         boolean.unwrap_or(default)
     }
 
-    /// Reads an optional finite number, which must not be negative.
+    /// Reads an optional finite number, which must not be below `least`; `kind` describes it in the
+    /// hint.
     pub(super) fn number(
         &mut self,
         name: &'static str,
+        least: f64,
+        kind: &str,
         default: f64,
         errors: &mut ErrorList<'_>,
     ) -> f64 {
         let Some(value) = self.value(name) else {
+            self.add_default(name, format_smolstr!("{default}"), errors);
             return default;
         };
         let number = value
             .as_number_lit()
             .and_then(|number| number.value.parse::<f64>().ok())
-            .filter(|number| number.is_finite() && *number >= 0.0);
-        if number.is_none() {
-            let hint = "write a number of 0 or more";
-            self.report(name, value, "not a non-negative number", hint, errors);
-        }
-        number.unwrap_or(default)
+            .filter(|number| number.is_finite());
+        let message = match number {
+            Some(number) if number >= least => return number,
+            Some(_) => "out of range",
+            None => "not a number",
+        };
+        let hint = format!("write {kind}, {least} or more");
+        self.report(name, value, message, &hint, errors);
+        default
     }
 
     /// Reads a required list of strings, each with its byte offset in the file.
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -120,3 +120,77 @@
         hint: known here: max_ms, unreadable_ms
     ");
 }
+
+/// A value of another kind or out of range is refused with the key and what to write instead: zero
+/// as a window made rates infinite, and zero as memory refused every body.
+#[test]
+fn invalid_values_of_a_gateway_name_the_key_and_what_to_write() {
+    let invalid = r#""first_start": "yes", "grace_s": -1, "memory_mb": 0,
+    "bounds": { "quota_window_s": 0, "quota_overage": "5 %", "retry_ratio": 1e999,
+        "order_lease_ms": 2500.5, "cold_slak": 1 }, "telemetry": { "log_level": "loud" }"#;
+    assert_snapshot!(gateway_settings(invalid), @r"
+    6:20: first_start: not true or false
+        hint: write true or false
+    6:38: grace_s: out of range
+        hint: write a number of seconds, 0 or more
+    6:55: memory_mb: out of range
+        hint: write a number of megabytes, 17 or more
+    7:35: bounds.quota_window_s: out of range
+        hint: write a number of seconds, 0.1 or more
+    7:55: bounds.quota_overage: not a number
+        hint: write a number, 0 or more
+    7:77: bounds.retry_ratio: not a number
+        hint: write a number, 0 or more
+    8:27: bounds.order_lease_ms: not a whole number
+        hint: write a whole number of milliseconds from 0 to 60000, without a unit
+    8:35: bounds.cold_slak: unknown field
+        hint: known here: cold_overage, cold_slack, order_lease_ms, quota_overage, quota_slack, quota_window_s, retry_ratio, retry_slack, retry_window_s
+    8:81: telemetry.log_level: not a known choice
+        hint: write one of: error, warn, info, debug, trace
+    ");
+}
+
+/// Values of a template may be written as floating-point numbers.
+#[test]
+fn whole_numbers_may_have_a_fraction_of_zero() {
+    let settings = r#""server_pauses": { "max_ms": 5000.0, "unreadable_ms": 0.00 }"#;
+    assert_snapshot!(gateway_settings(settings), @"PauseBounds { max: 5s, unreadable: 0ns }");
+}
+
+/// The fields that a gateway's settings omit are listed with their defaults; an empty list counts as
+/// omitted, and the data centres are then the gateway's own.
+#[test]
+fn omitted_settings_of_a_gateway_are_listed() {
+    let text = r#"{
+    "role": "gateway", "instance": "g-1", "data_centre": "dar-a", "data_centres": [],
+    "listen": { "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "peers": "10.0.0.1:3",
+        "addresses": "10.0.0.1:4", "operators": "10.0.0.1:5" },
+    "store": "10.0.0.9:80", "bounds": { "retry_slack": 7 }
+}"#;
+    let settings = GatewaySettings::parse(text).unwrap();
+    assert_eq!(settings.data_centres, ["dar-a"]);
+    let defaults: Vec<String> = settings
+        .defaults
+        .iter()
+        .map(|setting| format!("{}={}", setting.path, setting.value))
+        .collect();
+    assert_snapshot!(defaults.join("\n"), @r#"
+    data_centres=["dar-a"]
+    first_peers=[]
+    first_start=false
+    bounds.quota_window_s=8
+    bounds.quota_overage=0
+    bounds.quota_slack=0
+    bounds.retry_window_s=10
+    bounds.retry_ratio=0.1
+    bounds.cold_overage=1
+    bounds.cold_slack=0
+    bounds.order_lease_ms=3000
+    server_pauses.max_ms=120000
+    server_pauses.unreadable_ms=1000
+    grace_s=8
+    memory_mb=256
+    telemetry.log_format=text
+    telemetry.log_level=info
+    "#);
+}
--- a/testutils/src/gateway.rs
+++ b/testutils/src/gateway.rs
@@ -87,8 +87,19 @@
             "bounds": {"retry_slack": 50}, "grace_s": 4, "memory_mb": MEMORY_MB,
             "telemetry": {"log_format": "json", "log_level": "info"},
         });
+        GatewayProcess::start_with(binary, folder, name, ports, &settings.to_string())
+    }
+
+    /// Writes the given settings into a file in `folder` and starts the process.
+    pub fn start_with(
+        binary: &Path,
+        folder: &Path,
+        name: &str,
+        ports: GatewayPorts,
+        settings: &str,
+    ) -> GatewayProcess {
         let path = folder.join(format!("{name}.jsonc"));
-        std::fs::write(&path, settings.to_string()).expect("write settings");
+        std::fs::write(&path, settings).expect("write settings");
         let mut process = GatewayProcess {
             name: name.to_owned(),
             ports,
