gateway: measure the time of requests in each stage

The wait before the first send was one figure, which did not show whether requests wait for quota, a server, a grant or an adapter.

The reducer adds up the time of each phase and passes it on with each dispatch and refusal. The histogram wasabistall.request.stage has it by stage and route, with the time from the send to the first event. In the simulation, the stages of each first send have to add up to the time since the request arrived.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -226,9 +226,11 @@
     fn execute(self: &Arc<GatewayCore>, state: &mut CoreState, effect: GatewayEffect) {
         match effect {
             GatewayEffect::Dispatch(dispatch) => {
+                self.metrics.record_stages(&dispatch.stages);
                 Self::send_command(state, dispatch.request, RequestCommand::Dispatch(dispatch));
             }
             GatewayEffect::Refuse(refusal) => {
+                self.metrics.record_stages(&refusal.stages);
                 Self::send_command(state, refusal.request, RequestCommand::Refuse(refusal));
             }
             GatewayEffect::CallPeer {
--- a/daemon/src/gateway/forward.rs
+++ b/daemon/src/gateway/forward.rs
@@ -93,6 +93,16 @@
     Stream(Box<StreamResponse>),
 }
 
+impl AttemptResult {
+    /// Time from sending to the first event or the whole answer, if there was one.
+    fn first_event(&self) -> Option<Duration> {
+        match self {
+            AttemptResult::Ended(_, stats) | AttemptResult::Full(_, stats) => stats.first_event,
+            AttemptResult::Stream(response) => response.rest.stats.first_event,
+        }
+    }
+}
+
 /// Sends the request and waits for the complete response or for the first chunk of a stream.
 pub(super) async fn run_attempt(
     core: &Arc<GatewayCore>,
@@ -102,10 +112,15 @@
 ) -> AttemptResult {
     let started = Instant::now();
     let exchange = exchange(core, call, dispatch, last_event_id, started);
-    match tokio::time::timeout(dispatch.timeout, exchange).await {
+    let result = match tokio::time::timeout(dispatch.timeout, exchange).await {
         Ok(result) => result,
         Err(_) => AttemptResult::Ended(AttemptEnd::Silent, AttemptStats::default()),
+    };
+    if let Some(elapsed) = result.first_event() {
+        core.metrics
+            .record_first_event_stage(&dispatch.stages.route, elapsed);
     }
+    result
 }
 
 /// A connection and the response whose head arrived on it.
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -12,8 +12,9 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use smol_str::SmolStr;
 use tracing_appender::non_blocking::ErrorCounter;
-use wasabistall_lib::gateway::{GatewayStats, event::AttemptStats};
+use wasabistall_lib::gateway::{GatewayStats, event::AttemptStats, stages::StageTimes};
 
 use super::core::GatewayCore;
 
@@ -34,6 +35,7 @@
     meter_provider: SdkMeterProvider,
     response_head: Histogram<f64>,
     request_wait: Histogram<f64>,
+    request_stage: Histogram<f64>,
     first_event: Histogram<f64>,
     stream_pause: Histogram<f64>,
     peer_call: Histogram<f64>,
@@ -69,6 +71,10 @@
                 "wasabistall.request.wait",
                 "Time from a caller's request to its first send to a server",
             ),
+            request_stage: histogram(
+                "wasabistall.request.stage",
+                "Time of a request in a stage, by stage and route",
+            ),
             first_event: histogram(
                 "wasabistall.server.first_event",
                 "Time from sending to a server's first event or whole answer",
@@ -148,6 +154,26 @@
         self.request_wait.record(waited.as_secs_f64(), &[]);
     }
 
+    /// Records the stages of a request before a send or its refusal.
+    pub(super) fn record_stages(&self, stages: &StageTimes) {
+        for (stage, elapsed) in &stages.times {
+            self.record_stage(stage.name(), &stages.route, *elapsed);
+        }
+    }
+
+    /// Records the stage from a send to the first event or the whole answer.
+    pub(super) fn record_first_event_stage(&self, route: &SmolStr, elapsed: Duration) {
+        self.record_stage("first_event", route, elapsed);
+    }
+
+    fn record_stage(&self, stage: &'static str, route: &SmolStr, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("stage", stage),
+            KeyValue::new("route", route.to_string()),
+        ];
+        self.request_stage.record(elapsed.as_secs_f64(), &labels);
+    }
+
     /// Records the latencies observed during an attempt.
     pub(super) fn record_attempt(&self, stats: &AttemptStats) {
         if let Some(first) = stats.first_event {
--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -232,6 +232,9 @@
         "wasabistall_answer_head_seconds_count{status=\"200\"} 1",
         "wasabistall_request_wait_seconds_count 1",
         "wasabistall_server_first_event_seconds_count 1",
+        "wasabistall_request_stage_seconds_count{route=\"once\",stage=\"quota\"} 1",
+        "wasabistall_request_stage_seconds_count{route=\"once\",stage=\"selection\"} 1",
+        "wasabistall_request_stage_seconds_count{route=\"once\",stage=\"first_event\"} 1",
     ];
     for line in counted {
         assert!(text.lines().any(|found| found == line), "{line} in {text}");
--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -13,6 +13,7 @@
     requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
     routes::{RouteIndex, pick_target},
     shutdown::SHUTDOWN_RETRY_DELAY,
+    stages::{StageClock, StageTimes},
     suspects::SuspectCauses,
 };
 use crate::{clock::ClockTime, error::ErrorKind, key::KeyDigest};
@@ -64,6 +65,7 @@
                     request: number,
                     kind,
                     retry_after,
+                    stages: StageTimes::default(),
                 }));
             }
         }
@@ -167,6 +169,7 @@
             ),
             failed_selections: 0,
             phase: RequestPhase::AwaitingQuota,
+            stages: StageClock::new(now),
             lenders: Vec::new(),
             grant: 0,
             has_grant: false,
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -12,6 +12,7 @@
     replica::CatalogPage,
     server_scheduler::{ServerOrder, ServerOrderOutcome},
     servers::{GatewayServerKey, ServerLoad},
+    stages::StageTimes,
 };
 use crate::{clock::ClockTime, error::ErrorKind, key::KeyDigest};
 
@@ -221,10 +222,12 @@
     pub resumable: bool,
     /// Whether the request may run at most once.
     pub at_most_once: bool,
+    /// Times of the stages before this send.
+    pub stages: StageTimes,
 }
 
 /// Refusal of a request, which ends without a server's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewayRefusal {
     /// The request.
     pub request: RequestNumber,
@@ -232,6 +235,8 @@
     pub kind: ErrorKind,
     /// When the caller should retry.
     pub retry_after: Option<Duration>,
+    /// Times of the stages before the refusal; without a route if the request was not admitted.
+    pub stages: StageTimes,
 }
 
 /// Which part of the platform's store is read.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod server_scheduler;
 pub mod servers;
 pub mod shutdown;
+pub mod stages;
 mod store;
 pub mod suspects;
 mod teams;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -16,6 +16,7 @@
     log_event,
     server_scheduler::{DeclineReason, GrantNumber, GrantRelease, GrantReply},
     servers::{GatewayServerKey, ServerOutcome},
+    stages::StageClock,
     suspects::SuspectCauses,
 };
 use crate::{clock::ClockTime, error::ErrorKind, usage::UsageOutcome};
@@ -94,7 +95,9 @@
     pub(super) selection_deadline: ClockTime,
     /// Number of selections that found no server.
     pub(super) failed_selections: u32,
+    /// Changed by [`RequestRecord::enter_phase`] only.
     pub(super) phase: RequestPhase,
+    pub(super) stages: StageClock,
     /// Peers that can still be asked to lend quota.
     pub(super) lenders: Vec<SocketAddr>,
     /// Number of the newest grant that was requested.
@@ -117,6 +120,13 @@
     pub(super) causes: SuspectCauses,
 }
 
+impl RequestRecord {
+    pub(super) fn enter_phase(&mut self, now: ClockTime, phase: RequestPhase) {
+        self.stages.enter(now, phase);
+        self.phase = phase;
+    }
+}
+
 impl GatewayReducer {
     /// Takes the next step for a request that has not been sent.
     pub(super) fn continue_request(
@@ -179,7 +189,7 @@
         let Some(record) = self.requests.get_mut(&number) else {
             return Duration::ZERO;
         };
-        record.phase = RequestPhase::AwaitingGrant(server);
+        record.enter_phase(now, RequestPhase::AwaitingGrant(server));
         if record.busy_replies < MAX_BUSY_REPLIES {
             backlog + BACKLOG_TOLERANCE
         } else {
@@ -219,7 +229,7 @@
         let Some(record) = self.requests.get_mut(&number) else {
             return;
         };
-        record.phase = RequestPhase::Selecting;
+        record.enter_phase(now, RequestPhase::Selecting);
         if let Some(reason) = self.unavailability(now, number) {
             self.refuse_for(now, number, reason, effects);
             return;
@@ -265,7 +275,7 @@
                 if let Some(record) = self.requests.get_mut(&number) {
                     record.has_grant = true;
                     record.uncached_tokens = uncached_tokens;
-                    record.phase = RequestPhase::AwaitingAdapter(server);
+                    record.enter_phase(now, RequestPhase::AwaitingAdapter(server));
                 }
                 if wait.is_zero() || !self.servers.accepts_selected(now, server) {
                     self.send(now, number, server, effects);
@@ -303,7 +313,7 @@
             && record.busy_replies < MAX_BUSY_REPLIES
         {
             // The server's backlog is known now; it may still be the best choice.
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
             record.busy_replies += 1;
             self.continue_request(now, number, effects);
             return;
@@ -339,7 +349,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         if let Some(record) = self.requests.get_mut(&number) {
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
             record.excluded.push(server);
         }
         self.continue_request(now, number, effects);
@@ -396,7 +406,7 @@
             self.stats.retries += 1;
         }
         record.sends += 1;
-        record.phase = RequestPhase::Sent(server);
+        record.enter_phase(now, RequestPhase::Sent(server));
         let can_retry = record.retry.may_retry()
             && record.runs + 1 < record.max_attempts
             && record.started_at.is_none();
@@ -423,6 +433,7 @@
             is_stream: record.retry.is_stream(),
             resumable: record.retry == RetryPolicy::ResumableStream,
             at_most_once: !record.retry.may_retry(),
+            stages: record.stages.take(now, &record.route),
         };
         let adapter = record.request.model.as_ref();
         let adapter = adapter.and_then(|model| model.adapter.as_deref());
@@ -522,7 +533,7 @@
         let RequestPhase::Sent(server) = record.phase else {
             return;
         };
-        record.phase = RequestPhase::Selecting;
+        record.enter_phase(now, RequestPhase::Selecting);
         let detail = format!(
             "server={} end={end:?} first_ms={:?} pause_ms={}",
             self.servers.get(server).record.id,
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -120,7 +120,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         if let Some(record) = self.requests.get_mut(&number) {
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
         }
         self.continue_request(now, number, effects);
     }
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -61,7 +61,7 @@
             retry_after,
             inputs,
         } = reason;
-        let Some(record) = self.requests.remove(&number) else {
+        let Some(mut record) = self.requests.remove(&number) else {
             return;
         };
         self.stats.refusals += 1;
@@ -110,6 +110,7 @@
             request: number,
             kind,
             retry_after: retry_after.or(default_retry_delay),
+            stages: record.stages.take(now, &record.route),
         }));
         self.close_attempt(now, &record, effects);
     }
--- a/lib/tests/gateway/instance.rs
+++ b/lib/tests/gateway/instance.rs
@@ -176,7 +176,7 @@
 
 pub(crate) fn refused(effects: &[GatewayEffect]) -> Option<GatewayRefusal> {
     effects.iter().find_map(|effect| match effect {
-        GatewayEffect::Refuse(refusal) => Some(*refusal),
+        GatewayEffect::Refuse(refusal) => Some(refusal.clone()),
         _ => None,
     })
 }
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod exchanges;
 mod notices;
+mod stages;
 mod store;
 
 use std::{
@@ -42,6 +43,7 @@
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
     notices::{NoticeTable, PAUSE_BOUNDS},
+    stages::StageTable,
     store::FakeStore,
 };
 use super::{
@@ -115,6 +117,7 @@
     /// Servers to which requests were sent, each with the address from which to fetch prompt parts.
     pub(crate) dispatches: Vec<(SocketAddr, Option<SocketAddr>)>,
     pub(crate) notice_table: NoticeTable,
+    pub(crate) stage_table: StageTable,
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
     pub(crate) events: Vec<(ClockTime, usize, &'static str)>,
@@ -224,6 +227,7 @@
             prompt_parts: Vec::new(),
             dispatches: Vec::new(),
             notice_table: NoticeTable::default(),
+            stage_table: StageTable::default(),
             next_request: 0,
             adapters: BTreeMap::new(),
             events: Vec::new(),
@@ -615,6 +619,7 @@
 
     fn dispatch(&mut self, index: usize, incarnation: u64, dispatch: &ServerDispatch) {
         let engine = engine_index(&dispatch.id);
+        self.stage_table.record(dispatch);
         self.dispatches
             .push((dispatch.address, dispatch.prompt_source));
         let now = self.now;
