--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod server_status;
 pub mod servers;
 pub mod shutdown;
+pub mod stages;
 mod store;
 pub mod suspects;
 mod teams;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -16,6 +16,7 @@
     log_event,
     server_scheduler::{DeclineReason, GrantNumber, GrantRelease, GrantReply},
     servers::{GatewayServerKey, ServerOutcome},
+    stages::StageClock,
     suspects::SuspectCauses,
 };
 use crate::{clock::ClockTime, error::ErrorKind, usage::UsageOutcome};
@@ -95,7 +96,9 @@
     pub(super) selection_deadline: ClockTime,
     /// Number of selections that found no server.
     pub(super) failed_selections: u32,
+    /// Changed by [`RequestRecord::enter_phase`] only.
     pub(super) phase: RequestPhase,
+    pub(super) stages: StageClock,
     /// Peers that can still be asked to lend quota.
     pub(super) lenders: Vec<SocketAddr>,
     /// Number of the newest grant that was requested.
@@ -131,6 +134,13 @@
     late_pause: Option<bool>,
 }
 
+impl RequestRecord {
+    pub(super) fn enter_phase(&mut self, now: ClockTime, phase: RequestPhase) {
+        self.stages.enter(now, phase);
+        self.phase = phase;
+    }
+}
+
 impl GatewayReducer {
     /// Takes the next step for a request that has not been sent.
     pub(super) fn continue_request(
@@ -193,7 +203,7 @@
         let Some(record) = self.requests.get_mut(&number) else {
             return Duration::ZERO;
         };
-        record.phase = RequestPhase::AwaitingGrant(server);
+        record.enter_phase(now, RequestPhase::AwaitingGrant(server));
         if record.busy_replies < MAX_BUSY_REPLIES {
             backlog + BACKLOG_TOLERANCE
         } else {
@@ -233,7 +243,7 @@
         let Some(record) = self.requests.get_mut(&number) else {
             return;
         };
-        record.phase = RequestPhase::Selecting;
+        record.enter_phase(now, RequestPhase::Selecting);
         if let Some(reason) = self.unavailability(now, number) {
             self.refuse_for(now, number, reason, effects);
             return;
@@ -280,7 +290,7 @@
                 if let Some(record) = self.requests.get_mut(&number) {
                     record.has_grant = true;
                     record.uncached_tokens = uncached_tokens;
-                    record.phase = RequestPhase::AwaitingAdapter(server);
+                    record.enter_phase(now, RequestPhase::AwaitingAdapter(server));
                 }
                 if wait.is_zero() || !self.servers.accepts_selected(now, server) {
                     self.send(now, number, server, effects);
@@ -320,7 +330,7 @@
             && record.busy_replies < MAX_BUSY_REPLIES
         {
             // The server's backlog is known now; it may still be the best choice.
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
             record.busy_replies += 1;
             self.continue_request(now, number, effects);
             return;
@@ -356,7 +366,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         if let Some(record) = self.requests.get_mut(&number) {
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
             record.excluded.push(server);
         }
         self.continue_request(now, number, effects);
@@ -388,7 +398,7 @@
         };
         // A newer version may have been announced while the request waited with its grant.
         if record.has_grant && min_version > record.granted_version {
-            record.phase = RequestPhase::Selecting;
+            record.enter_phase(now, RequestPhase::Selecting);
             self.release_held_grant(now, number, server, GrantOutcome::default(), effects);
             self.continue_request(now, number, effects);
             return;
@@ -425,7 +435,7 @@
             self.stats.retries += 1;
         }
         record.sends += 1;
-        record.phase = RequestPhase::Sent(server);
+        record.enter_phase(now, RequestPhase::Sent(server));
         let can_retry = record.retry.may_retry()
             && record.runs + 1 < record.max_attempts
             && record.started_at.is_none();
@@ -453,6 +463,7 @@
             is_stream: record.retry.is_stream(),
             resumable: record.retry == RetryPolicy::ResumableStream,
             at_most_once: !record.retry.may_retry(),
+            stages: record.stages.take(now, &record.route),
         };
         let adapter = record.request.model.as_ref();
         let adapter = adapter.and_then(|model| model.adapter.as_deref());
@@ -552,7 +563,7 @@
         let RequestPhase::Sent(server) = record.phase else {
             return;
         };
-        record.phase = RequestPhase::Selecting;
+        record.enter_phase(now, RequestPhase::Selecting);
         let detail = format!(
             "server={} end={end:?} first_ms={:?} pause_ms={}",
             self.servers.get(server).record.id,
