scheduler: queue grant requests that a server cannot start yet

Requests that were declined asked four schedulers in turn and slept for 40 to 80 ms; whichever asked when a slot became free got it, so priorities had no effect. A scheduler now keeps the call open and serves its queue in order whenever the server may have become able to start a request.

The queue holds the fields that the order depends on, and neither a slot nor a load reservation. The first round of grant requests is still declined at once for want of a place, so that a request finds a free server elsewhere; it is then queued at the first such server instead of sleeping.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -10,7 +10,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::{
@@ -68,7 +68,8 @@
     requests: HashMap<RequestNumber, mpsc::UnboundedSender<RequestCommand>>,
     next_request: RequestNumber,
     next_peer_call: u64,
-    peer_answers: HashMap<u64, PeerAnswer>,
+    /// Peers' calls that the reducer has not answered yet.
+    peer_calls: HashMap<u64, oneshot::Sender<PeerAnswer>>,
     wake_at: Option<ClockTime>,
     effect_buffer: Vec<GatewayEffect>,
 }
@@ -120,7 +121,7 @@
                 requests: HashMap::new(),
                 next_request: 1,
                 next_peer_call: 1,
-                peer_answers: HashMap::new(),
+                peer_calls: HashMap::new(),
                 wake_at: Some(ClockTime::ZERO),
                 effect_buffer: Vec::new(),
             }),
@@ -204,16 +205,18 @@
         self.lock().requests.remove(&request);
     }
 
-    /// Handles a peer's call; `None` when the reducer has no answer.
+    /// Handles a peer's call. The reducer may answer it later.
     pub(super) fn handle_peer_call(
         self: &Arc<GatewayCore>,
         message: PeerCall,
-    ) -> Option<PeerAnswer> {
+    ) -> oneshot::Receiver<PeerAnswer> {
+        let (sender, receiver) = oneshot::channel();
         let mut state = self.lock();
         let call = state.next_peer_call;
         state.next_peer_call += 1;
+        state.peer_calls.insert(call, sender);
         self.reduce(&mut state, GatewayEvent::PeerCalled { call, message });
-        state.peer_answers.remove(&call)
+        receiver
     }
 
     fn send_command(state: &CoreState, request: RequestNumber, command: RequestCommand) {
@@ -239,7 +242,10 @@
                 tokio::spawn(peers::call_peer(self.clone(), call, peer, message));
             }
             GatewayEffect::AnswerPeer { call, answer } => {
-                state.peer_answers.insert(call, answer);
+                // The peer may have given up the call already.
+                if let Some(sender) = state.peer_calls.remove(&call) {
+                    let _ = sender.send(answer);
+                }
             }
             GatewayEffect::ReadStore(read) => {
                 tokio::spawn(store::read_store(self.clone(), self.store_address, read));
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -140,7 +140,7 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
-    let answer = core.handle_peer_call(message);
+    let answer = core.handle_peer_call(message).await.ok();
     let Some(encoded) = answer.and_then(|answer| encode_answer(&answer).ok()) else {
         return empty_response(StatusCode::INTERNAL_SERVER_ERROR);
     };
--- a/lib/src/gateway/availability.rs
+++ b/lib/src/gateway/availability.rs
@@ -16,6 +16,7 @@
     event::{GatewayEffect, RequestNumber},
     log_event,
     requests::RequestPhase,
+    server_scheduler::DeclineReason,
     servers::GatewayServerKey,
     termination::RefusalReason,
 };
@@ -259,6 +260,7 @@
             record.id, record.started
         );
         log_event(effects, "server_leaving", "", &detail);
+        self.close_grant_queue(server, DeclineReason::Leaving, effects);
         self.divert_requests(now, server, effects);
     }
 
@@ -283,6 +285,7 @@
         for number in waiting {
             self.continue_request(now, number, effects);
         }
+        self.move_queued_requests(now, server, effects);
     }
 
     /// Why a request is refused at once: each server of its service leaves, or wants no requests for
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -14,7 +14,7 @@
     members::{MemberPhase, MemberRecord},
     message::PeerCall,
     server_scheduler::{
-        DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
+        DeclineReason, GrantCaller, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
         ServerOrderOutcome, ServerScheduler,
     },
     servers::GatewayServerKey,
@@ -94,17 +94,17 @@
             })
             .collect();
         self.load_pauses.retain(|_, until| now < *until);
-        self.schedulers.retain(|key, _| {
-            let is_listed = engines.iter().any(|(listed, _, _)| listed == key);
-            if !is_listed {
-                // The server is no longer listed.
-                self.owners.remove(&self.servers.get(*key).record.id);
-            }
-            is_listed
-        });
+        let is_listed = |key: &GatewayServerKey| engines.iter().any(|(listed, _, _)| listed == key);
+        let unlisted = self.schedulers.keys().filter(|key| !is_listed(key));
+        for key in unlisted.copied().collect::<Vec<_>>() {
+            self.owners.remove(&self.servers.get(key).record.id);
+            self.remove_scheduler(key, effects);
+        }
         if self.is_leaving() {
             if !self.schedulers.is_empty() && self.members.alive(now).next().is_some() {
-                self.schedulers.clear();
+                for key in self.schedulers.keys().copied().collect::<Vec<_>>() {
+                    self.remove_scheduler(key, effects);
+                }
                 log_event(effects, "desks_released", "", "reason=leaving");
             }
             return;
@@ -129,7 +129,7 @@
             if let Some(rival) = rival {
                 let detail = format!("server={id} to={}", rival.name);
                 log_event(effects, "desk_yielded", "", &detail);
-                self.schedulers.remove(&key);
+                self.remove_scheduler(key, effects);
             }
             return;
         }
@@ -144,6 +144,12 @@
         log_event(effects, "desk_claimed", "", &format!("server={id}"));
     }
 
+    /// Gives up a server, whose queued requests are declined.
+    fn remove_scheduler(&mut self, key: GatewayServerKey, effects: &mut Vec<GatewayEffect>) {
+        self.close_grant_queue(key, DeclineReason::NotScheduled, effects);
+        self.schedulers.remove(&key);
+    }
+
     fn may_claim(&self, now: ClockTime, id: &str, own_weight: u64) -> bool {
         let has_waited = now.since(ClockTime::ZERO) >= JOIN_TIME;
         (self.members.has_joined() || has_waited)
@@ -187,7 +193,7 @@
         }
     }
 
-    /// Reads a server's report if it is due, and gives its next order.
+    /// Serves a server's queue, reads its report if that is due, and gives its next order.
     pub(super) fn run_scheduler(
         &mut self,
         now: ClockTime,
@@ -195,11 +201,14 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let Some(engine_config) = self.engine_config(key) else {
+            self.close_grant_queue(key, DeclineReason::NotScheduled, effects);
             return;
         };
         if self.servers.get(key).is_leaving {
+            self.close_grant_queue(key, DeclineReason::Leaving, effects);
             return;
         }
+        self.serve_grant_queue(now, key, &engine_config, effects);
         let from_store = self.needs_model(now, key);
         let Some(scheduler) = self.schedulers.get_mut(&key) else {
             return;
@@ -381,31 +390,37 @@
         request: &GrantRequest,
         effects: &mut Vec<GatewayEffect>,
     ) -> GrantReply {
-        let declined = GrantReply::Declined {
-            reason: DeclineReason::NotScheduled,
+        let declined = |reason: DeclineReason| GrantReply::Declined {
+            reason,
             backlog: Duration::ZERO,
         };
-        let Some(key) = self.servers.key(&request.server) else {
-            return declined;
-        };
-        let Some(engine_config) = self.engine_config(key) else {
-            return declined;
-        };
-        if self.servers.get(key).is_leaving {
-            return GrantReply::Declined {
-                reason: DeclineReason::Leaving,
-                backlog: Duration::ZERO,
-            };
+        if let Some(reason) = self.unscheduled_reason(request) {
+            return declined(reason);
         }
+        let key = self.servers.key(&request.server);
+        let engine_config = key.and_then(|key| self.engine_config(key));
         self.load_limiter.set_server_count(self.schedulers.len());
-        let Some(scheduler) = self.schedulers.get_mut(&key) else {
-            return declined;
+        let scheduler = key.and_then(|key| self.schedulers.get_mut(&key));
+        let (Some(key), Some(engine_config), Some(scheduler)) = (key, engine_config, scheduler)
+        else {
+            return declined(DeclineReason::NotScheduled);
         };
         let reply = scheduler.decide(now, &engine_config, request, &mut self.load_limiter);
         self.run_scheduler(now, key, effects);
         reply
     }
 
+    /// Why this instance decides on no requests for the server, if so.
+    pub(super) fn unscheduled_reason(&self, request: &GrantRequest) -> Option<DeclineReason> {
+        let key = self.servers.key(&request.server);
+        let key = key.filter(|key| self.engine_config(*key).is_some());
+        match key {
+            Some(key) if self.servers.get(key).is_leaving => Some(DeclineReason::Leaving),
+            Some(key) if self.schedulers.contains_key(&key) => None,
+            _ => Some(DeclineReason::NotScheduled),
+        }
+    }
+
     pub(super) fn handle_grant_release(
         &mut self,
         now: ClockTime,
@@ -419,6 +434,11 @@
             if let Some(timing) = scheduler.release(now, release) {
                 self.load_limiter.record_timing(now, timing);
             }
+            if release.ended
+                && let Some(answer) = scheduler.cancel_queued(now, &release.key)
+            {
+                self.answer_grant(Some(key), answer, effects);
+            }
             self.run_scheduler(now, key, effects);
         }
     }
@@ -436,15 +456,11 @@
             return;
         };
         if self.schedulers.contains_key(&server) {
-            let reply = self.handle_grant_request(now, &request, effects);
-            self.grant_answered(
-                now,
-                number,
-                request.key.number,
-                server,
-                Some(&reply),
-                effects,
-            );
+            let caller = GrantCaller::Own {
+                request: number,
+                grant: request.key.number,
+            };
+            self.receive_grant_request(now, caller, request, effects);
             return;
         }
         let Some(peer) = self.owners.get(&request.server).map(|view| view.peer) else {
@@ -472,7 +488,10 @@
     ) -> Option<GrantRequest> {
         let grant = self.next_grant;
         self.next_grant += 1;
-        self.requests.get_mut(&number)?.grant = grant;
+        let (hold, place_hold) = self.hold_times(now, number);
+        let record = self.requests.get_mut(&number)?;
+        record.grant = grant;
+        record.asked_at = now;
         let record = self.requests.get(&number)?;
         let wanted = record.request.model.as_ref()?;
         let (prompt_tokens, output_tokens) = record.request.tokens.unwrap_or_default();
@@ -487,6 +506,12 @@
             parts: record.request.prompt_parts.clone(),
             max_wait,
             lifetime: record.deadline.since(now) + Duration::from_secs(1),
+            priority: record.priority,
+            team: record.team.clone(),
+            objective_left: record.arrived.after(record.objective).since(now),
+            hold,
+            place_hold,
+            waited: now.since(record.arrived),
         })
     }
 
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -37,9 +37,8 @@
     /// Time limits of this call.
     pub fn timeouts(&self) -> ExchangeTimeouts {
         match self {
-            PeerCall::Grant(_) | PeerCall::Borrow { .. } => {
-                ExchangeTimeouts::of_short(GRANT_TIMEOUT)
-            }
+            PeerCall::Grant(request) => ExchangeTimeouts::of_short(GRANT_TIMEOUT + request.hold),
+            PeerCall::Borrow { .. } => ExchangeTimeouts::of_short(GRANT_TIMEOUT),
             PeerCall::CatalogChanges(_) => ExchangeTimeouts {
                 stall: CALL_TIMEOUT,
                 total: TRANSFER_TIMEOUT,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod engines;
 pub mod event;
 pub mod exchange;
+mod grant_queues;
 pub mod members;
 pub mod message;
 pub mod order_lease;
@@ -38,7 +39,7 @@
 mod termination;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -58,7 +59,7 @@
     requests::RequestRecord,
     revision::StoreRevision,
     routes::RouteIndex,
-    server_scheduler::{GrantNumber, GrantRelease, LoadLimiter, ServerScheduler},
+    server_scheduler::{GrantNumber, GrantRelease, GrantReply, LoadLimiter, ServerScheduler},
     servers::{GatewayServerKey, GatewayServers},
     store::{DoubtedChanges, StoreReader},
     suspects::SuspectList,
@@ -199,6 +200,8 @@
     load_pauses: BTreeMap<GatewayServerKey, ClockTime>,
     releases: BTreeMap<SocketAddr, Vec<GrantRelease>>,
     next_grant: GrantNumber,
+    /// Answers of own schedulers to own requests, which are handled after the event.
+    own_grants: VecDeque<(RequestNumber, GrantNumber, GatewayServerKey, GrantReply)>,
     suspects: SuspectList,
     has_quorum: bool,
     timers: BTreeSet<(ClockTime, TimerKind)>,
@@ -254,6 +257,7 @@
             load_pauses: BTreeMap::new(),
             releases: BTreeMap::new(),
             next_grant: 1,
+            own_grants: VecDeque::new(),
             suspects: SuspectList::default(),
             has_quorum: false,
             timers,
@@ -317,6 +321,7 @@
             GatewayEvent::ShutdownExpired => self.shutdown_expired(now, effects),
         }
         self.run_timers(now, effects);
+        self.deliver_own_grants(now, effects);
         self.flush_releases(effects);
         self.schedule_wake(effects);
     }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -12,6 +12,7 @@
     log_event,
     members::AgedRecord,
     message::{GossipMessage, PeerAnswer, PeerCall, PeerError},
+    server_scheduler::GrantCaller,
 };
 use crate::clock::ClockTime;
 
@@ -141,7 +142,9 @@
                 PeerAnswer::CatalogChanges(self.catalog.changes_after(query.revision()))
             }
             PeerCall::Grant(request) => {
-                PeerAnswer::Grant(self.handle_grant_request(now, &request, effects))
+                let caller = GrantCaller::Peer { call };
+                self.receive_grant_request(now, caller, request, effects);
+                return;
             }
             PeerCall::Releases(releases) => {
                 for release in &releases {
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -104,6 +104,12 @@
     pub(super) uncached_tokens: u64,
     /// Number of schedulers' replies that their server is busier than expected.
     pub(super) busy_replies: u32,
+    /// Time at which the newest grant was requested.
+    pub(super) asked_at: ClockTime,
+    /// Whether a scheduler has queued the request.
+    pub(super) was_queued: bool,
+    /// First server that had no place for the request.
+    pub(super) full_server: Option<GatewayServerKey>,
     /// Servers that are not tried again before the next delay.
     pub(super) excluded: Vec<GatewayServerKey>,
     /// Server that last rejected the request because it lacked the adapter.
@@ -234,6 +240,12 @@
         // Servers that declined may have capacity by then.
         record.excluded.clear();
         record.failed_selections += 1;
+        if self.queue_at_full_server(now, number, effects) {
+            return;
+        }
+        let Some(record) = self.requests.get(&number) else {
+            return;
+        };
         let pause = SELECTION_DELAY * record.failed_selections.min(MAX_SELECTION_DELAYS);
         self.set_timer(now.after(pause), TimerKind::Continue(number));
     }
@@ -251,6 +263,9 @@
         let is_waiting = self.requests.get(&number).is_some_and(|record| {
             record.phase == RequestPhase::AwaitingGrant(server) && record.grant == grant
         });
+        if is_waiting {
+            self.log_queued(now, number, server, reply, effects);
+        }
         match reply {
             Some(&GrantReply::Granted {
                 wait,
@@ -316,6 +331,7 @@
             | DeclineReason::Busy
             | DeclineReason::Leaving => None,
         };
+        self.record_full_server(now, number, server, reason);
         if let Some(pause) = pause {
             self.load_pauses.insert(server, now.after(pause));
         }
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -56,6 +56,44 @@
     /// Time after which the scheduler drops the grant if it is not released.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lifetime: Duration,
+    /// Priority; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u8,
+    /// Team.
+    #[serde(default)]
+    pub team: Option<SmolStr>,
+    /// Time left until the request misses its objective; 0 if it has.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub objective_left: Duration,
+    /// Maximum time for which the scheduler may queue the request; 0 if it must decide immediately.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub hold: Duration,
+    /// The same while the server has no place for the request: neither a free adapter slot nor a
+    /// request slot. Another server may have one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub place_hold: Duration,
+    /// Time since the request arrived at the gateway.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub waited: Duration,
+}
+
+impl GrantRequest {
+    /// Maximum time for which the scheduler may queue the request after it could not grant it for
+    /// `reason`.
+    pub fn hold_for(&self, reason: DeclineReason) -> Duration {
+        match reason {
+            DeclineReason::LoadsBusy | DeclineReason::Busy => self.hold,
+            DeclineReason::NoPlace | DeclineReason::Full => self.place_hold.min(self.hold),
+            DeclineReason::NotScheduled
+            | DeclineReason::NoRight
+            | DeclineReason::NoModel
+            | DeclineReason::Leaving => Duration::ZERO,
+        }
+    }
 }
 
 /// Why a grant was declined.
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::ClockTime;
 
-/// Longest time that a load from the weight store waits for a slot.
-const MAX_LOAD_WAIT: Duration = Duration::from_millis(300);
+/// Longest time that a load from the weight store waits for a slot, unless its request is queued.
+pub(super) const MAX_LOAD_WAIT: Duration = Duration::from_millis(300);
 /// Initial number of concurrent loads per server scheduled here. Published stores sustain 0.3 to
 /// 1.8.
 const INITIAL_WINDOW: f64 = 0.5;
@@ -122,15 +122,25 @@
         self.window * self.server_count.max(1) as f64
     }
 
+    /// Time at which the next slot becomes free.
+    pub(super) fn next_free_at(&self) -> Option<ClockTime> {
+        self.free_at.iter().min().copied()
+    }
+
     /// Reserves the next free slot for a load and returns its start time, or `None` if it would
-    /// start later than `MAX_LOAD_WAIT`.
-    pub(super) fn reserve(&mut self, now: ClockTime, load_time: Duration) -> Option<ClockTime> {
+    /// start later than `max_wait` from now.
+    pub(super) fn reserve(
+        &mut self,
+        now: ClockTime,
+        load_time: Duration,
+        max_wait: Duration,
+    ) -> Option<ClockTime> {
         // With a fractional number of loads per slot, each load is followed by a pause.
         let slot_time_factor = self.free_at.len() as f64 / self.max_loads();
         let slot = self.free_at.iter_mut().min()?;
         let start = (*slot).max(now);
         self.was_limited |= start > now;
-        if start.since(now) > MAX_LOAD_WAIT {
+        if start.since(now) > max_wait {
             return None;
         }
         *slot = start.after(load_time.mul_f64(slot_time_factor));
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -4,11 +4,14 @@
 //! One instance schedules a server. Other instances request a grant from it before they send a
 //! request there, so that adapters in use are known and prompts don't queue up at one server.
 
+mod admission;
 mod grant;
+mod grant_queue;
 mod load_limiter;
 mod orders;
 mod prefill;
 mod report;
+pub mod wait_queue;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -17,9 +20,14 @@
 
 use smol_str::SmolStr;
 
-use self::prefill::PrefillModel;
+use self::{
+    admission::{LaterPrefill, StartBounds},
+    grant_queue::GrantQueue,
+    prefill::PrefillModel,
+};
 pub use self::{
     grant::{DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest},
+    grant_queue::{GrantAnswer, GrantCaller, OvertakeCounts, PRIORITY_COUNT},
     load_limiter::{LoadLimiter, LoadTiming},
     orders::{FENCE_TIME_BITS, OrderAction, ServerOrder, ServerOrderOutcome},
 };
@@ -139,7 +147,10 @@
     grants: BTreeMap<GrantKey, GrantRecord>,
     prefix_cache: PrefixCache,
     prefill_until: ClockTime,
+    /// Prompts that wait for a load while others are prefilled.
+    later_prefills: Vec<LaterPrefill>,
     prefill_model: PrefillModel,
+    grant_queue: GrantQueue,
     queue: VecDeque<(SmolStr, OrderAction)>,
     pending_order: Option<(SmolStr, OrderAction)>,
     /// Largest fencing token of an accepted order, including orders of earlier schedulers.
@@ -172,7 +183,9 @@
             grants: BTreeMap::new(),
             prefix_cache: PrefixCache::new(config.cache_tokens),
             prefill_until: now,
+            later_prefills: Vec::new(),
             prefill_model: PrefillModel::new(),
+            grant_queue: GrantQueue::default(),
             queue: VecDeque::new(),
             pending_order: None,
             last_fence: 0,
@@ -223,7 +236,7 @@
 
     /// Time until the server could start on another prompt.
     pub fn backlog(&self, now: ClockTime) -> Duration {
-        self.prefill_until.since(now)
+        self.prefill_until.since(now) + self.grant_queue.prefill_time()
     }
 
     /// Models and adapters that are loaded or loading.
@@ -282,108 +295,6 @@
         self.models.iter().any(|name| name == model) && self.is_recently_evicted(model, adapter)
     }
 
-    /// Decides on a request to send a prompt to the server.
-    ///
-    /// `load_limiter` is the instance's limiter for loads from the weight store.
-    pub fn decide(
-        &mut self,
-        now: ClockTime,
-        config: &EngineConfig,
-        request: &GrantRequest,
-        load_limiter: &mut LoadLimiter,
-    ) -> GrantReply {
-        self.expire_grants(now);
-        let uncached_tokens = self.prefix_cache.uncached_tokens(request);
-        let prefill_start = self.prefill_start(now, config, uncached_tokens);
-        let admitted = if prefill_start.since(now) > request.max_wait {
-            Err(DeclineReason::Busy)
-        } else {
-            self.admit(now, config, request, load_limiter)
-        };
-        match admitted {
-            Ok(load_wait) => {
-                let prefill_time = self
-                    .prefill_model
-                    .estimate(request.prompt_tokens, uncached_tokens);
-                let ready_at = now.after(load_wait);
-                let start = ready_at.max(prefill_start);
-                self.prefill_until = self.prefill_until.max(start).after(prefill_time);
-                let first_event_at = self.prefill_until.after(event_interval(config));
-                self.prefix_cache.insert(request);
-                self.grants.insert(
-                    request.key.clone(),
-                    GrantRecord {
-                        model: request.model.clone(),
-                        adapter: request.adapter.clone(),
-                        tokens: request.prompt_tokens.saturating_add(request.output_tokens),
-                        prompt_tokens: request.prompt_tokens,
-                        uncached_tokens,
-                        sent_at: start,
-                        prefill_time,
-                        first_event_at,
-                        has_first_event: false,
-                        expires_at: now.after(request.lifetime),
-                    },
-                );
-                GrantReply::Granted {
-                    wait: start.since(now),
-                    backlog: self.backlog(now),
-                    uncached_tokens,
-                }
-            }
-            Err(reason) => GrantReply::Declined {
-                reason,
-                backlog: self.backlog(now),
-            },
-        }
-    }
-
-    /// Earliest time at which a prompt with `uncached_tokens` may be sent.
-    fn prefill_start(
-        &self,
-        now: ClockTime,
-        config: &EngineConfig,
-        uncached_tokens: u64,
-    ) -> ClockTime {
-        if uncached_tokens >= LONG_PREFILL_TOKENS {
-            self.prefill_until.after(event_interval(config)).max(now)
-        } else {
-            now
-        }
-    }
-
-    fn admit(
-        &mut self,
-        now: ClockTime,
-        config: &EngineConfig,
-        request: &GrantRequest,
-        load_limiter: &mut LoadLimiter,
-    ) -> Result<Duration, DeclineReason> {
-        if !self.models.contains(&request.model) {
-            return Err(DeclineReason::NoModel);
-        }
-        let tokens = self
-            .grants
-            .values()
-            .fold(0_u64, |sum, grant| sum.saturating_add(grant.tokens));
-        let requested_tokens = request.prompt_tokens.saturating_add(request.output_tokens);
-        let token_limit = (config.cache_tokens as f64 * MEMORY_SHARE) as u64;
-        let is_full = self.grants.len() >= config.slots as usize
-            || request.prompt_tokens > config.cache_tokens
-            || (!self.grants.is_empty() && tokens.saturating_add(requested_tokens) > token_limit);
-        if is_full {
-            return Err(DeclineReason::Full);
-        }
-        let Some(adapter) = &request.adapter else {
-            return Ok(Duration::ZERO);
-        };
-        let ready_at = self.allocate_slot(now, config, request, adapter, load_limiter)?;
-        if let Some(slot) = self.slot(&request.model, adapter) {
-            slot.last_used_at = now;
-        }
-        Ok(ready_at.since(now))
-    }
-
     fn slot(&mut self, model: &str, adapter: &str) -> Option<&mut AdapterSlot> {
         self.adapter_slots
             .iter_mut()
@@ -397,6 +308,7 @@
         config: &EngineConfig,
         request: &GrantRequest,
         adapter: &SmolStr,
+        bounds: StartBounds,
         load_limiter: &mut LoadLimiter,
     ) -> Result<ClockTime, DeclineReason> {
         let (model, version) = (&request.model, request.version);
@@ -406,6 +318,11 @@
             if slot.phase == SlotPhase::Unloading {
                 return Err(DeclineReason::NoPlace);
             }
+            if let SlotPhase::Reserved { start, .. } = slot.phase
+                && start.since(now) > bounds.load
+            {
+                return Err(DeclineReason::LoadsBusy);
+            }
             if slot.version >= version {
                 return Ok(slot.ready_at.max(now));
             }
@@ -446,7 +363,7 @@
             now
         } else {
             load_limiter
-                .reserve(now, load_time)
+                .reserve(now, load_time, bounds.load)
                 .ok_or(DeclineReason::LoadsBusy)?
         };
         self.remove_recently_evicted(model, adapter);
@@ -581,6 +498,8 @@
             return timing;
         }
         self.grants.remove(&release.key);
+        self.later_prefills
+            .retain(|prefill| prefill.key != release.key);
         match adapter {
             Some(adapter) if release.adapter_missing => {
                 self.record_late_load(now, &model, &adapter)
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -154,9 +154,12 @@
                 server
             }
             RequestPhase::AwaitingAdapter(server) => server,
-            RequestPhase::AwaitingQuota
-            | RequestPhase::Selecting
-            | RequestPhase::AwaitingGrant(_) => return,
+            RequestPhase::AwaitingGrant(server) => {
+                // The scheduler may have queued the request, or its grant may be on the way.
+                self.release_grant(now, record.grant, server, None, false, effects);
+                return;
+            }
+            RequestPhase::AwaitingQuota | RequestPhase::Selecting => return,
         };
         if record.has_grant {
             self.release_grant(now, record.grant, server, None, false, effects);
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -43,6 +43,12 @@
         parts: Vec::new(),
         max_wait: Duration::from_secs(10),
         lifetime: Duration::from_secs(10),
+        priority: 1,
+        team: None,
+        objective_left: Duration::from_secs(1),
+        hold: Duration::ZERO,
+        place_hold: Duration::ZERO,
+        waited: Duration::ZERO,
     }
 }
 
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -1,5 +1,6 @@
 //! Simulation of a small fleet of gateway reducers with a store and model servers, in virtual time.
 
+mod calls;
 mod crashes;
 mod exchanges;
 mod notices;
@@ -25,12 +26,12 @@
             CallerBounds, PublishedItem, QuotaUnit, RetryPolicy, RouteConfig, RouteTarget,
             ServerRecord, ServiceConfig, ServingConfig, TeamConfig,
         },
-        encoding::{encode_answer, encode_call},
+        encoding::encode_call,
         event::{
             AttemptEnd, AttemptStats, GatewayEffect, GatewayEvent, GatewayRequest, ModelName,
             ServerDispatch, StoreError, StoreRead,
         },
-        message::{PeerAnswer, PeerCall, PeerError},
+        message::{PeerCall, PeerError},
         prompt::PromptPart,
         server_scheduler::ServerOrder,
         servers::GatewayServerKey,
@@ -39,6 +40,7 @@
 };
 
 use self::{
+    calls::{CallTable, HeldCall},
     crashes::{CrashTable, ServerRun},
     exchanges::{ExchangeNumber, LinkExchange},
     notices::{NoticeTable, PAUSE_BOUNDS},
@@ -69,6 +71,8 @@
     StepLinks,
     /// Gives up on an exchange, unless it is complete.
     Timeout(ExchangeNumber),
+    /// Gives up on a call that is held, unless it was answered.
+    AbandonCall(u64),
     /// Completes a run, unless its server has crashed.
     EndRun(ServerRun),
     /// Crashes the server of a run.
@@ -124,6 +128,7 @@
     links: Option<LinkTable>,
     exchanges: BTreeMap<ExchangeNumber, LinkExchange>,
     next_exchange: ExchangeNumber,
+    call_table: CallTable,
     pub(crate) crash_table: CrashTable,
     /// Number of reads of the store.
     pub(crate) store_reads: u64,
@@ -231,6 +236,7 @@
             links: None,
             exchanges: BTreeMap::new(),
             next_exchange: 0,
+            call_table: CallTable::default(),
             crash_table: CrashTable::default(),
             store_reads: 0,
             config_fetches: 0,
@@ -323,6 +329,7 @@
 
     pub(crate) fn kill(&mut self, index: usize) {
         self.nodes[index].reducer = None;
+        self.break_calls(index);
     }
 
     pub(crate) fn pause(&mut self, index: usize, time: Duration) {
@@ -367,25 +374,13 @@
         match action {
             WorldAction::Event(index, incarnation, event) => self.handle(index, incarnation, event),
             WorldAction::Deliver(index, from, call, peer, message, exchange) => {
-                let from_index = from as usize >> 32;
-                let from_incarnation = from & 0xffff_ffff;
-                let answer = self.call(index, message);
-                if let Ok(PeerAnswer::CatalogChanges(page)) = &answer {
-                    let has_config = page.changes.iter().any(|change| change.key == "op/config");
-                    self.config_fetches += u64::from(has_config);
-                }
-                let size = answer.as_ref().map_or(0, |answer| {
-                    let encoded = encode_answer(answer).expect("answers always serialize");
-                    encoded.body.len()
-                });
-                let event = GatewayEvent::PeerAnswered { call, peer, answer };
-                let action = WorldAction::Event(from_index, from_incarnation, event);
-                match exchange {
-                    Some(exchange) => {
-                        self.transfer(exchange, Some(index), from_index, size, action);
-                    }
-                    None => self.push(self.now.after(NETWORK_DELAY), action),
-                }
+                let held = HeldCall {
+                    from,
+                    call,
+                    peer,
+                    exchange,
+                };
+                self.deliver_call(index, held, message);
             }
             WorldAction::Watch(index, incarnation, after, until, exchange) => {
                 let answer = self.store.changes_after(after);
@@ -398,6 +393,7 @@
                     self.answer_read(index, incarnation, answer, exchange);
                 }
             }
+            WorldAction::AbandonCall(call) => self.abandon_call(call),
             WorldAction::StepLinks => self.step_links(),
             WorldAction::Timeout(exchange) => self.give_up_exchange(exchange),
             WorldAction::EndRun(run) => self.complete_run(run),
@@ -455,30 +451,6 @@
         }
     }
 
-    fn call(&mut self, index: usize, message: PeerCall) -> Result<PeerAnswer, PeerError> {
-        if self.nodes[index].reducer.is_none() {
-            return Err(PeerError::ConnectionRefused);
-        }
-        if self.now < self.nodes[index].paused_until {
-            return Err(PeerError::NoAnswer);
-        }
-        let incarnation = self.nodes[index].incarnation;
-        let local = self.local_time(index);
-        let mut effects = Vec::new();
-        if let Some(reducer) = &mut self.nodes[index].reducer {
-            let event = GatewayEvent::PeerCalled { call: 0, message };
-            reducer.reduce(local, event, &mut effects);
-        }
-        let mut answered = Err(PeerError::NoAnswer);
-        for effect in effects {
-            match effect {
-                GatewayEffect::AnswerPeer { answer, .. } => answered = Ok(answer),
-                effect => self.perform(index, incarnation, effect),
-            }
-        }
-        answered
-    }
-
     fn schedule(&mut self, delay: Duration, index: usize, incarnation: u64, event: GatewayEvent) {
         self.push(
             self.now.after(delay),
@@ -536,7 +508,10 @@
                 self.outcomes.push((self.now, refusal.request, end));
             }
             GatewayEffect::Log(line) => self.events.push((self.now, index, line.event)),
-            GatewayEffect::AnswerPeer { .. } | GatewayEffect::CloseConnections(_) => {}
+            GatewayEffect::AnswerPeer { call, answer } => {
+                self.answer_call(call, answer);
+            }
+            GatewayEffect::CloseConnections(_) => {}
         }
     }
 
