--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use super::{event::StoreRead, message::PeerCall};
 
 /// Timeout of calls that a caller's request waits for; the request then proceeds without an answer.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the other calls to peers, whose messages are small.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a byte of the store's response, in addition to the requested wait.
--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -6,6 +6,7 @@
     GatewayReducer, TimerKind,
     catalog::EngineConfig,
     event::{GatewayEffect, RequestNumber},
+    exchange::GRANT_TIMEOUT,
     log_event,
     message::PeerAnswer,
     requests::RequestPhase,
@@ -40,11 +41,13 @@
         if !has_slots {
             return (Duration::ZERO, Duration::ZERO);
         }
+        // The call may fail only after its timeout, and the request must still be refused in time.
+        let selection_left = record.selection_deadline.before(GRANT_TIMEOUT).since(now);
         let hold = record
             .deadline
             .since(now)
             .mul_f64(HOLD_DEADLINE_FRACTION)
-            .min(record.selection_deadline.since(now))
+            .min(selection_left)
             .min(MAX_HOLD);
         let place_hold = if record.failed_selections > 0 {
             hold
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -138,7 +138,9 @@
             RequestPhase::Selecting
                 if record.request.model.is_some() && self.has_model_servers(number) =>
             {
-                let choice = if record.excluded.len() < MAX_TRIED_SERVERS {
+                // Each scheduler that is asked may take the whole timeout of the call.
+                let may_ask = now < record.selection_deadline || record.excluded.is_empty();
+                let choice = if may_ask && record.excluded.len() < MAX_TRIED_SERVERS {
                     self.choose_engine(now, number)
                 } else {
                     None
@@ -247,7 +249,9 @@
             return;
         };
         let pause = SELECTION_DELAY * record.failed_selections.min(MAX_SELECTION_DELAYS);
-        self.set_timer(now.after(pause), TimerKind::Continue(number));
+        // The last round of grant requests starts by this time, as schedulers may not answer.
+        let next = now.after(pause).min(record.selection_deadline);
+        self.set_timer(next, TimerKind::Continue(number));
     }
 
     /// Handles the reply of a server's scheduler; `None` if there was no answer.
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -118,6 +118,8 @@
     pub(crate) prompt_parts: Vec<PromptPart>,
     /// Servers to which requests were sent, each with the address from which to fetch prompt parts.
     pub(crate) dispatches: Vec<(SocketAddr, Option<SocketAddr>)>,
+    /// Time from the arrival of each request that was sent to its first send.
+    pub(crate) first_waits: BTreeMap<u64, Duration>,
     pub(crate) notice_table: NoticeTable,
     next_request: u64,
     adapters: BTreeMap<u64, SmolStr>,
@@ -228,6 +230,7 @@
             calls: 0,
             prompt_parts: Vec::new(),
             dispatches: Vec::new(),
+            first_waits: BTreeMap::new(),
             notice_table: NoticeTable::default(),
             next_request: 0,
             adapters: BTreeMap::new(),
@@ -592,6 +595,9 @@
         let engine = engine_index(&dispatch.id);
         self.dispatches
             .push((dispatch.address, dispatch.prompt_source));
+        if let Some(waited) = dispatch.waited {
+            self.first_waits.insert(dispatch.request, waited);
+        }
         let now = self.now;
         self.notice_table.arrivals.push((now, index, engine));
         self.announce_leaving(index, incarnation, engine, dispatch.server);
--- a/lib/tests/gateway/world/calls.rs
+++ b/lib/tests/gateway/world/calls.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Lets the caller of a request disconnect.
+    pub(crate) fn disconnect(&mut self, index: usize, request: u64) {
+        let incarnation = self.nodes[index].incarnation;
+        let event = GatewayEvent::CallerDisconnected(request);
+        self.handle(index, incarnation, event);
+    }
+
     fn return_answer(
         &mut self,
         index: usize,
