--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -22,6 +22,7 @@
         },
         message::{PeerAnswer, PeerCall},
         revision::StoreRevision,
+        server_scheduler::PRIORITY_COUNT,
         servers::GatewayServerKey,
     },
     operator::UsageView,
@@ -420,6 +421,11 @@
     }
 
     /// Version of the configuration in force; 0 while there is none.
+    /// Number of requests in the queues of this instance's schedulers, by priority.
+    pub(super) fn queued_grants(&self) -> [usize; PRIORITY_COUNT] {
+        self.lock().reducer.queued_grants()
+    }
+
     pub(super) fn config_version(&self) -> u64 {
         self.lock().reducer.config_version()
     }
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -129,6 +129,20 @@
         register_gauge(&meter, "wasabistall.body.bytes", core, |core| {
             core.bodies.used() as u64
         });
+        let weak_core = Arc::downgrade(core);
+        meter
+            .u64_observable_gauge("wasabistall.grants.queued")
+            .with_description("Requests queued at the schedulers of this instance, by priority")
+            .with_callback(move |observer| {
+                let Some(core) = weak_core.upgrade() else {
+                    return;
+                };
+                for (priority, count) in core.queued_grants().into_iter().enumerate() {
+                    let labels = [KeyValue::new("priority", priority as i64)];
+                    observer.observe(count as u64, &labels);
+                }
+            })
+            .build();
         meter
             .u64_observable_counter("wasabistall.log.dropped_lines")
             .with_callback(move |observer| {
--- a/lib/tests/gateway/world/calls.rs
+++ b/lib/tests/gateway/world/calls.rs
@@ -14,6 +14,7 @@
 type ReceivedCall = u64;
 
 /// A call that was delivered and not answered yet.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct HeldCall {
     /// Index and incarnation of the caller.
     pub(super) from: u64,
