--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeMap};
+use serde_with::{DurationMilliSeconds, ser::SerializeAsWrap, serde_as};
 use smol_str::SmolStr;
 
 use crate::gateway::prompt::PromptPart;
@@ -30,7 +30,7 @@
 
 /// Requests permission to send a request to a model server.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GrantRequest {
     /// Identifies the grant.
     pub key: GrantKey,
@@ -81,6 +81,31 @@
     pub waited: Duration,
 }
 
+// With field names, builds that do not know the newer fields ignore them.
+impl Serialize for GrantRequest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        type Millis<'d> = SerializeAsWrap<'d, Duration, DurationMilliSeconds<u64>>;
+        let mut map = serializer.serialize_map(Some(16))?;
+        map.serialize_entry("key", &self.key)?;
+        map.serialize_entry("server", &self.server)?;
+        map.serialize_entry("model", &self.model)?;
+        map.serialize_entry("adapter", &self.adapter)?;
+        map.serialize_entry("version", &self.version)?;
+        map.serialize_entry("prompt_tokens", &self.prompt_tokens)?;
+        map.serialize_entry("output_tokens", &self.output_tokens)?;
+        map.serialize_entry("parts", &self.parts)?;
+        map.serialize_entry("patience", &Millis::new(&self.max_wait))?;
+        map.serialize_entry("lifetime", &Millis::new(&self.lifetime))?;
+        map.serialize_entry("priority", &self.priority)?;
+        map.serialize_entry("team", &self.team)?;
+        map.serialize_entry("objective_left", &Millis::new(&self.objective_left))?;
+        map.serialize_entry("hold", &Millis::new(&self.hold))?;
+        map.serialize_entry("place_hold", &Millis::new(&self.place_hold))?;
+        map.serialize_entry("waited", &Millis::new(&self.waited))?;
+        map.end()
+    }
+}
+
 impl GrantRequest {
     /// Maximum time for which the scheduler may queue the request after it could not grant it for
     /// `reason`.
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -15,8 +15,10 @@
     encoding::{MAX_MESSAGE_BYTES, decode_answer, decode_call, encode_answer, encode_call},
     members::AgedRecord,
     message::{ChangesQuery, GossipMessage, PeerAnswer, PeerCall},
+    prompt::PromptPart,
     replica::CatalogPage,
     revision::StoreRevision,
+    server_scheduler::{GrantKey, GrantRequest},
 };
 
 /// Gossip of builds that do not know eras of the store.
@@ -206,3 +208,68 @@
         let _ = decode_answer(&body, is_compressed);
     }
 }
+
+/// Grant request of builds that do not queue requests.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierGrant {
+    key: GrantKey,
+    server: SmolStr,
+    model: SmolStr,
+    adapter: Option<SmolStr>,
+    version: u64,
+    prompt_tokens: u64,
+    output_tokens: u64,
+    parts: Vec<PromptPart>,
+    patience: u64,
+    lifetime: u64,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierCall {
+    Grant(EarlierGrant),
+}
+
+/// Guards against requests that find no scheduler during a rolling update, because builds with and
+/// without queues cannot read each other's grant requests.
+#[test]
+fn builds_without_queues_read_grant_requests() {
+    let request = GrantRequest {
+        key: GrantKey {
+            instance: "n-1".into(),
+            incarnation: 1,
+            number: 7,
+        },
+        server: "s-1".into(),
+        model: "base".into(),
+        adapter: Some("a1".into()),
+        version: 3,
+        prompt_tokens: 826,
+        output_tokens: 292,
+        parts: Vec::new(),
+        max_wait: Duration::from_millis(120),
+        lifetime: Duration::from_millis(3_000),
+        priority: 2,
+        team: Some("team".into()),
+        objective_left: Duration::from_millis(600),
+        hold: Duration::from_millis(300),
+        place_hold: Duration::from_millis(150),
+        waited: Duration::from_millis(90),
+    };
+    let body = encode_call(&PeerCall::Grant(request.clone())).unwrap().body;
+    let decoded = decode_call(&body, false).unwrap();
+    assert_eq!(decoded, PeerCall::Grant(request.clone()));
+    let EarlierCall::Grant(earlier) = rmp_serde::from_slice(&body).unwrap();
+    assert_eq!((earlier.patience, earlier.lifetime), (120, 3_000));
+    let body = rmp_serde::to_vec(&EarlierCall::Grant(earlier)).unwrap();
+    let unqueued = GrantRequest {
+        priority: 0,
+        team: None,
+        objective_left: Duration::ZERO,
+        hold: Duration::ZERO,
+        place_hold: Duration::ZERO,
+        waited: Duration::ZERO,
+        ..request
+    };
+    let decoded = decode_call(&body, false).unwrap();
+    assert_eq!(decoded, PeerCall::Grant(unqueued));
+}
