--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -10,7 +10,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use wasabistall_lib::{
     clock::ClockTime,
     gateway::{
@@ -22,6 +22,7 @@
         },
         message::{PeerAnswer, PeerCall},
         revision::StoreRevision,
+        server_scheduler::PRIORITY_COUNT,
         servers::GatewayServerKey,
     },
     operator::UsageView,
@@ -68,7 +69,8 @@
     requests: HashMap<RequestNumber, mpsc::UnboundedSender<RequestCommand>>,
     next_request: RequestNumber,
     next_peer_call: u64,
-    peer_answers: HashMap<u64, PeerAnswer>,
+    /// Peers' calls that the reducer has not answered yet.
+    peer_calls: HashMap<u64, oneshot::Sender<PeerAnswer>>,
     wake_at: Option<ClockTime>,
     effect_buffer: Vec<GatewayEffect>,
 }
@@ -120,7 +122,7 @@
                 requests: HashMap::new(),
                 next_request: 1,
                 next_peer_call: 1,
-                peer_answers: HashMap::new(),
+                peer_calls: HashMap::new(),
                 wake_at: Some(ClockTime::ZERO),
                 effect_buffer: Vec::new(),
             }),
@@ -204,16 +206,18 @@
         self.lock().requests.remove(&request);
     }
 
-    /// Handles a peer's call; `None` when the reducer has no answer.
+    /// Handles a peer's call. The reducer may answer it later.
     pub(super) fn handle_peer_call(
         self: &Arc<GatewayCore>,
         message: PeerCall,
-    ) -> Option<PeerAnswer> {
+    ) -> oneshot::Receiver<PeerAnswer> {
+        let (sender, receiver) = oneshot::channel();
         let mut state = self.lock();
         let call = state.next_peer_call;
         state.next_peer_call += 1;
+        state.peer_calls.insert(call, sender);
         self.reduce(&mut state, GatewayEvent::PeerCalled { call, message });
-        state.peer_answers.remove(&call)
+        receiver
     }
 
     fn send_command(state: &CoreState, request: RequestNumber, command: RequestCommand) {
@@ -241,7 +245,10 @@
                 tokio::spawn(peers::call_peer(self.clone(), call, peer, message));
             }
             GatewayEffect::AnswerPeer { call, answer } => {
-                state.peer_answers.insert(call, answer);
+                // The peer may have given up the call already.
+                if let Some(sender) = state.peer_calls.remove(&call) {
+                    let _ = sender.send(answer);
+                }
             }
             GatewayEffect::ReadStore(read) => {
                 tokio::spawn(store::read_store(self.clone(), self.store_address, read));
@@ -416,6 +423,11 @@
     }
 
     /// Version of the configuration in force; 0 while there is none.
+    /// Number of requests in the queues of this instance's schedulers, by priority.
+    pub(super) fn queued_grants(&self) -> [usize; PRIORITY_COUNT] {
+        self.lock().reducer.queued_grants()
+    }
+
     pub(super) fn config_version(&self) -> u64 {
         self.lock().reducer.config_version()
     }
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use super::{event::StoreRead, message::PeerCall};
 
 /// Timeout of calls that a caller's request waits for; the request then proceeds without an answer.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the other calls to peers, whose messages are small.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a byte of the store's response, in addition to the requested wait.
@@ -37,9 +37,8 @@
     /// Time limits of this call.
     pub fn timeouts(&self) -> ExchangeTimeouts {
         match self {
-            PeerCall::Grant(_) | PeerCall::Borrow { .. } => {
-                ExchangeTimeouts::of_short(GRANT_TIMEOUT)
-            }
+            PeerCall::Grant(request) => ExchangeTimeouts::of_short(GRANT_TIMEOUT + request.hold),
+            PeerCall::Borrow { .. } => ExchangeTimeouts::of_short(GRANT_TIMEOUT),
             PeerCall::CatalogChanges(_) => ExchangeTimeouts {
                 stall: CALL_TIMEOUT,
                 total: TRANSFER_TIMEOUT,
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -30,7 +30,7 @@
 
 /// Requests permission to send a request to a model server.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GrantRequest {
     /// Identifies the grant.
     pub key: GrantKey,
@@ -56,6 +56,69 @@
     /// Time after which the scheduler drops the grant if it is not released.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lifetime: Duration,
+    /// Priority; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u8,
+    /// Team.
+    #[serde(default)]
+    pub team: Option<SmolStr>,
+    /// Time left until the request misses its objective; 0 if it has.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub objective_left: Duration,
+    /// Maximum time for which the scheduler may queue the request; 0 if it must decide immediately.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub hold: Duration,
+    /// The same while the server has no place for the request: neither a free adapter slot nor a
+    /// request slot. Another server may have one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub place_hold: Duration,
+    /// Time since the request arrived at the gateway.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub waited: Duration,
+}
+
+// With field names, builds that do not know the newer fields ignore them.
+impl Serialize for GrantRequest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        type Millis<'d> = SerializeAsWrap<'d, Duration, DurationMilliSeconds<u64>>;
+        let mut map = serializer.serialize_map(Some(16))?;
+        map.serialize_entry("key", &self.key)?;
+        map.serialize_entry("server", &self.server)?;
+        map.serialize_entry("model", &self.model)?;
+        map.serialize_entry("adapter", &self.adapter)?;
+        map.serialize_entry("version", &self.version)?;
+        map.serialize_entry("prompt_tokens", &self.prompt_tokens)?;
+        map.serialize_entry("output_tokens", &self.output_tokens)?;
+        map.serialize_entry("parts", &self.parts)?;
+        map.serialize_entry("patience", &Millis::new(&self.max_wait))?;
+        map.serialize_entry("lifetime", &Millis::new(&self.lifetime))?;
+        map.serialize_entry("priority", &self.priority)?;
+        map.serialize_entry("team", &self.team)?;
+        map.serialize_entry("objective_left", &Millis::new(&self.objective_left))?;
+        map.serialize_entry("hold", &Millis::new(&self.hold))?;
+        map.serialize_entry("place_hold", &Millis::new(&self.place_hold))?;
+        map.serialize_entry("waited", &Millis::new(&self.waited))?;
+        map.end()
+    }
+}
+
+impl GrantRequest {
+    /// Maximum time for which the scheduler may queue the request after it could not grant it for
+    /// `reason`.
+    pub fn hold_for(&self, reason: DeclineReason) -> Duration {
+        match reason {
+            DeclineReason::LoadsBusy | DeclineReason::Busy => self.hold,
+            DeclineReason::NoPlace | DeclineReason::Full => self.place_hold.min(self.hold),
+            DeclineReason::NotScheduled
+            | DeclineReason::NoRight
+            | DeclineReason::NoModel
+            | DeclineReason::Leaving => Duration::ZERO,
+        }
+    }
 }
 
 /// Why a grant was declined.
--- a/lib/src/gateway/server_scheduler/status.rs
+++ b/lib/src/gateway/server_scheduler/status.rs
@@ -39,7 +39,7 @@
         ServerStatus {
             age: Duration::ZERO,
             free_slots: u32::try_from(self.free_adapter_slots(now, config)).unwrap_or(u32::MAX),
-            queued: 0,
+            queued: u32::try_from(self.queued_count()).unwrap_or(u32::MAX),
             backlog: self.backlog(now),
             speed: self.speed(),
         }
