--- a/lib/benches/wait_queue.rs
+++ b/lib/benches/wait_queue.rs
@@ -102,6 +102,7 @@
         first_event: Some(Duration::from_millis(40)),
         adapter_missing: false,
         ended,
+        late_pause: None,
     };
     scheduler.release(now, &release);
 }
--- a/lib/tests/gateway_wait_queue.rs
+++ b/lib/tests/gateway_wait_queue.rs
@@ -186,6 +186,7 @@
             first_event,
             adapter_missing: false,
             ended,
+            late_pause: None,
         };
         self.scheduler.release(self.now, &release);
     }
