routes: explain where a request would be routed

Cause: why a request went to a server, waited or was rejected could only be inferred from logs after the fact, and the cost of the servers that were not chosen was not visible at all.

Change: `GET /v1/routes/explain` on the operators' address and `wasabistall route explain` show the candidates with their cost by part, why other servers are excluded, the age of the inputs, and whether the request would wait or be rejected, with the retry delay. `GatewayReducer::explain_route` takes `&self`. It shares `rate_engines`, `exclusion`, `unavailability`, `build_record` and the grant request with real requests; a copy of the scheduler decides on the grant if this instance is the scheduler, and a copy of the team's bucket on the quota.

For that, the selection of servers no longer changes state: the limiter of cold servers counts without forgetting, and forgets old sends when it records one. Before, it never forgot those of servers that were not cold, so that its list grew with each request.

Tests: gateway_route_explain (7) and, with real processes, route (2).

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod explain;
 pub(crate) mod key;
 pub(crate) mod patch;
+pub(crate) mod route;
 pub(crate) mod settings;
 pub(crate) mod status;
 pub(crate) mod token;
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -1,6 +1,6 @@
 //! Command-line flags and their help texts.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use smol_str::SmolStr;
 
@@ -99,6 +99,28 @@
             /// Groups the sums by owner, team, target or price. Default: owner.
             optional --by column: String
         }
+        /// Inspects the routing of gateways.
+        cmd route {
+            /// Explains where an instance would route a request now, and why. Sends and counts nothing.
+            cmd explain-route explain {
+                /// Host of the request.
+                required host: String
+                /// Path of the request.
+                required path: String
+                /// Team whose key the request carries.
+                optional --team team: String
+                /// Model: MODEL or MODEL/ADAPTER.
+                optional --model model: String
+                /// Number of prompt tokens.
+                optional --prompt-tokens tokens: String
+                /// Maximum number of output tokens.
+                optional --output-tokens tokens: String
+                /// Operators' address of the instance. Default: taken from the deployment file.
+                optional --address address: SocketAddr
+                /// Instance in the deployment file. Default: the first.
+                optional --instance instance: SmolStr
+            }
+        }
         /// Sends a completion request as a caller and prints the streamed response.
         cmd ask {
             /// Model: BASE or BASE:ADAPTER.
--- a/cli/src/http.rs
+++ b/cli/src/http.rs
@@ -64,8 +64,8 @@
         .wrap_err_with(|| format!("cannot reach {}", call.address))
 }
 
-/// Sends a request and parses the response as JSON, within `CALL_TIMEOUT`.
-pub(crate) async fn call_json<T: DeserializeOwned>(call: HttpCall<'_>) -> Result<T> {
+/// Sends a request and returns status and body of the response, within `CALL_TIMEOUT`.
+pub(crate) async fn fetch(call: HttpCall<'_>) -> Result<(StatusCode, Bytes)> {
     let endpoint = format!("{}{}", call.address, call.path);
     let exchange = async {
         let response = send(call).await?;
@@ -73,9 +73,15 @@
         let body = response.into_body().collect().await?.to_bytes();
         eyre::Ok((status, body))
     };
-    let (status, body) = tokio::time::timeout(CALL_TIMEOUT, exchange)
+    tokio::time::timeout(CALL_TIMEOUT, exchange)
         .await
-        .map_err(|_| eyre!("{endpoint} timed out"))??;
+        .map_err(|_| eyre!("{endpoint} timed out"))?
+}
+
+/// Sends a request and parses the response as JSON, within `CALL_TIMEOUT`.
+pub(crate) async fn call_json<T: DeserializeOwned>(call: HttpCall<'_>) -> Result<T> {
+    let endpoint = format!("{}{}", call.address, call.path);
+    let (status, body) = fetch(call).await?;
     if status == StatusCode::UNAUTHORIZED {
         return Err(eyre!(
             "{endpoint} rejected the token\n    hint: set WASABISTALL_TOKEN"
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -64,6 +64,7 @@
         Command::Config(command) => commands::config::run(&command, &deployment()?, output).await,
         Command::Status(_) => commands::status::run(&deployment()?, output).await,
         Command::Usage(command) => commands::usage::run(&command, &deployment()?, output).await,
+        Command::Route(command) => commands::route::run(&command, deployment, output).await,
         Command::Ask(command) => commands::ask::run(&command, &deployment()?).await,
     }
 }
--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -22,6 +22,7 @@
         },
         message::{PeerAnswer, PeerCall},
         revision::StoreRevision,
+        route_explain::{ExplainError, RouteExplanation, RouteQuestion},
         servers::GatewayServerKey,
     },
     operator::UsageView,
@@ -384,6 +385,15 @@
         serde_json::to_vec(&view).unwrap_or_default()
     }
 
+    /// Explains where a request would be routed now.
+    pub(super) fn explain_route(
+        &self,
+        question: &RouteQuestion,
+    ) -> Result<RouteExplanation, ExplainError> {
+        let now = self.clock.now();
+        self.lock().reducer.explain_route(now, question)
+    }
+
     /// Counters of the reducer.
     pub(super) fn stats(&self) -> GatewayStats {
         self.lock().reducer.stats()
--- a/daemon/src/gateway/endpoints.rs
+++ b/daemon/src/gateway/endpoints.rs
@@ -1,4 +1,4 @@
-//! HTTP endpoints for addresses, readiness, metrics and usage.
+//! HTTP endpoints for addresses, readiness, metrics, usage and explanations of routing.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,7 +9,9 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
+use serde_json::json;
 use tokio::net::TcpListener;
+use wasabistall_lib::gateway::route_explain::{ExplainError, RouteExplanation, RouteQuestion};
 use wasabistall_platform::{
     ADDRESSES_PATH, READINESS_PATH,
     response::{decode_caller_data_centre, encode_addresses},
@@ -19,6 +21,8 @@
 
 /// How long callers may cache addresses; short, so that they soon stop using a lost instance.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
+/// Path of explanations of routing on the operators' address.
+const EXPLAIN_PATH: &str = "/v1/routes/explain";
 
 fn build_response(
     status: StatusCode,
@@ -72,7 +76,33 @@
     .await;
 }
 
-/// Serves metrics and usage to operators.
+/// Answers a question about routing whose parameters are in `query`.
+fn explain_route(
+    core: &GatewayCore,
+    query: Option<&str>,
+) -> Result<RouteExplanation, ExplainError> {
+    let parameters: Vec<(String, String)> = form_urlencoded::parse(query.unwrap_or("").as_bytes())
+        .into_owned()
+        .collect();
+    core.explain_route(&RouteQuestion::from_parameters(&parameters)?)
+}
+
+fn explanation_response(
+    explanation: Result<RouteExplanation, ExplainError>,
+) -> Response<Full<Bytes>> {
+    let (status, body) = match explanation {
+        Ok(explanation) => (StatusCode::OK, serde_json::to_vec(&explanation)),
+        Err(error) => {
+            let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+            let body = json!({ "error": error.to_string(), "hint": error.hint() });
+            (status, serde_json::to_vec(&body))
+        }
+    };
+    // Names and finite numbers always serialize.
+    build_response(status, "application/json", body.unwrap_or_default())
+}
+
+/// Serves metrics, usage and explanations of routing to operators.
 pub(super) async fn serve_operators(listener: TcpListener, core: Arc<GatewayCore>) {
     serve_requests(listener, move |request| {
         let response = if is_get(&request, "/metrics") {
@@ -85,6 +115,8 @@
             }
         } else if is_get(&request, "/operator/v1/usage") {
             build_response(StatusCode::OK, "application/json", core.usage())
+        } else if is_get(&request, EXPLAIN_PATH) {
+            explanation_response(explain_route(&core, request.uri().query()))
         } else {
             not_found()
         };
--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -144,42 +144,7 @@
         let service = pick_target(&route.targets, draw)
             .map(|target| target.service.clone())
             .unwrap_or_default();
-        let timeout = request_timeout(&request, route);
-        RequestRecord {
-            service,
-            route: route.name.clone(),
-            retry: route.retry,
-            objective: route.objective,
-            max_attempts: route.max_attempts.max(1),
-            priority: team
-                .and_then(|team| team.priority)
-                .unwrap_or(route.priority)
-                .min(MAX_PRIORITY),
-            team: team.map(|team| team.name.clone()),
-            cost,
-            arrived: now,
-            deadline: now.after(timeout),
-            selection_deadline: now.after(
-                route
-                    .objective
-                    .mul_f64(SELECTION_OBJECTIVE_FRACTION)
-                    .max(timeout.mul_f64(SELECTION_TIMEOUT_FRACTION)),
-            ),
-            failed_selections: 0,
-            phase: RequestPhase::AwaitingQuota,
-            lenders: Vec::new(),
-            grant: 0,
-            has_grant: false,
-            uncached_tokens: 0,
-            busy_replies: 0,
-            excluded: Vec::new(),
-            late_server: None,
-            sends: 0,
-            runs: 0,
-            started_at: None,
-            causes,
-            request,
-        }
+        build_record(now, request, route, team, service, (cost, causes))
     }
 
     /// Refuses requests that have not been sent and that the current configuration no longer
@@ -206,6 +171,50 @@
     }
 }
 
+/// Creates the record of a request that is routed to `service`.
+pub(super) fn build_record(
+    now: ClockTime,
+    request: GatewayRequest,
+    route: &RouteConfig,
+    team: Option<&TeamConfig>,
+    service: SmolStr,
+    (cost, causes): (f64, SuspectCauses),
+) -> RequestRecord {
+    let timeout = request_timeout(&request, route);
+    RequestRecord {
+        service,
+        route: route.name.clone(),
+        retry: route.retry,
+        objective: route.objective,
+        max_attempts: route.max_attempts.max(1),
+        priority: request_priority(route, team),
+        team: team.map(|team| team.name.clone()),
+        cost,
+        arrived: now,
+        deadline: now.after(timeout),
+        selection_deadline: now.after(
+            route
+                .objective
+                .mul_f64(SELECTION_OBJECTIVE_FRACTION)
+                .max(timeout.mul_f64(SELECTION_TIMEOUT_FRACTION)),
+        ),
+        failed_selections: 0,
+        phase: RequestPhase::AwaitingQuota,
+        lenders: Vec::new(),
+        grant: 0,
+        has_grant: false,
+        uncached_tokens: 0,
+        busy_replies: 0,
+        excluded: Vec::new(),
+        late_server: None,
+        sends: 0,
+        runs: 0,
+        started_at: None,
+        causes,
+        request,
+    }
+}
+
 /// Finds the route of a request and the team of its key.
 fn authorize<'r>(
     routes: &'r RouteIndex,
@@ -224,13 +233,19 @@
     Ok((route, team))
 }
 
+/// Priority of a request; that of the team takes precedence.
+pub(super) fn request_priority(route: &RouteConfig, team: Option<&TeamConfig>) -> u8 {
+    let of_team = team.and_then(|team| team.priority);
+    of_team.unwrap_or(route.priority).min(MAX_PRIORITY)
+}
+
 /// How long a request may take.
-fn request_timeout(request: &GatewayRequest, route: &RouteConfig) -> Duration {
+pub(super) fn request_timeout(request: &GatewayRequest, route: &RouteConfig) -> Duration {
     request.deadline.unwrap_or(route.timeout).min(route.timeout)
 }
 
 /// Cost of a request, in the unit of its team's limit.
-fn request_cost(request: &GatewayRequest, team: Option<&TeamConfig>) -> f64 {
+pub(super) fn request_cost(request: &GatewayRequest, team: Option<&TeamConfig>) -> f64 {
     match team {
         Some(team) if team.unit == QuotaUnit::Tokens => match request.tokens {
             Some((prompt, output)) => prompt.saturating_add(output) as f64,
--- a/lib/src/gateway/allowance.rs
+++ b/lib/src/gateway/allowance.rs
@@ -146,6 +146,14 @@
         self.times.push_back(now);
     }
 
+    /// Number of events within the last `window`. Keeps older ones.
+    pub fn count_within(&self, now: ClockTime, window: Duration) -> usize {
+        let old = self
+            .times
+            .partition_point(|time| now.since(*time) >= window);
+        self.times.len() - old
+    }
+
     /// Number of events within the last `window`; forgets older ones.
     pub fn count(&mut self, now: ClockTime, window: Duration) -> usize {
         while self
@@ -234,12 +242,14 @@
 
 impl ColdLimiter {
     /// Whether another request fits in this instance's `share`, in requests per second.
-    pub fn has_room(&mut self, now: ClockTime, share: usize) -> bool {
-        self.sends.count(now, COLD_WINDOW) < share
+    pub fn has_room(&self, now: ClockTime, share: usize) -> bool {
+        self.sends.count_within(now, COLD_WINDOW) < share
     }
 
     /// Records that a request was sent.
     pub fn record_send(&mut self, now: ClockTime) {
         self.sends.add(now);
+        // Sends before the window no longer matter.
+        self.sends.count(now, COLD_WINDOW);
     }
 }
--- a/lib/src/gateway/availability.rs
+++ b/lib/src/gateway/availability.rs
@@ -15,7 +15,7 @@
     GatewayReducer, TimerKind,
     event::{GatewayEffect, RequestNumber},
     log_event,
-    requests::RequestPhase,
+    requests::{RequestPhase, RequestRecord},
     servers::GatewayServerKey,
     termination::RefusalReason,
 };
@@ -290,9 +290,8 @@
     pub(super) fn unavailability(
         &self,
         now: ClockTime,
-        number: RequestNumber,
+        record: &RequestRecord,
     ) -> Option<RefusalReason> {
-        let record = self.requests.get(&number)?;
         let service = &record.service;
         let (mut paused, mut time_left) = (0, None);
         for (_, server) in self.servers.in_service(service) {
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -3,10 +3,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     GatewayReducer,
     catalog::LoadedModel,
     event::{ModelName, RequestNumber},
+    exclusion::ServerExclusion,
     requests::RequestRecord,
     servers::{ColdShare, GatewayServerKey},
 };
@@ -87,8 +90,8 @@
 }
 
 impl EngineCost {
-    /// Sum of all parts.
-    pub(super) fn total(&self) -> f64 {
+    /// All parts with their names.
+    pub(super) fn parts(&self) -> [(&'static str, f64); 7] {
         let EngineCost {
             time,
             store_load,
@@ -98,23 +101,40 @@
             failures,
             unscheduled,
         } = self;
-        time + store_load + rank + crossing + mixing + failures + unscheduled
+        [
+            ("time", *time),
+            ("store_load", *store_load),
+            ("rank", *rank),
+            ("crossing", *crossing),
+            ("mixing", *mixing),
+            ("failures", *failures),
+            ("unscheduled", *unscheduled),
+        ]
+    }
+
+    /// Sum of all parts.
+    pub(super) fn total(&self) -> f64 {
+        self.parts().iter().map(|(_, cost)| cost).sum()
     }
 }
 
+/// Cost of a model server and the next step of the request if it is chosen, or why it cannot be.
+pub(super) type EngineRating = Result<(EngineCost, EngineChoice), ServerExclusion>;
+
 /// State of a model server with respect to a request.
-struct EngineView {
-    residency: AdapterResidency,
+pub(super) struct EngineView {
+    pub(super) residency: AdapterResidency,
     /// Whether its scheduler may give orders.
-    active: bool,
+    pub(super) active: bool,
     /// Whether an instance schedules it.
-    scheduled: bool,
-    backlog: Duration,
+    pub(super) scheduled: bool,
+    pub(super) backlog: Duration,
 }
 
 /// Where a server has an adapter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AdapterResidency {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdapterResidency {
     /// Loaded or loading.
     Loaded,
     /// Evicted recently and quick to load again.
@@ -150,17 +170,32 @@
 impl GatewayReducer {
     /// Chooses the server with the least cost.
     pub(super) fn choose_engine(
-        &mut self,
+        &self,
         now: ClockTime,
         number: RequestNumber,
     ) -> Option<EngineChoice> {
         let record = self.requests.get(&number)?;
-        let service = record.service.clone();
-        let wanted = record.request.model.clone()?;
-        let version = self.min_version(&wanted);
-        let candidates = self.candidates(now, number)?;
+        let ratings = self.rate_engines(now, record)?;
+        let mut best: Option<(f64, EngineChoice)> = None;
+        for (cost, choice) in ratings.into_iter().filter_map(|(_, rating)| rating.ok()) {
+            let cost = cost.total();
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, choice));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// Rates each model server that the request may be sent to now.
+    pub(super) fn rate_engines(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+    ) -> Option<Vec<(GatewayServerKey, EngineRating)>> {
+        let wanted = record.request.model.as_ref()?;
+        let version = self.min_version(wanted);
+        let candidates = self.candidates_for(now, record)?;
         let name = wanted.to_string();
-        let record = self.requests.get(&number)?;
         let is_long = record
             .request
             .tokens
@@ -169,10 +204,10 @@
             Some(part) => format!("{name}#{:x}", part.id),
             None => name.clone(),
         };
-        let prefill_servers = self.prefill_servers(&service);
+        let prefill_servers = self.prefill_servers(&record.service);
         let adapter_ranks = self.ranks(&name, &candidates);
         let prefix_ranks = self.ranks(&prefix_name, &candidates);
-        let mut best: Option<(f64, EngineChoice)> = None;
+        let mut ratings = Vec::with_capacity(candidates.len());
         for (position, key) in candidates.iter().enumerate() {
             let ranks = (adapter_ranks[position], prefix_ranks[position]);
             let mixing_cost = if is_long == prefill_servers.contains(key) {
@@ -180,42 +215,52 @@
             } else {
                 MIXING_COST
             };
-            if let Some((mut cost, choice)) = self.engine_cost(now, *key, record, version, ranks) {
+            let mut rating = self.engine_cost(now, *key, record, wanted, version, ranks);
+            if let Ok((cost, _)) = &mut rating {
                 cost.mixing = mixing_cost;
-                let cost = cost.total();
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, choice));
-                }
             }
+            ratings.push((*key, rating));
         }
-        best.map(|(_, choice)| choice)
+        Some(ratings)
     }
 
     /// Servers of the request's service that it may be sent to now.
     pub(super) fn candidates(
-        &mut self,
+        &self,
         now: ClockTime,
         number: RequestNumber,
     ) -> Option<Vec<GatewayServerKey>> {
-        let record = self.requests.get(&number)?;
+        self.candidates_for(now, self.requests.get(&number)?)
+    }
+
+    fn candidates_for(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+    ) -> Option<Vec<GatewayServerKey>> {
         let cold_rate = self.config()?.service(&record.service)?.cold_rate;
-        let mut candidates: Vec<GatewayServerKey> = self
+        let share = self.cold_share(now);
+        let candidates = self
             .servers
             .in_service(&record.service)
             .map(|(key, _)| key)
-            .filter(|key| !record.excluded.contains(key) && self.servers.is_available(now, *key))
-            .collect();
-        let share = ColdShare {
+            .filter(|key| {
+                !record.excluded.contains(key)
+                    && self
+                        .servers
+                        .exclusion(now, *key, cold_rate, &share)
+                        .is_none()
+            });
+        Some(candidates.collect())
+    }
+
+    /// This instance's share of the requests to cold servers.
+    pub(super) fn cold_share(&self, now: ClockTime) -> ColdShare<'_> {
+        ColdShare {
             bounds: self.options.bounds.cold,
             instance_count: self.instance_count(now),
             instance: &self.options.instance,
-        };
-        candidates.retain(|key| {
-            !self
-                .servers
-                .is_cold_limit_reached(now, *key, cold_rate, &share)
-        });
-        Some(candidates)
+        }
     }
 
     /// Servers of a service that are preferred for long prompts, whose prefill stalls the streams
@@ -295,10 +340,10 @@
         now: ClockTime,
         key: GatewayServerKey,
         record: &RequestRecord,
+        wanted: &ModelName,
         version: u64,
         (adapter_rank, prefix_rank): (usize, usize),
-    ) -> Option<(EngineCost, EngineChoice)> {
-        let wanted = record.request.model.as_ref()?;
+    ) -> EngineRating {
         let server = self.servers.get(key);
         let view = self.engine_view(now, key, wanted, version);
         let (tokens, output_tokens) = record.request.tokens.unwrap_or_default();
@@ -320,11 +365,16 @@
                 cost.store_load = STORE_LOAD_COST;
                 STORE_LOAD_MS
             }
-            AdapterResidency::RecentlyEvicted | AdapterResidency::Missing => return None,
+            AdapterResidency::RecentlyEvicted | AdapterResidency::Missing => {
+                return Err(ServerExclusion::MayNotLoad {
+                    is_scheduled: view.scheduled,
+                });
+            }
         };
         if view.residency != AdapterResidency::Loaded {
-            if self.load_pauses.get(&key).is_some_and(|until| now < *until) {
-                return None;
+            if let Some(until) = self.load_pauses.get(&key).filter(|until| now < **until) {
+                let time_left = until.since(now);
+                return Err(ServerExclusion::LoadPause { time_left });
             }
             cost.rank = adapter_rank as f64 * RANK_COST;
         }
@@ -341,13 +391,16 @@
                 server: key,
                 backlog: view.backlog,
             };
-            return Some((cost, choice));
+            return Ok((cost, choice));
         }
         cost.unscheduled = UNSCHEDULED_COST;
-        (server.in_flight < MAX_DIRECT_REQUESTS).then_some((cost, EngineChoice::Direct(key)))
+        if server.in_flight >= MAX_DIRECT_REQUESTS {
+            return Err(ServerExclusion::DirectLimit);
+        }
+        Ok((cost, EngineChoice::Direct(key)))
     }
 
-    fn engine_view(
+    pub(super) fn engine_view(
         &self,
         now: ClockTime,
         key: GatewayServerKey,
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -13,6 +13,7 @@
     log_event,
     members::{MemberPhase, MemberRecord},
     message::PeerCall,
+    requests::RequestRecord,
     server_scheduler::{
         DeclineReason, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
         ServerOrderOutcome, ServerScheduler,
@@ -35,6 +36,8 @@
     pub(super) peer: SocketAddr,
     /// Time at which the server could start on another prompt.
     pub(super) prefill_until: ClockTime,
+    /// Time of the scheduler's last reply, which stated the backlog.
+    pub(super) backlog_known_at: Option<ClockTime>,
     pub(super) claim: Arc<ServerClaim>,
 }
 
@@ -48,6 +51,7 @@
             name: record.name.clone(),
             peer: record.peer_address,
             prefill_until: now,
+            backlog_known_at: None,
             claim: claim.clone(),
         }
     }
@@ -64,7 +68,7 @@
 }
 
 impl GatewayReducer {
-    fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
+    pub(super) fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
         let service = &self.servers.get(server).record.service;
         self.config()?.service(service)?.engine.clone()
     }
@@ -474,6 +478,18 @@
         self.next_grant += 1;
         self.requests.get_mut(&number)?.grant = grant;
         let record = self.requests.get(&number)?;
+        self.grant_request_for(now, record, grant, server, max_wait)
+    }
+
+    /// The request for a grant of number `grant` for a caller's request.
+    pub(super) fn grant_request_for(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        grant: GrantNumber,
+        server: GatewayServerKey,
+        max_wait: Duration,
+    ) -> Option<GrantRequest> {
         let wanted = record.request.model.as_ref()?;
         let (prompt_tokens, output_tokens) = record.request.tokens.unwrap_or_default();
         Some(GrantRequest {
@@ -508,6 +524,7 @@
         let id = &self.servers.get(server).record.id;
         if let Some(view) = self.owners.get_mut(id) {
             view.prefill_until = now.after(backlog);
+            view.backlog_known_at = Some(now);
         }
     }
 
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -267,6 +267,12 @@
             .then_some(&member.record)
     }
 
+    /// Time since the heartbeat of another member was last seen to grow.
+    pub fn heartbeat_age(&self, now: ClockTime, name: &str) -> Option<Duration> {
+        let member = self.others.get(name)?;
+        Some(now.since(member.last_heartbeat))
+    }
+
     /// Number of instances that may be running, including unreachable ones; limits are divided by
     /// it.
     pub fn instance_count(&self, now: ClockTime) -> usize {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -242,6 +242,7 @@
                 && known.name == view.name
             {
                 view.prefill_until = view.prefill_until.max(known.prefill_until);
+                view.backlog_known_at = known.backlog_known_at;
             }
         }
         self.owners = owners;
--- a/lib/src/gateway/prompt.rs
+++ b/lib/src/gateway/prompt.rs
@@ -21,7 +21,7 @@
 
 /// Estimated content of a server's prefix cache, based on the requests sent there. Evicts the least
 /// recently used parts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct PrefixCache {
     capacity: u64,
     used: u64,
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -41,9 +41,9 @@
 const MAX_BUSY_REPLIES: u32 = 4;
 /// How much longer than expected a server's backlog may be: about the prefill time of a prompt
 /// whose shared parts are cached.
-const BACKLOG_TOLERANCE: Duration = Duration::from_millis(100);
+pub(super) const BACKLOG_TOLERANCE: Duration = Duration::from_millis(100);
 /// Number of servers that are tried before a request waits for [`SELECTION_DELAY`].
-const MAX_TRIED_SERVERS: usize = 4;
+pub(super) const MAX_TRIED_SERVERS: usize = 4;
 /// Fraction of the remaining time that one attempt may use if the request can be retried at another
 /// server.
 const ATTEMPT_TIME_FRACTION: f64 = 0.5;
@@ -220,7 +220,8 @@
             return;
         };
         record.phase = RequestPhase::Selecting;
-        if let Some(reason) = self.unavailability(now, number) {
+        let record = self.requests.get(&number);
+        if let Some(reason) = record.and_then(|record| self.unavailability(now, record)) {
             self.refuse_for(now, number, reason, effects);
             return;
         }
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -55,7 +55,7 @@
 ///
 /// The capacity of the store is not published, so the window adapts to whether loads complete in
 /// time.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct LoadLimiter {
     /// Number of servers that the instance schedules.
     server_count: usize,
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -126,7 +126,7 @@
 }
 
 /// Scheduler of one model server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ServerScheduler {
     order_lease: OrderLease,
     /// Whether the instance is allowed to give orders at all.
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -12,6 +12,7 @@
     allowance::{ColdBounds, ColdLimiter, cold_share},
     availability::{LeavingTable, ProcessHash, ServerPause, process_hash},
     catalog::ServerRecord,
+    exclusion::ServerExclusion,
 };
 use crate::{clock::ClockTime, rendezvous};
 
@@ -102,6 +103,17 @@
         self.failures_updated = now;
     }
 
+    /// Age of the load that the server reported last; `None` if it has reported none.
+    pub fn load_age(&self, now: ClockTime) -> Option<Duration> {
+        self.load.map(|sample| now.since(sample.time))
+    }
+
+    /// Time since the last outcome that affected [`Self::failure_share`], or since the process was
+    /// first seen.
+    pub fn failures_age(&self, now: ClockTime) -> Duration {
+        now.since(self.failures_updated)
+    }
+
     /// Estimated number of requests at the server, from this instance and others.
     pub fn estimated_load(&self, now: ClockTime) -> f64 {
         let others = self.load.map_or(0.0, |sample| {
@@ -167,21 +179,38 @@
         self.servers.iter().filter(|(_, server)| server.listed)
     }
 
+    /// Published servers of a service, whether they accept requests or not.
+    pub fn listed_in_service<'s>(
+        &'s self,
+        service: &'s str,
+    ) -> impl Iterator<Item = (GatewayServerKey, &'s ServerState)> {
+        self.listed()
+            .filter(move |(_, server)| server.record.service == service)
+    }
+
     /// Servers of a service that may receive requests.
     pub fn in_service<'s>(
         &'s self,
         service: &'s str,
     ) -> impl Iterator<Item = (GatewayServerKey, &'s ServerState)> {
         self.servers.iter().filter(move |(_, server)| {
-            server.record.service == service && self.accepts_requests(server)
+            server.record.service == service && self.service_exclusion(server).is_none()
         })
     }
 
-    fn accepts_requests(&self, server: &ServerState) -> bool {
-        server.listed
-            && !server.record.draining
-            && !server.is_leaving
-            && !self.evacuated.contains(&server.record.data_centre)
+    /// Why the server receives no requests at all, if so.
+    fn service_exclusion(&self, server: &ServerState) -> Option<ServerExclusion> {
+        if !server.listed {
+            Some(ServerExclusion::Unlisted)
+        } else if server.record.draining {
+            Some(ServerExclusion::Draining)
+        } else if server.is_leaving {
+            Some(ServerExclusion::Leaving)
+        } else if self.evacuated.contains(&server.record.data_centre) {
+            Some(ServerExclusion::Evacuated)
+        } else {
+            None
+        }
     }
 
     /// Whether the process of a server that started at `started` is draining or no longer published.
@@ -194,14 +223,47 @@
 
     /// Whether the server may receive requests.
     pub fn is_in_service(&self, key: GatewayServerKey) -> bool {
-        self.accepts_requests(&self.servers[key])
+        self.service_exclusion(&self.servers[key]).is_none()
     }
 
     /// Whether another request may be selected for the server: it is not paused after refused
     /// connections or because it turned this instance away.
     pub fn is_available(&self, now: ClockTime, key: GatewayServerKey) -> bool {
+        self.availability_exclusion(now, key).is_none()
+    }
+
+    fn availability_exclusion(
+        &self,
+        now: ClockTime,
+        key: GatewayServerKey,
+    ) -> Option<ServerExclusion> {
         let server = &self.servers[key];
-        now >= server.paused_until && server.pause.is_none_or(|pause| pause.has_room(now))
+        if now < server.paused_until {
+            let time_left = server.paused_until.since(now);
+            return Some(ServerExclusion::ConnectionsRefused { time_left });
+        }
+        let pause = server.pause.filter(|pause| !pause.has_room(now))?;
+        Some(match pause.time_left(now) {
+            Some(time_left) => ServerExclusion::Paused { time_left },
+            None => ServerExclusion::Returning,
+        })
+    }
+
+    /// Why no request may be selected for the server now, if so. `rate` is the number of requests per
+    /// second that a cold server of its service can handle.
+    pub fn exclusion(
+        &self,
+        now: ClockTime,
+        key: GatewayServerKey,
+        rate: f64,
+        share: &ColdShare<'_>,
+    ) -> Option<ServerExclusion> {
+        self.service_exclusion(&self.servers[key])
+            .or_else(|| self.availability_exclusion(now, key))
+            .or_else(|| {
+                self.is_cold_limit_reached(now, key, rate, share)
+                    .then_some(ServerExclusion::ColdLimit)
+            })
     }
 
     /// Whether the server has turned this instance away until later.
@@ -315,13 +377,13 @@
     /// Whether the server is cold and has received as many requests as this instance may send there
     /// now.
     pub fn is_cold_limit_reached(
-        &mut self,
+        &self,
         now: ClockTime,
         key: GatewayServerKey,
         rate: f64,
         share: &ColdShare<'_>,
     ) -> bool {
-        let server = &mut self.servers[key];
+        let server = &self.servers[key];
         if now >= server.cold_until {
             return false;
         }
--- a/lib/src/gateway/teams.rs
+++ b/lib/src/gateway/teams.rs
@@ -32,8 +32,24 @@
 /// How long an instance asks no peer for a team's quota after those it asked lent too little.
 const BORROW_PAUSE: Duration = Duration::from_millis(250);
 
+/// Whether a team's quota covers a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum QuotaOutlook {
+    /// It does, or the team has no limit.
+    Covered,
+    /// This instance's share does not.
+    Exceeded {
+        /// Missing units.
+        missing: f64,
+        /// Number of peers that would be asked to lend them.
+        lenders: usize,
+        /// Retry delay if they lend too little.
+        retry_after: Duration,
+    },
+}
+
 impl GatewayReducer {
-    fn team_config(&self, name: &str) -> Option<TeamConfig> {
+    pub(super) fn team_config(&self, name: &str) -> Option<TeamConfig> {
         let config = self.config()?;
         config.teams.iter().find(|team| team.name == name).cloned()
     }
@@ -60,7 +76,7 @@
     }
 
     /// Time in which one share of the limit is refilled by `missing` units.
-    fn refill_time(&self, now: ClockTime, team: &TeamConfig, missing: f64) -> Duration {
+    pub(super) fn refill_time(&self, now: ClockTime, team: &TeamConfig, missing: f64) -> Duration {
         let shape = self.share_shape(now, team);
         let seconds = missing / shape.rate.max(1e-9);
         Duration::from_secs_f64(seconds.min(MAX_RETRY_DELAY.as_secs_f64()))
@@ -101,11 +117,7 @@
             return;
         }
         let missing = bucket.missing(now, shape, cost);
-        let is_paused = self
-            .borrow_pauses
-            .get(&team.name)
-            .is_some_and(|until| now < *until);
-        if is_paused {
+        if self.is_borrowing_paused(now, &team) {
             self.refuse_over_quota(now, number, &team, missing, effects);
         } else {
             self.choose_lenders(now, number, &team);
@@ -113,6 +125,44 @@
         }
     }
 
+    fn is_borrowing_paused(&self, now: ClockTime, team: &TeamConfig) -> bool {
+        let until = self.borrow_pauses.get(&team.name);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// Whether this instance's share covers a request of the team, without charging it.
+    pub(super) fn quota_outlook(
+        &self,
+        now: ClockTime,
+        team: &TeamConfig,
+        cost: f64,
+    ) -> QuotaOutlook {
+        if team.rate <= 0.0 {
+            return QuotaOutlook::Covered;
+        }
+        let shape = self.team_shape(now, team);
+        let mut bucket = self
+            .team_buckets
+            .get(&team.name)
+            .cloned()
+            .unwrap_or_else(|| TeamBucket::new(now, shape, self.options.first_start));
+        if bucket.take(now, shape, cost) {
+            return QuotaOutlook::Covered;
+        }
+        let missing = bucket.missing(now, shape, cost);
+        let lenders = if self.is_borrowing_paused(now, team) {
+            0
+        } else {
+            let holders = self.members.holders(now, &team.name, MAX_HOLDERS);
+            holders.len().min(MAX_LENDERS)
+        };
+        QuotaOutlook::Exceeded {
+            missing,
+            lenders,
+            retry_after: self.refill_time(now, team, missing),
+        }
+    }
+
     fn admitted(
         &mut self,
         now: ClockTime,
