--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -13,6 +13,7 @@
     log_event,
     members::{MemberPhase, MemberRecord},
     message::PeerCall,
+    requests::RequestRecord,
     server_scheduler::{
         DeclineReason, GrantCaller, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
         ServerOrderOutcome, ServerScheduler,
@@ -36,6 +37,8 @@
     pub(super) peer: SocketAddr,
     /// Time at which the server could start on another prompt.
     pub(super) prefill_until: ClockTime,
+    /// Time of the scheduler's last reply, which stated the backlog.
+    pub(super) backlog_known_at: Option<ClockTime>,
     pub(super) claim: Arc<ServerClaim>,
 }
 
@@ -49,6 +52,7 @@
             name: record.name.clone(),
             peer: record.peer_address,
             prefill_until: now,
+            backlog_known_at: None,
             claim: claim.clone(),
         }
     }
@@ -65,7 +69,7 @@
 }
 
 impl GatewayReducer {
-    fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
+    pub(super) fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
         let service = &self.servers.get(server).record.service;
         self.config()?.service(service)?.engine.clone()
     }
@@ -497,21 +501,38 @@
     ) -> Option<GrantRequest> {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let wanted = self.requests.get(&number)?.request.model.clone()?;
-        let version = self.min_version(&wanted);
         let (hold, place_hold) = self.hold_times(now, number);
+        let record = self.requests.get(&number)?;
+        let request = self.grant_request_for(now, record, grant, server, max_wait)?;
         let record = self.requests.get_mut(&number)?;
         record.grant = grant;
-        record.granted_version = version;
+        record.granted_version = request.version;
         record.asked_at = now;
-        let record = self.requests.get(&number)?;
+        Some(GrantRequest {
+            hold,
+            place_hold,
+            ..request
+        })
+    }
+
+    /// The request for a grant of number `grant` for a caller's request, which is to be decided at
+    /// once.
+    pub(super) fn grant_request_for(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        grant: GrantNumber,
+        server: GatewayServerKey,
+        max_wait: Duration,
+    ) -> Option<GrantRequest> {
+        let wanted = record.request.model.as_ref()?;
         let (prompt_tokens, output_tokens) = record.request.tokens.unwrap_or_default();
         Some(GrantRequest {
             key: self.grant_key(grant),
             server: self.servers.get(server).record.id.clone(),
-            model: wanted.model,
-            adapter: wanted.adapter,
-            version,
+            model: wanted.model.clone(),
+            adapter: wanted.adapter.clone(),
+            version: self.min_version(wanted),
             prompt_tokens,
             output_tokens,
             parts: record.request.prompt_parts.clone(),
@@ -520,8 +541,8 @@
             priority: record.priority,
             team: record.team.clone(),
             objective_left: record.arrived.after(record.objective).since(now),
-            hold,
-            place_hold,
+            hold: Duration::ZERO,
+            place_hold: Duration::ZERO,
             waited: now.since(record.arrived),
         })
     }
@@ -544,6 +565,7 @@
         let id = &self.servers.get(server).record.id;
         if let Some(view) = self.owners.get_mut(id) {
             view.prefill_until = now.after(backlog);
+            view.backlog_known_at = Some(now);
         }
     }
 
--- a/lib/src/gateway/server_scheduler/grant_queue.rs
+++ b/lib/src/gateway/server_scheduler/grant_queue.rs
@@ -64,7 +64,7 @@
     pub overtaken: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct QueuedGrant {
     request: GrantRequest,
     caller: GrantCaller,
@@ -88,7 +88,7 @@
 }
 
 /// Queued requests of one server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct GrantQueue {
     queue: WaitQueue<QueuedGrant>,
     overtakes: OvertakeCounts,
@@ -120,7 +120,7 @@
 }
 
 /// What the server can start at one time, as found by checks and failed attempts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ServableWork {
     /// Why requests cannot start whose adapter has no slot and must come from the weight store.
     store_loads: Option<DeclineReason>,
--- a/lib/src/gateway/server_scheduler/wait_queue.rs
+++ b/lib/src/gateway/server_scheduler/wait_queue.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitTicket(u64);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WaitEntry<T> {
     ticket: WaitTicket,
     team: usize,
@@ -51,7 +51,7 @@
 }
 
 /// Tokens that a team was served recently.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct TeamUsage {
     team: Option<SmolStr>,
     /// Decayed tokens, relative to the epoch.
@@ -61,7 +61,7 @@
 }
 
 /// Requests that wait for one server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct WaitQueue<T> {
     /// In order of arrival.
     entries: Vec<WaitEntry<T>>,
