--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -8,6 +8,7 @@
     catalog::LoadedModel,
     event::{ModelName, RequestNumber},
     requests::RequestRecord,
+    server_status::{ServerCost, pick_server},
     servers::{ColdShare, GatewayServerKey},
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -185,12 +186,23 @@
             };
             if let Some((mut cost, choice)) = self.engine_cost(now, *key, record, version, ranks) {
                 cost.mixing = mixing_cost;
+                let total = cost.total();
+                let capacity = self.engine_capacity(now, *key, false, Duration::ZERO);
+                let has_prefix = ranks.1 == 0 && record.request.prompt_parts.len() > 1;
                 let needs_load = cost.store_load > 0.0 || cost.rank > 0.0;
-                let is_free_choice = !needs_load && self.expected_status(now, *key).is_some();
-                costs.push((cost.total(), is_free_choice, choice));
+                // Loads and shared prompts are left to their rendezvous orders: a random choice
+                // would load or prefill the same on several servers.
+                let may_be_random = !needs_load && !has_prefix;
+                let other_work = capacity.other_work.filter(|_| may_be_random);
+                costs.push(ServerCost {
+                    cost: total,
+                    fixed: total - cost.time,
+                    other_work: other_work.map(|work| work.as_secs_f64() * 1_000.0 * EARLY_WEIGHT),
+                    choice,
+                });
             }
         }
-        self.pick_cheapest(&costs)
+        pick_server(&mut self.random, &costs)
     }
 
     /// Servers of the request's service that it may be sent to now.
--- a/lib/src/gateway/engine_capacity.rs
+++ b/lib/src/gateway/engine_capacity.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rand::Rng;
 use smol_str::SmolStr;
 
 use super::{
@@ -12,7 +11,8 @@
     requests::RequestRecord,
     server_scheduler::GrantReply,
     server_status::{
-        MAX_GOSSIP_STATUSES, MAX_REPLY_STATUSES, ServerHash, ServerStatus, StatusList, StatusTable,
+        ExpectedStatus, MAX_GOSSIP_STATUSES, MAX_REPLY_STATUSES, ServerHash, StatusList,
+        StatusTable, max_gossip_statuses,
     },
     servers::GatewayServerKey,
 };
@@ -22,9 +22,6 @@
 const INITIAL_HOLD_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest measurement in the mean hold time.
 const HOLD_TIME_WEIGHT: f64 = 0.05;
-/// Servers whose cost exceeds the least by at most this factor are considered equal. Many instances
-/// select on the same information, and would all select the same server otherwise.
-const EQUAL_COST_FACTOR: f64 = 1.1;
 
 /// Published capacity of model servers, and what is needed to interpret it.
 #[derive(Debug, Default)]
@@ -43,6 +40,9 @@
     pub(super) slot_wait: Duration,
     /// Prefill speed relative to nominal.
     pub(super) speed: f64,
+    /// Expected prefill time of the prompts that others have sent since the server's entry; `None`
+    /// without an entry.
+    pub(super) other_work: Option<Duration>,
 }
 
 impl GatewayReducer {
@@ -57,9 +57,10 @@
         &self,
         now: ClockTime,
         server: GatewayServerKey,
-    ) -> Option<ServerStatus> {
+    ) -> Option<ExpectedStatus> {
         if let Some(scheduler) = self.schedulers.get(&server) {
-            return Some(scheduler.status(now, self.engine(server)?));
+            let status = scheduler.status(now, self.engine(server)?);
+            return Some(ExpectedStatus::current(status));
         }
         let id = &self.servers.get(server).record.id;
         self.capacity.statuses.expected(now, ServerHash::new(id))
@@ -74,22 +75,24 @@
         needs_slot: bool,
         known_backlog: Duration,
     ) -> EngineCapacity {
-        let Some(status) = self.expected_status(now, server) else {
+        let Some(expected) = self.expected_status(now, server) else {
             return EngineCapacity {
                 backlog: known_backlog,
                 slot_wait: Duration::ZERO,
                 speed: 1.0,
+                other_work: None,
             };
         };
-        let slot_wait = if needs_slot && status.free_slots == 0 {
-            self.slot_interval(server) * status.queued.saturating_add(1)
+        let slot_wait = if needs_slot {
+            expected.slot_wait(self.slot_interval(server))
         } else {
             Duration::ZERO
         };
         EngineCapacity {
-            backlog: status.backlog,
+            backlog: expected.status.backlog,
             slot_wait,
-            speed: status.speed.unwrap_or(1.0),
+            speed: expected.status.speed.unwrap_or(1.0),
+            other_work: Some(expected.other_work),
         }
     }
 
@@ -152,29 +155,6 @@
             .record_request(now, id, prefill_time, needs_slot);
     }
 
-    /// Chooses among servers by their costs: the cheapest, or one at random of those that are about
-    /// as cheap and need no load.
-    ///
-    /// Loads are left to the adapter's rendezvous order, which differs between adapters already:
-    /// a random choice would load an adapter on several servers. The flag of each server states
-    /// whether it may be chosen at random.
-    pub(super) fn pick_cheapest<T: Copy>(&mut self, costs: &[(f64, bool, T)]) -> Option<T> {
-        let cheapest = costs
-            .iter()
-            .min_by(|left, right| left.0.total_cmp(&right.0))?;
-        let equal: Vec<T> = costs
-            .iter()
-            .filter(|(cost, is_free_choice, _)| {
-                *is_free_choice && *cost <= cheapest.0 * EQUAL_COST_FACTOR
-            })
-            .map(|(_, _, choice)| *choice)
-            .collect();
-        if !cheapest.1 || equal.len() < 2 {
-            return Some(cheapest.2);
-        }
-        Some(equal[self.random.random_range(0..equal.len())])
-    }
-
     /// Entries of the servers scheduled here, that of `first` before all others.
     fn own_statuses(
         &self,
@@ -191,7 +171,8 @@
             .chain(others.filter(|key| Some(*key) != first_key));
         for key in keys.take(limit) {
             if let Some(status) = self.expected_status(now, key) {
-                list.push(ServerHash::new(&self.servers.get(key).record.id), &status);
+                let id = &self.servers.get(key).record.id;
+                list.push(ServerHash::new(id), &status.status);
             }
         }
         (first.map(ServerHash::new), list)
@@ -200,9 +181,10 @@
     /// Entries for a gossip message: those of the servers scheduled here, then the most recent
     /// others.
     pub(super) fn gossip_statuses(&self, now: ClockTime) -> StatusList {
-        let (_, mut list) = self.own_statuses(now, None, MAX_GOSSIP_STATUSES);
+        let limit = max_gossip_statuses(self.instance_count(now));
+        let (_, mut list) = self.own_statuses(now, None, limit);
         let statuses = &self.capacity.statuses;
-        statuses.append_newest(now, None, MAX_GOSSIP_STATUSES, &mut list);
+        statuses.append_newest(now, None, limit, &mut list);
         list
     }
 
@@ -234,7 +216,10 @@
 
     /// Applies the entries of a gossip message.
     pub(super) fn gossip_statuses_received(&mut self, now: ClockTime, statuses: &StatusList) {
+        let others = self.instance_count(now).saturating_sub(1);
+        let servers = self.owners.len() + self.schedulers.len();
         let table = &mut self.capacity.statuses;
+        table.set_fleet(others, servers);
         table.merge(now, statuses, MAX_GOSSIP_STATUSES);
         table.expire(now);
     }
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -143,7 +143,7 @@
         scheduler.set_may_order(self.has_quorum);
         if let Some(speed) = self
             .expected_status(now, key)
-            .and_then(|status| status.speed)
+            .and_then(|known| known.status.speed)
         {
             scheduler.set_initial_speed(speed);
         }
--- a/lib/tests/gateway_gossip.rs
+++ b/lib/tests/gateway_gossip.rs
@@ -11,6 +11,7 @@
         catalog::{LoadedAdapter, LoadedModel},
         claims::{MemberClaims, ServerClaim},
         members::{AgedRecord, GossipTable, MemberPhase, MemberRecord},
+        server_status::{ServerHash, ServerStatus, StatusList, max_gossip_statuses},
     },
 };
 
@@ -122,6 +123,12 @@
         for claims in [newer, sent, returned] {
             self.count_claims(&claims);
         }
+        // The call and the answer carry the capacity of model servers.
+        let mut statuses = StatusList::default();
+        for _ in 0..max_gossip_statuses(self.tables.len()) {
+            statuses.push(ServerHash::new("i"), &ServerStatus::default());
+        }
+        self.bytes += 2 * rmp_serde::to_vec(&("statuses", statuses)).unwrap().len();
     }
 
     fn round(&mut self) {
@@ -228,8 +235,9 @@
 
 #[test]
 fn gossip_of_a_large_fleet_fits_the_control_budget() {
-    for count in [200, 400] {
+    for count in [100, 200, 340, 400] {
         let (_, bytes) = run_busy_fleet(count);
+        println!("{count}: {bytes} B/s a node");
         assert!(
             bytes <= CONTROL_BYTES,
             "{count} instances: {bytes} B/s a node"
