--- a/lib/src/gateway/server_scheduler/status.rs
+++ b/lib/src/gateway/server_scheduler/status.rs
@@ -1,11 +1,12 @@
 //! Capacity of a model server that other instances take into account.
 
+use std::time::Duration;
+
 use super::{MAX_LOADING, ServerScheduler, prefill::PrefillModel};
 use crate::{
     clock::ClockTime,
     gateway::{catalog::EngineConfig, server_status::ServerStatus},
 };
-use std::time::Duration;
 
 impl ServerScheduler {
     /// Number of adapters that could start to load now, into slots that are free or whose adapter
@@ -34,7 +35,7 @@
         self.prefill_model = PrefillModel::with_speed(speed);
     }
 
-    /// Current state of the server.
+    /// Current state of the server. The scheduler does not queue requests yet.
     pub fn status(&self, now: ClockTime, config: &EngineConfig) -> ServerStatus {
         ServerStatus {
             age: Duration::ZERO,
