--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -11,6 +11,7 @@
     event::{ModelName, RequestNumber},
     exclusion::ServerExclusion,
     requests::RequestRecord,
+    server_status::{ServerCost, pick_server},
     servers::{ColdShare, GatewayServerKey},
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -90,6 +91,8 @@
     pub(super) failures: f64,
     /// No instance schedules the server.
     pub(super) unscheduled: f64,
+    /// Whether the server is likely to have the shared parts of the prompt in its cache.
+    pub(super) holds_prefix: bool,
 }
 
 impl EngineCost {
@@ -103,6 +106,7 @@
             mixing,
             failures,
             unscheduled,
+            holds_prefix: _,
         } = self;
         [
             ("time", *time),
@@ -179,16 +183,28 @@
     ) -> Option<EngineChoice> {
         let record = self.requests.get(&number)?;
         let ratings = self.rate_engines(now, record)?;
-        let costs: Vec<(f64, bool, EngineChoice)> = ratings
+        let costs: Vec<ServerCost<EngineChoice>> = ratings
             .into_iter()
             .filter_map(|(key, rating)| {
                 let (cost, choice) = rating.ok()?;
+                // Loads and shared prompts are left to their rendezvous orders: a random choice
+                // would load or prefill the same on several servers.
                 let needs_load = cost.store_load > 0.0 || cost.rank > 0.0;
-                let is_free_choice = !needs_load && self.expected_status(now, key).is_some();
-                Some((cost.total(), is_free_choice, choice))
+                let may_be_random = !needs_load && !cost.holds_prefix;
+                let other_work = self
+                    .engine_capacity(now, key, false, Duration::ZERO)
+                    .other_work
+                    .filter(|_| may_be_random);
+                let total = cost.total();
+                Some(ServerCost {
+                    cost: total,
+                    fixed: total - cost.time,
+                    other_work: other_work.map(|work| work.as_secs_f64() * 1_000.0 * EARLY_WEIGHT),
+                    choice,
+                })
             })
             .collect();
-        self.pick_cheapest(&costs)
+        pick_server(&mut self.random, &costs)
     }
 
     /// Rates each model server that the request may be sent to now.
@@ -212,6 +228,7 @@
         let prefill_servers = self.prefill_servers(&record.service);
         let adapter_ranks = self.ranks(&name, &candidates);
         let prefix_ranks = self.ranks(&prefix_name, &candidates);
+        let has_shared_parts = record.request.prompt_parts.len() > 1;
         let mut ratings = Vec::with_capacity(candidates.len());
         for (position, key) in candidates.iter().enumerate() {
             let ranks = (adapter_ranks[position], prefix_ranks[position]);
@@ -223,6 +240,7 @@
             let mut rating = self.engine_cost(now, *key, record, wanted, version, ranks);
             if let Ok((cost, _)) = &mut rating {
                 cost.mixing = mixing_cost;
+                cost.holds_prefix = prefix_ranks[position] == 0 && has_shared_parts;
             }
             ratings.push((*key, rating));
         }
--- a/lib/src/gateway/server_scheduler/admission.rs
+++ b/lib/src/gateway/server_scheduler/admission.rs
@@ -269,7 +269,7 @@
         };
         let ready_at = self.allocate_slot(now, config, request, adapter, bounds, load_limiter)?;
         if let Some(slot) = self.slot(&request.model, adapter) {
-            slot.last_used_at = now;
+            slot.record_use(now);
         }
         Ok(ready_at.since(now))
     }
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -16,6 +16,9 @@
 /// shrinks after a late load.
 const WINDOW_GROWTH: f64 = 1.03;
 const WINDOW_CUT: f64 = 0.85;
+/// Factor by which the window shrinks after a slightly late load. Single ones show a wrong expectation,
+/// frequent ones an overloaded store.
+const DELAYED_CUT: f64 = 0.95;
 /// Until the first late load, each load that was in time grows the window such that it grows by this
 /// share within the time of a load: at the start every adapter is missing, and the window has to
 /// find the capacity of an unknown store quickly.
@@ -160,7 +163,10 @@
                 let growth = 1.0 + STARTUP_GROWTH / self.max_loads().max(1.0);
                 self.window = (self.window * growth).min(MAX_WINDOW);
             }
-            LoadTiming::Timely | LoadTiming::Delayed(_) => {}
+            LoadTiming::Timely => {}
+            LoadTiming::Delayed(_) => {
+                self.window = (self.window * DELAYED_CUT).max(MIN_WINDOW);
+            }
             LoadTiming::Late => self.record_late_load(now),
         }
     }
--- a/lib/src/gateway/server_scheduler/mod.rs
+++ b/lib/src/gateway/server_scheduler/mod.rs
@@ -25,6 +25,7 @@
 use self::{
     admission::{LaterPrefill, StartBounds},
     grant_queue::GrantQueue,
+    load_limiter::INITIAL_LOAD_TIME,
     prefill::PrefillModel,
 };
 pub use self::{
@@ -62,7 +63,10 @@
 const LATE_LOAD_WAIT: Duration = Duration::from_millis(40);
 const OVERLOADED_LOAD_WAIT: Duration = Duration::from_millis(120);
 /// Time after the expected end of a load from which on it no longer counts against [`MAX_LOADING`].
-const LOADED_MARGIN: Duration = Duration::from_millis(40);
+const LOADED_MARGIN: Duration = Duration::from_millis(100);
+/// Time in which a use of an adapter loses half of its weight against eviction. Demand moves to other
+/// adapters within seconds.
+const USE_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Share of a server's cache memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.9;
 /// Time of one decode step, in which a server generates a token for each stream. Published steps
@@ -95,6 +99,8 @@
     ready_at: ClockTime,
     changed_at: ClockTime,
     last_used_at: ClockTime,
+    /// Number of grants on the adapter, each halved every [`USE_HALF_LIFE`]; as of `last_used_at`.
+    uses: f64,
     /// Whether the adapter is known to be loaded: a request ran on it, or a report lists it.
     confirmed: bool,
     /// Whether its load was ordered from the weight store.
@@ -108,6 +114,41 @@
 }
 
 impl AdapterSlot {
+    /// A slot whose adapter was not loaded from the weight store by this scheduler.
+    fn listed(
+        now: ClockTime,
+        model: SmolStr,
+        adapter: SmolStr,
+        version: u64,
+        phase: SlotPhase,
+    ) -> AdapterSlot {
+        AdapterSlot {
+            model,
+            adapter,
+            version,
+            phase,
+            ready_at: now,
+            changed_at: now,
+            last_used_at: now,
+            uses: 0.0,
+            confirmed: true,
+            from_store: false,
+            load_time: INITIAL_LOAD_TIME,
+            missing_after: None,
+            late: false,
+        }
+    }
+
+    fn recent_uses(&self, now: ClockTime) -> f64 {
+        let half_lives = now.since(self.last_used_at).as_secs_f64() / USE_HALF_LIFE.as_secs_f64();
+        self.uses * 0.5_f64.powf(half_lives)
+    }
+
+    fn record_use(&mut self, now: ClockTime) {
+        self.uses = self.recent_uses(now) + 1.0;
+        self.last_used_at = now;
+    }
+
     fn matches_adapter(&self, model: &str, adapter: &str) -> bool {
         self.model == model && self.adapter == adapter
     }
@@ -382,6 +423,7 @@
             ready_at,
             changed_at: now,
             last_used_at: now,
+            uses: 0.0,
             confirmed: false,
             from_store: !is_recently_evicted,
             load_time,
@@ -439,11 +481,15 @@
             })
     }
 
-    /// Evicts the least recently used adapter that no request uses.
+    /// Evicts the adapter with the fewest recent uses among those that no request uses. Most adapters
+    /// are asked for once, and would displace those in demand if the least recent use counted.
     fn evict(&mut self, now: ClockTime) -> Result<(), DeclineReason> {
         let victim = self
             .eviction_candidates(now)
-            .min_by_key(|(_, slot)| slot.last_used_at)
+            .min_by(|(_, left), (_, right)| {
+                let uses = left.recent_uses(now).total_cmp(&right.recent_uses(now));
+                uses.then(left.last_used_at.cmp(&right.last_used_at))
+            })
             .map(|(position, _)| position)
             .ok_or(DeclineReason::NoPlace)?;
         let slot = self.adapter_slots.remove(victim);
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::{AdapterSlot, ServerScheduler, SlotPhase, load_limiter::INITIAL_LOAD_TIME};
+use super::{AdapterSlot, ServerScheduler, SlotPhase};
 use crate::{
     clock::ClockTime,
     gateway::catalog::{EngineConfig, ModelConfig},
@@ -236,20 +236,8 @@
         action: OrderAction,
     ) {
         if let OrderAction::UnloadAdapter { adapter } = action {
-            self.adapter_slots.push(AdapterSlot {
-                model,
-                adapter,
-                version: 0,
-                phase: SlotPhase::Unloading,
-                ready_at: now,
-                changed_at: now,
-                last_used_at: now,
-                confirmed: true,
-                from_store: false,
-                load_time: INITIAL_LOAD_TIME,
-                missing_after: None,
-                late: false,
-            });
+            let slot = AdapterSlot::listed(now, model, adapter, 0, SlotPhase::Unloading);
+            self.adapter_slots.push(slot);
         }
     }
 
@@ -265,21 +253,11 @@
                 // The slot may have been reserved for a new load of the same adapter meanwhile.
                 self.adapter_slots
                     .retain(|slot| !slot.matches_adapter(model, adapter));
-                self.adapter_slots.push(AdapterSlot {
-                    model: model.clone(),
-                    adapter: adapter.clone(),
-                    version: 0,
-                    phase: SlotPhase::Ready,
-                    ready_at: ClockTime::ZERO,
-                    // The next report may overwrite the slot.
-                    changed_at: ClockTime::ZERO,
-                    last_used_at: ClockTime::ZERO,
-                    confirmed: true,
-                    from_store: false,
-                    load_time: INITIAL_LOAD_TIME,
-                    missing_after: None,
-                    late: false,
-                });
+                // The next report may overwrite the slot.
+                let time = ClockTime::ZERO;
+                let (model, adapter) = (model.clone(), adapter.clone());
+                let slot = AdapterSlot::listed(time, model, adapter, 0, SlotPhase::Ready);
+                self.adapter_slots.push(slot);
             }
         }
     }
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -144,19 +144,12 @@
             }
             return;
         }
+        let (model, name) = (model.clone(), adapter.name.clone());
+        let slot = AdapterSlot::listed(now, model, name, adapter.version, SlotPhase::Ready);
         self.adapter_slots.push(AdapterSlot {
-            model: model.clone(),
-            adapter: adapter.name.clone(),
-            version: adapter.version,
-            phase: SlotPhase::Ready,
             ready_at,
-            changed_at: now,
-            last_used_at: now,
             confirmed: ready_at <= now,
-            from_store: false,
-            load_time: INITIAL_LOAD_TIME,
-            missing_after: None,
-            late: false,
+            ..slot
         });
     }
 
