--- a/lib/tests/gateway_server_status.rs
+++ b/lib/tests/gateway_server_status.rs
@@ -463,6 +463,7 @@
                 first_event,
                 adapter_missing: false,
                 ended: true,
+                late_pause: None,
             },
         );
     }
