plain_choice: choose servers of plain services by expected finish time

Cause: the selection compared requests per slot, without the speed of servers. The load of others approached zero as its report aged, so that servers looked idle, and instances with the same reports chose the same server. Loads with two values were ignored, and the fourth value, how long work takes on the machine, was not read.

Change: the cost of a server is the expected finish time of another request. The load of other instances approaches the mean of the service as its report ages. Service times are learned from responses, and the pace is applied. Own requests weigh more than those that others are expected to have. Among at most 16 servers per group of data centres, one is drawn so that concurrent requests fill them to an equal level. A load on the head of a stream counts from the time of the head rather than from the end of the stream.

The test of large counts in gateway_numbers called estimated_load, which is gone; it now passes the largest counts, slots and numbers of instances through the selection.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -176,6 +176,7 @@
             late_server: None,
             sends: 0,
             runs: 0,
+            sent_at: ClockTime::ZERO,
             started_at: None,
             causes,
             request,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod message;
 pub mod order_lease;
 mod peers;
+pub mod plain_choice;
 pub mod prompt;
 pub mod replica;
 mod requests;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -3,7 +3,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use rand::Rng;
 use smol_str::SmolStr;
 
 use super::{
@@ -52,14 +51,6 @@
 const ATTEMPT_OBJECTIVES: f64 = 2.0;
 /// Time after the beginning of a response for which the request may still crash its server.
 const STARTING_TIME: Duration = Duration::from_millis(500);
-/// Cost of choosing a server in another data centre, in the unit of load per slot. Applies to
-/// services without model servers.
-const REMOTE_COST: f64 = 0.15;
-/// Cost of choosing a server that fails every request, in the same unit.
-const FAILURE_COST: f64 = 4.0;
-/// Upper bound of a random cost in the same unit, so that instances do not all choose the same
-/// server.
-const CHOICE_JITTER: f64 = 0.05;
 
 /// Progress of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,6 +103,8 @@
     pub(super) sends: u32,
     /// Number of sends after which a server may have run the request.
     pub(super) runs: u32,
+    /// Time of the newest send.
+    pub(super) sent_at: ClockTime,
     /// Time at which the beginning of the response was forwarded to the caller.
     pub(super) started_at: Option<ClockTime>,
     pub(super) causes: SuspectCauses,
@@ -187,29 +180,6 @@
         }
     }
 
-    /// Selects the least loaded server of a service without model servers.
-    fn choose_server(&mut self, now: ClockTime, number: RequestNumber) -> Option<GatewayServerKey> {
-        let mut best: Option<(f64, GatewayServerKey)> = None;
-        for key in self.candidates(now, number)? {
-            let server = self.servers.get(key);
-            let slots = f64::from(server.record.slots.max(1));
-            let remote = if server.record.data_centre == self.options.data_centre {
-                0.0
-            } else {
-                REMOTE_COST
-            };
-            let jitter = self.random.random_range(0.0..CHOICE_JITTER);
-            let cost = server.estimated_load(now) / slots
-                + server.failure_share(now) * FAILURE_COST
-                + remote
-                + jitter;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
-            }
-        }
-        best.map(|(_, key)| key)
-    }
-
     fn select_later(
         &mut self,
         now: ClockTime,
@@ -396,6 +366,7 @@
             self.stats.retries += 1;
         }
         record.sends += 1;
+        record.sent_at = now;
         record.phase = RequestPhase::Sent(server);
         let can_retry = record.retry.may_retry()
             && record.runs + 1 < record.max_attempts
@@ -531,6 +502,7 @@
         );
         log_event(effects, "attempt_ended", &record.request.attempt, &detail);
         let causes = record.causes.clone();
+        let sent_at = record.sent_at;
         let was_starting = record
             .started_at
             .is_none_or(|time| now.since(time) < STARTING_TIME);
@@ -538,7 +510,15 @@
             self.servers.record_answer(now, server);
         }
         if let Some(load) = stats.load {
-            self.servers.record_load(now, server, load);
+            // The head of a stream came at about the time of its first event.
+            let began = stats.first_event.map(|time| sent_at.after(time));
+            let reported = began.map_or(now, |time| time.min(now));
+            self.servers.record_load(reported, server, load);
+        }
+        if end == (AttemptEnd::Completed { success: true }) {
+            let time = now.since(sent_at);
+            self.servers
+                .record_response_time(now, server, time, stats.load);
         }
         let outcome = server_outcome(end);
         self.servers.record_end(now, server, outcome);
--- a/lib/src/gateway/servers.rs
+++ b/lib/src/gateway/servers.rs
@@ -12,6 +12,7 @@
     allowance::{ColdBounds, ColdLimiter, cold_share},
     availability::{LeavingTable, ProcessHash, ServerPause, process_hash},
     catalog::ServerRecord,
+    plain_choice::{PlainLoad, ServiceLoad},
 };
 use crate::{clock::ClockTime, rendezvous};
 
@@ -26,8 +27,6 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time after which a share of failures without new outcomes has halved.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
-/// Age at which the weight of a reported load has halved.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(400);
 
 /// Load that a server reported in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,15 +35,11 @@
     pub running: u32,
     /// Requests that are queued.
     pub waiting: u32,
-    /// Requests that can run at the same time.
-    pub slots: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct LoadSample {
-    time: ClockTime,
-    /// Requests of other instances at the server.
-    others: f64,
+    /// Requests that can run at the same time, if reported.
+    pub slots: Option<u32>,
+    /// How long work currently takes on the server's machine, in percent of the usual time, if
+    /// reported.
+    pub pace: Option<u32>,
 }
 
 /// A backend server.
@@ -63,7 +58,8 @@
     /// Set once its process has turned this instance away for some time.
     pub pause: Option<ServerPause>,
     cold_limiter: ColdLimiter,
-    load: Option<LoadSample>,
+    /// Load and service time, as learned from its responses.
+    pub load: PlainLoad,
     failures: f64,
     failures_updated: ClockTime,
     refusals: u32,
@@ -81,7 +77,7 @@
             is_leaving: false,
             pause: None,
             cold_limiter: ColdLimiter::default(),
-            load: None,
+            load: PlainLoad::default(),
             failures: 0.0,
             failures_updated: now,
             refusals: 0,
@@ -101,15 +97,6 @@
         self.failures = share + (newest - share) * FAILURE_WEIGHT;
         self.failures_updated = now;
     }
-
-    /// Estimated number of requests at the server, from this instance and others.
-    pub fn estimated_load(&self, now: ClockTime) -> f64 {
-        let others = self.load.map_or(0.0, |sample| {
-            let age = now.since(sample.time).as_secs_f64();
-            sample.others * 0.5_f64.powf(age / LOAD_HALF_LIFE.as_secs_f64())
-        });
-        f64::from(self.in_flight) + others
-    }
 }
 
 /// Determines how many requests one instance may send to a cold server.
@@ -144,6 +131,7 @@
     by_id: BTreeMap<SmolStr, GatewayServerKey>,
     evacuated: BTreeSet<SmolStr>,
     leaving: LeavingTable,
+    service_loads: BTreeMap<SmolStr, ServiceLoad>,
 }
 
 impl GatewayServers {
@@ -371,13 +359,34 @@
         }
     }
 
-    /// Records the load that a server reported in a response.
-    pub fn record_load(&mut self, now: ClockTime, key: GatewayServerKey, load: ServerLoad) {
+    /// Records the load that a server reported in a response at this time.
+    pub fn record_load(&mut self, time: ClockTime, key: GatewayServerKey, load: ServerLoad) {
+        let server = &mut self.servers[key];
+        let service = server.record.service.clone();
+        let service = self.service_loads.entry(service).or_default();
+        let slots = server.record.slots;
+        server
+            .load
+            .record_load(time, load, server.in_flight, slots, service);
+    }
+
+    /// Records the time from sending a request to the end of its successful response.
+    pub fn record_response_time(
+        &mut self,
+        now: ClockTime,
+        key: GatewayServerKey,
+        time: Duration,
+        load: Option<ServerLoad>,
+    ) {
         let server = &mut self.servers[key];
-        let total = f64::from(load.running) + f64::from(load.waiting);
-        server.load = Some(LoadSample {
-            time: now,
-            others: (total - f64::from(server.in_flight)).max(0.0),
-        });
+        let service = server.record.service.clone();
+        let service = self.service_loads.entry(service).or_default();
+        let slots = server.record.slots;
+        server.load.record_response(now, time, load, slots, service);
+    }
+
+    /// Mean load over the servers of a service.
+    pub fn service_load(&self, service: &str) -> ServiceLoad {
+        self.service_loads.get(service).copied().unwrap_or_default()
     }
 }
