--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -217,6 +217,7 @@
         late_server: None,
         sends: 0,
         runs: 0,
+        sent_at: now,
         started_at: None,
         causes,
         request,
--- a/lib/src/gateway/route_explain.rs
+++ b/lib/src/gateway/route_explain.rs
@@ -273,6 +273,7 @@
         cost: Option<&EngineCost>,
     ) -> CandidateView {
         let server = self.servers.get(key);
+        let service_load = self.servers.service_load(&server.record.service);
         CandidateView {
             server: server.record.id.clone(),
             data_centre: server.record.data_centre.clone(),
@@ -286,7 +287,10 @@
                 .collect(),
             slots: server.record.slots,
             in_flight: server.in_flight,
-            load: server.estimated_load(now),
+            load: f64::from(server.in_flight)
+                + server
+                    .load
+                    .expected_others(now, server.record.slots, &service_load),
             load_age: server.load_age(now),
             failure_share: server.failure_share(now),
             failures_age: server.failures_age(now),
--- a/lib/tests/gateway_route_explain.rs
+++ b/lib/tests/gateway_route_explain.rs
@@ -87,7 +87,8 @@
                 load: Some(ServerLoad {
                     running: 5,
                     waiting: 2,
-                    slots: 6,
+                    slots: Some(6),
+                    pace: None,
                 }),
                 ..AttemptStats::default()
             },
