queue: hold requests for as long as the backlog that they accepted

Cause: a request behind a backlog of 450 to 600 ms, which its entry had accepted, was queued for 300 ms, declined and then loaded its adapter at another server.

Change: the hold covers the accepted backlog within three quarters of the objective, a server with a longer backlog declines at once, and requests that were queued are selected for up to twice their objective.

--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -501,7 +501,7 @@
     ) -> Option<GrantRequest> {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let (hold, place_hold) = self.hold_times(now, number);
+        let (hold, place_hold) = self.hold_times(now, number, max_wait);
         let record = self.requests.get(&number)?;
         let request = self.grant_request_for(now, record, grant, server, max_wait)?;
         let record = self.requests.get_mut(&number)?;
--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -22,6 +22,11 @@
 const MAX_HOLD: Duration = Duration::from_millis(300);
 /// Share of the time to a request's deadline for which one scheduler queues it.
 const HOLD_DEADLINE_FRACTION: f64 = 1.0 / 3.0;
+/// Share of a request's objective for which it is queued at most behind other prompts.
+const HOLD_OBJECTIVE_FRACTION: f64 = 0.75;
+/// Requests that schedulers have queued are selected for up to this multiple of their objective, since
+/// a late response is worth more than none.
+const QUEUED_OBJECTIVES: f64 = 2.0;
 /// A grant request that is answered after this time was probably queued; most peers answer sooner.
 const QUEUED_LOG_TIME: Duration = Duration::from_millis(30);
 /// Minimum time between two log lines about requests that overtook others at a server.
@@ -30,7 +35,15 @@
 impl GatewayReducer {
     /// How long a scheduler may queue a request, and how long it may do so while the server has no
     /// place for the request. The first round of grant requests looks for a server that has one.
-    pub(super) fn hold_times(&self, now: ClockTime, number: RequestNumber) -> (Duration, Duration) {
+    ///
+    /// A request that accepts `max_wait` for the prompts before it is queued for that long, within
+    /// most of its objective: at another server it would often need a load.
+    pub(super) fn hold_times(
+        &self,
+        now: ClockTime,
+        number: RequestNumber,
+        max_wait: Duration,
+    ) -> (Duration, Duration) {
         let Some(record) = self.requests.get(&number) else {
             return (Duration::ZERO, Duration::ZERO);
         };
@@ -48,9 +61,9 @@
             .since(now)
             .mul_f64(HOLD_DEADLINE_FRACTION)
             .min(selection_left)
-            .min(MAX_HOLD);
+            .min(MAX_HOLD.max(max_wait.min(record.objective.mul_f64(HOLD_OBJECTIVE_FRACTION))));
         let place_hold = if record.failed_selections > 0 {
-            hold
+            hold.min(MAX_HOLD)
         } else {
             Duration::ZERO
         };
@@ -66,7 +79,7 @@
         server: GatewayServerKey,
         reason: DeclineReason,
     ) {
-        let (hold, _) = self.hold_times(now, number);
+        let (hold, _) = self.hold_times(now, number, Duration::ZERO);
         if hold.is_zero() || !matches!(reason, DeclineReason::NoPlace | DeclineReason::Full) {
             return;
         }
@@ -88,14 +101,16 @@
         };
         let id = &self.servers.get(server).record.id;
         let is_scheduled = self.schedulers.contains_key(&server) || self.owners.contains_key(id);
-        let (hold, _) = self.hold_times(now, number);
+        let (hold, _) = self.hold_times(now, number, Duration::ZERO);
         if hold.is_zero() || !is_scheduled || !self.servers.accepts_selected(now, server) {
             return false;
         }
-        if let Some(record) = self.requests.get_mut(&number) {
-            record.enter_phase(now, RequestPhase::AwaitingGrant(server));
-        }
-        self.request_grant(now, number, server, Duration::ZERO, effects);
+        let Some(record) = self.requests.get_mut(&number) else {
+            return false;
+        };
+        record.enter_phase(now, RequestPhase::AwaitingGrant(server));
+        let max_wait = record.deadline.since(now);
+        self.request_grant(now, number, server, max_wait, effects);
         true
     }
 
@@ -121,8 +136,8 @@
         }
     }
 
-    /// Logs the first time that a request was queued.
-    pub(super) fn log_queued(
+    /// Records that a scheduler queued a request, and logs the first time.
+    pub(super) fn record_queued(
         &mut self,
         now: ClockTime,
         number: RequestNumber,
@@ -134,7 +149,14 @@
             return;
         };
         let held = now.since(record.asked_at);
-        if held < QUEUED_LOG_TIME || std::mem::replace(&mut record.was_queued, true) {
+        if reply.is_none() || held < QUEUED_LOG_TIME {
+            return;
+        }
+        let late = record
+            .arrived
+            .after(record.objective.mul_f64(QUEUED_OBJECTIVES));
+        record.selection_deadline = record.selection_deadline.max(late).min(record.deadline);
+        if std::mem::replace(&mut record.was_queued, true) {
             return;
         }
         let id = &self.servers.get(server).record.id;
@@ -168,7 +190,12 @@
             self.answer_grant(key, GrantAnswer { caller, reply }, effects);
             return;
         };
-        if let Err(answer) = scheduler.enqueue(now, request, caller) {
+        if scheduler.backlog(now) > request.max_wait {
+            // Another server may be better; the answer tells the backlog.
+            let reply = scheduler.declined(now, DeclineReason::Busy);
+            let reply = self.with_statuses(now, &request.server, reply);
+            self.answer_grant(Some(key), GrantAnswer { caller, reply }, effects);
+        } else if let Err(answer) = scheduler.enqueue(now, request, caller) {
             self.answer_grant(Some(key), answer, effects);
         }
         self.run_scheduler(now, key, effects);
--- a/lib/src/gateway/server_scheduler/admission.rs
+++ b/lib/src/gateway/server_scheduler/admission.rs
@@ -76,7 +76,8 @@
             .unwrap_or_else(|reason| self.declined(now, reason))
     }
 
-    pub(super) fn declined(&self, now: ClockTime, reason: DeclineReason) -> GrantReply {
+    /// The answer to a request that cannot be granted.
+    pub fn declined(&self, now: ClockTime, reason: DeclineReason) -> GrantReply {
         GrantReply::Declined {
             reason,
             backlog: self.backlog(now),
