queue: a setting switches queues on; loads: the window grows with loads in time

Cause: with queues at schedulers the store got 130 loads a second where it bears 111, since the window of concurrent loads grew with time while loads waited, and requests were declined after 300 ms behind a backlog that they had accepted.

Change: the window grows with loads in time, and slightly late ones shrink it; the hold covers the accepted backlog. Queues are off unless queue_hold_ms is set.

--- a/daemon/src/gateway/core.rs
+++ b/daemon/src/gateway/core.rs
@@ -116,6 +116,7 @@
             grace_period: settings.grace,
             bounds: settings.bounds,
             pause_bounds: settings.pause_bounds,
+            queue_hold: settings.queue_hold,
         });
         let core = Arc::new(GatewayCore {
             state: Mutex::new(CoreState {
--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -18,15 +18,10 @@
 };
 use crate::clock::ClockTime;
 
-/// Longest time for which one scheduler queues a request; other servers may have become free by then.
-const MAX_HOLD: Duration = Duration::from_millis(300);
 /// Share of the time to a request's deadline for which one scheduler queues it.
 const HOLD_DEADLINE_FRACTION: f64 = 1.0 / 3.0;
 /// Share of a request's objective for which it is queued at most behind other prompts.
 const HOLD_OBJECTIVE_FRACTION: f64 = 0.75;
-/// Requests that schedulers have queued are selected for up to this multiple of their objective, since
-/// a late response is worth more than none.
-const QUEUED_OBJECTIVES: f64 = 2.0;
 /// A grant request that is answered after this time was probably queued; most peers answer sooner.
 const QUEUED_LOG_TIME: Duration = Duration::from_millis(30);
 /// Minimum time between two log lines about requests that overtook others at a server.
@@ -51,7 +46,8 @@
             .config()
             .and_then(|config| config.service(&record.service)?.engine.as_ref())
             .is_some_and(|engine| engine.adapter_slots > 0);
-        if !has_slots {
+        let max_hold = self.options.queue_hold;
+        if !has_slots || max_hold.is_zero() {
             return (Duration::ZERO, Duration::ZERO);
         }
         // The call may fail only after its timeout, and the request must still be refused in time.
@@ -61,9 +57,9 @@
             .since(now)
             .mul_f64(HOLD_DEADLINE_FRACTION)
             .min(selection_left)
-            .min(MAX_HOLD.max(max_wait.min(record.objective.mul_f64(HOLD_OBJECTIVE_FRACTION))));
+            .min(max_hold.max(max_wait.min(record.objective.mul_f64(HOLD_OBJECTIVE_FRACTION))));
         let place_hold = if record.failed_selections > 0 {
-            hold.min(MAX_HOLD)
+            hold.min(max_hold)
         } else {
             Duration::ZERO
         };
@@ -136,8 +132,8 @@
         }
     }
 
-    /// Records that a scheduler queued a request, and logs the first time.
-    pub(super) fn record_queued(
+    /// Logs the first time that a request was queued.
+    pub(super) fn log_queued(
         &mut self,
         now: ClockTime,
         number: RequestNumber,
@@ -152,10 +148,6 @@
         if reply.is_none() || held < QUEUED_LOG_TIME {
             return;
         }
-        let late = record
-            .arrived
-            .after(record.objective.mul_f64(QUEUED_OBJECTIVES));
-        record.selection_deadline = record.selection_deadline.max(late).min(record.deadline);
         if std::mem::replace(&mut record.was_queued, true) {
             return;
         }
@@ -190,12 +182,7 @@
             self.answer_grant(key, GrantAnswer { caller, reply }, effects);
             return;
         };
-        if scheduler.backlog(now) > request.max_wait {
-            // Another server may be better; the answer tells the backlog.
-            let reply = scheduler.declined(now, DeclineReason::Busy);
-            let reply = self.with_statuses(now, &request.server, reply);
-            self.answer_grant(Some(key), GrantAnswer { caller, reply }, effects);
-        } else if let Err(answer) = scheduler.enqueue(now, request, caller) {
+        if let Err(answer) = scheduler.enqueue(now, request, caller) {
             self.answer_grant(Some(key), answer, effects);
         }
         self.run_scheduler(now, key, effects);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -128,6 +128,9 @@
     pub bounds: FleetBounds,
     /// Bounds on the time for which a server can turn this instance away.
     pub pause_bounds: PauseBounds,
+    /// Longest time for which one scheduler queues a request that only needs a place; zero without
+    /// queues.
+    pub queue_hold: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -263,7 +263,7 @@
             record.phase == RequestPhase::AwaitingGrant(server) && record.grant == grant
         });
         if is_waiting {
-            self.record_queued(now, number, server, reply, effects);
+            self.log_queued(now, number, server, reply, effects);
         }
         match reply {
             Some(&GrantReply::Granted {
--- a/lib/src/gateway/server_scheduler/admission.rs
+++ b/lib/src/gateway/server_scheduler/admission.rs
@@ -76,8 +76,7 @@
             .unwrap_or_else(|reason| self.declined(now, reason))
     }
 
-    /// The answer to a request that cannot be granted.
-    pub fn declined(&self, now: ClockTime, reason: DeclineReason) -> GrantReply {
+    pub(super) fn declined(&self, now: ClockTime, reason: DeclineReason) -> GrantReply {
         GrantReply::Declined {
             reason,
             backlog: self.backlog(now),
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -12,13 +12,15 @@
 /// Bounds of the window: half of the least and slightly more than the most of that.
 const MIN_WINDOW: f64 = 0.15;
 const MAX_WINDOW: f64 = 2.0;
-/// Factor by which the window grows at each adjustment after a load had to wait, and by which it
-/// shrinks after a late load.
-const WINDOW_GROWTH: f64 = 1.03;
+/// Factors by which the window grows at each adjustment after a load had to wait, and with each load
+/// that was in time meanwhile, and by which it shrinks after a late load. Growth by time alone exceeded
+/// what the store bears as soon as loads kept waiting.
+const IDLE_GROWTH: f64 = 1.002;
+const TIMELY_GROWTH: f64 = 1.02;
 const WINDOW_CUT: f64 = 0.85;
 /// Factor by which the window shrinks after a slightly late load. Single ones show a wrong expectation,
 /// frequent ones an overloaded store.
-const DELAYED_CUT: f64 = 0.95;
+const DELAYED_CUT: f64 = 0.85;
 /// Until the first late load, each load that was in time grows the window such that it grows by this
 /// share within the time of a load: at the start every adapter is missing, and the window has to
 /// find the capacity of an unknown store quickly.
@@ -163,6 +165,9 @@
                 let growth = 1.0 + STARTUP_GROWTH / self.max_loads().max(1.0);
                 self.window = (self.window * growth).min(MAX_WINDOW);
             }
+            LoadTiming::Timely if self.is_limited => {
+                self.window = (self.window * TIMELY_GROWTH).min(MAX_WINDOW);
+            }
             LoadTiming::Timely => {}
             LoadTiming::Delayed(_) => {
                 self.window = (self.window * DELAYED_CUT).max(MIN_WINDOW);
@@ -189,7 +194,7 @@
     pub fn adjust(&mut self, now: ClockTime) {
         self.is_limited = std::mem::take(&mut self.was_limited);
         if self.is_limited && now >= self.late_until {
-            self.window = (self.window * WINDOW_GROWTH).min(MAX_WINDOW);
+            self.window = (self.window * IDLE_GROWTH).min(MAX_WINDOW);
         }
     }
 }
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -21,6 +21,9 @@
 const MIN_MEMORY_MB: f64 = 17.0;
 /// Minimum of the windows over which limits apply, in seconds; rates are divided by them.
 const MIN_WINDOW_S: f64 = 0.1;
+/// Time for which schedulers queue requests unless the settings say otherwise: not at all. Where adapter
+/// slots are short, queues increase the loads of adapters beyond what the weight store bears.
+const DEFAULT_QUEUE_HOLD_MS: u64 = 0;
 const BYTES_PER_MB: f64 = 1_000_000.0;
 /// Fraction of this memory for bodies. The rest holds the program, its state and buffers of
 /// connections.
@@ -63,6 +66,9 @@
     pub bounds: FleetBounds,
     /// Bounds on the time for which a server can turn the gateway away.
     pub pause_bounds: PauseBounds,
+    /// Longest time for which one scheduler queues a request that only needs a place on its server;
+    /// zero without queues.
+    pub queue_hold: Duration,
     /// Maximum duration of a graceful shutdown.
     pub grace: Duration,
     /// Memory that bodies of requests and responses may take, in bytes: a quarter of the memory that
@@ -109,6 +115,13 @@
     let first_start = root.boolean("first_start", false, errors);
     let bounds = read_bounds(root.optional_object("bounds", errors), errors);
     let pause_bounds = read_pause_bounds(root.optional_object("server_pauses", errors), errors);
+    let queue_hold = read_millis(
+        &mut root,
+        "queue_hold_ms",
+        0..=1_000,
+        DEFAULT_QUEUE_HOLD_MS,
+        errors,
+    );
     let grace = read_seconds(&mut root, "grace_s", 0.0, 8.0, errors);
     let memory_mb = root.number(
         "memory_mb",
@@ -129,6 +142,7 @@
         first_start,
         bounds,
         pause_bounds,
+        queue_hold,
         grace,
         body_memory: (memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB) as usize,
         telemetry,
--- a/lib/tests/gateway/instance.rs
+++ b/lib/tests/gateway/instance.rs
@@ -63,6 +63,7 @@
                     },
                     order_lease: Duration::from_secs(3),
                 },
+                queue_hold: Duration::from_millis(300),
                 pause_bounds: PauseBounds {
                     max: Duration::from_secs(120),
                     unreadable: Duration::from_secs(1),
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -322,6 +322,7 @@
                 order_lease: LEASE,
             },
             pause_bounds: PAUSE_BOUNDS,
+            queue_hold: Duration::from_millis(300),
         }));
         let incarnation = node.incarnation;
         self.push(
--- a/lib/tests/gateway_digest.rs
+++ b/lib/tests/gateway_digest.rs
@@ -141,6 +141,7 @@
         min_instances: 2,
         first_start: true,
         grace_period: Duration::from_secs(8),
+        queue_hold: Duration::from_millis(300),
         pause_bounds: PauseBounds {
             max: Duration::from_secs(120),
             unreadable: Duration::from_secs(1),
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -89,6 +89,7 @@
             min_instances: 1,
             first_start: true,
             grace_period: secs(8),
+            queue_hold: Duration::from_millis(300),
             pause_bounds: PauseBounds {
                 max: secs(120),
                 unreadable: secs(1),
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -188,6 +188,7 @@
     bounds.order_lease_ms=3000
     server_pauses.max_ms=120000
     server_pauses.unreadable_ms=1000
+    queue_hold_ms=0
     grace_s=8
     memory_mb=256
     telemetry.log_format=text
