--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -68,6 +68,17 @@
     }
 }
 
+/// What the end of a granted request shows about its server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct GrantOutcome {
+    /// Time from sending to the first event.
+    pub(super) first_event: Option<Duration>,
+    /// Whether the server answered that the adapter is not loaded.
+    pub(super) adapter_missing: bool,
+    /// Whether a complete stream had a pause beyond its objective.
+    pub(super) late_pause: Option<bool>,
+}
+
 impl GatewayReducer {
     pub(super) fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
         let service = &self.servers.get(server).record.service;
--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -5,11 +5,12 @@
 use super::{
     GatewayReducer, TimerKind,
     catalog::EngineConfig,
+    engines::GrantOutcome,
     event::{GatewayEffect, RequestNumber},
     exchange::GRANT_TIMEOUT,
     log_event,
     message::PeerAnswer,
-    requests::{GrantOutcome, RequestPhase},
+    requests::RequestPhase,
     server_scheduler::{
         DeclineReason, GrantAnswer, GrantCaller, GrantNumber, GrantReply, GrantRequest,
         PRIORITY_COUNT,
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -9,6 +9,7 @@
     GatewayReducer, TimerKind,
     catalog::RetryPolicy,
     choice::EngineChoice,
+    engines::GrantOutcome,
     event::{
         AttemptEnd, AttemptStats, GatewayEffect, GatewayRequest, RequestNumber, ServerDispatch,
     },
@@ -122,17 +123,6 @@
     pub(super) causes: SuspectCauses,
 }
 
-/// What the end of a granted request shows about its server.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct GrantOutcome {
-    /// Time from sending to the first event.
-    first_event: Option<Duration>,
-    /// Whether the server answered that the adapter is not loaded.
-    adapter_missing: bool,
-    /// Whether a complete stream had a pause beyond its objective.
-    late_pause: Option<bool>,
-}
-
 impl RequestRecord {
     pub(super) fn enter_phase(&mut self, now: ClockTime, phase: RequestPhase) {
         self.stages.enter(now, phase);
--- a/lib/src/gateway/termination.rs
+++ b/lib/src/gateway/termination.rs
@@ -6,9 +6,10 @@
 
 use super::{
     GatewayReducer,
+    engines::GrantOutcome,
     event::{GatewayEffect, GatewayRefusal, RequestNumber},
     log_event,
-    requests::{DEFAULT_RETRY_DELAY, GrantOutcome, RequestPhase, RequestRecord},
+    requests::{DEFAULT_RETRY_DELAY, RequestPhase, RequestRecord},
     servers::ServerOutcome,
     shutdown::SHUTDOWN_RETRY_DELAY,
 };
