--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -167,7 +167,7 @@
 
 /// The same in a fleet where each instance sees only a few of the crashes.
 #[test]
-fn a_part_that_crashes_servers_is_refused_by_a_large_fleet() {
+fn a_large_fleet_refuses_a_part_that_crashes_servers() {
     for seed in 0..2 {
         let outcome = play(seed, 80, 60, 120.0, Duration::from_millis(4_000));
         check(&outcome, seed);
