gateway: rate each model server once, look up schedulers in one place

Cause, found on reading the change again: the choice of a model server worked out the capacity of each candidate twice per request; a grant request was checked three times for whether this instance schedules its server, with a copy of the engine's configuration each time; the configuration had two accessors, releases and declined replies were built in two and three places, and the load limiter matched each timing twice.

Change: a rating carries what the choice needs beside the cost, scheduled_server decides once, and one piece of code serves each of the others. No change of behaviour is intended.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -91,8 +91,6 @@
     pub(super) failures: f64,
     /// No instance schedules the server.
     pub(super) unscheduled: f64,
-    /// Whether the server is likely to have the shared parts of the prompt in its cache.
-    pub(super) holds_prefix: bool,
 }
 
 impl EngineCost {
@@ -106,7 +104,6 @@
             mixing,
             failures,
             unscheduled,
-            holds_prefix: _,
         } = self;
         [
             ("time", *time),
@@ -125,8 +122,21 @@
     }
 }
 
-/// Cost of a model server and the next step of the request if it is chosen, or why it cannot be.
-pub(super) type EngineRating = Result<(EngineCost, EngineChoice), ServerExclusion>;
+/// A model server that the request may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct RatedEngine {
+    pub(super) cost: EngineCost,
+    /// Next step of the request if the server is chosen.
+    pub(super) choice: EngineChoice,
+    /// Expected prefill time of the prompts that others have sent since the server's entry; `None`
+    /// without an entry.
+    other_work: Option<Duration>,
+    /// Whether the server is likely to have the shared parts of the prompt in its cache.
+    holds_prefix: bool,
+}
+
+/// Rating of a model server for a request, or why it cannot be chosen.
+pub(super) type EngineRating = Result<RatedEngine, ServerExclusion>;
 
 /// State of a model server with respect to a request.
 pub(super) struct EngineView {
@@ -185,16 +195,18 @@
         let ratings = self.rate_engines(now, record)?;
         let costs: Vec<ServerCost<EngineChoice>> = ratings
             .into_iter()
-            .filter_map(|(key, rating)| {
-                let (cost, choice) = rating.ok()?;
+            .filter_map(|(_, rating)| {
+                let RatedEngine {
+                    cost,
+                    choice,
+                    other_work,
+                    holds_prefix,
+                } = rating.ok()?;
                 // Loads and shared prompts are left to their rendezvous orders: a random choice
                 // would load or prefill the same on several servers.
                 let needs_load = cost.store_load > 0.0 || cost.rank > 0.0;
-                let may_be_random = !needs_load && !cost.holds_prefix;
-                let other_work = self
-                    .engine_capacity(now, key, false, Duration::ZERO)
-                    .other_work
-                    .filter(|_| may_be_random);
+                let may_be_random = !needs_load && !holds_prefix;
+                let other_work = other_work.filter(|_| may_be_random);
                 let total = cost.total();
                 Some(ServerCost {
                     cost: total,
@@ -228,7 +240,6 @@
         let prefill_servers = self.prefill_servers(&record.service);
         let adapter_ranks = self.ranks(&name, &candidates);
         let prefix_ranks = self.ranks(&prefix_name, &candidates);
-        let has_shared_parts = record.request.prompt_parts.len() > 1;
         let mut ratings = Vec::with_capacity(candidates.len());
         for (position, key) in candidates.iter().enumerate() {
             let ranks = (adapter_ranks[position], prefix_ranks[position]);
@@ -238,9 +249,8 @@
                 MIXING_COST
             };
             let mut rating = self.engine_cost(now, *key, record, wanted, version, ranks);
-            if let Ok((cost, _)) = &mut rating {
-                cost.mixing = mixing_cost;
-                cost.holds_prefix = prefix_ranks[position] == 0 && has_shared_parts;
+            if let Ok(rated) = &mut rating {
+                rated.cost.mixing = mixing_cost;
             }
             ratings.push((*key, rating));
         }
@@ -414,18 +424,23 @@
         let first_ms = backlog_ms.max(slot_ms + load_ms) + prefill_ms;
         let early_ms = record.objective.as_secs_f64() * 1_000.0 * EARLY_SHARE;
         cost.time = first_ms * EARLY_WEIGHT + (first_ms - early_ms).max(0.0) * LATE_WEIGHT;
-        if view.scheduled {
-            let choice = EngineChoice::Scheduled {
+        let choice = if view.scheduled {
+            EngineChoice::Scheduled {
                 server: key,
                 backlog: capacity.backlog,
-            };
-            return Ok((cost, choice));
-        }
-        cost.unscheduled = UNSCHEDULED_COST;
-        if server.in_flight >= MAX_DIRECT_REQUESTS {
+            }
+        } else if server.in_flight < MAX_DIRECT_REQUESTS {
+            cost.unscheduled = UNSCHEDULED_COST;
+            EngineChoice::Direct(key)
+        } else {
             return Err(ServerExclusion::DirectLimit);
-        }
-        Ok((cost, EngineChoice::Direct(key)))
+        };
+        Ok(RatedEngine {
+            cost,
+            choice,
+            other_work: capacity.other_work,
+            holds_prefix: prefix_rank == 0 && record.request.prompt_parts.len() > 1,
+        })
     }
 
     /// Expected time to prefill a request's prompt at a server, and whether its adapter has to be
--- a/lib/src/gateway/engine_capacity.rs
+++ b/lib/src/gateway/engine_capacity.rs
@@ -6,7 +6,6 @@
 
 use super::{
     GatewayReducer,
-    catalog::EngineConfig,
     event::RequestNumber,
     requests::RequestRecord,
     server_scheduler::GrantReply,
@@ -46,11 +45,6 @@
 }
 
 impl GatewayReducer {
-    fn engine(&self, server: GatewayServerKey) -> Option<&EngineConfig> {
-        let service = &self.servers.get(server).record.service;
-        self.config()?.service(service)?.engine.as_ref()
-    }
-
     /// Expected state of a server: that of its scheduler if it runs here, or else what is known
     /// from others.
     pub(super) fn expected_status(
--- a/lib/src/gateway/engines.rs
+++ b/lib/src/gateway/engines.rs
@@ -15,10 +15,9 @@
     message::PeerCall,
     requests::RequestRecord,
     server_scheduler::{
-        DeclineReason, GrantCaller, GrantKey, GrantNumber, GrantRelease, GrantReply, GrantRequest,
+        DeclineReason, GrantCaller, GrantKey, GrantNumber, GrantRelease, GrantRequest,
         ServerOrderOutcome, ServerScheduler,
     },
-    server_status::StatusList,
     servers::GatewayServerKey,
 };
 use crate::{clock::ClockTime, rendezvous};
@@ -68,7 +67,7 @@
     }
 }
 
-/// What the end of a granted request shows about its server.
+/// What a granted request has shown about its server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct GrantOutcome {
     /// Time from sending to the first event.
@@ -80,9 +79,13 @@
 }
 
 impl GatewayReducer {
-    pub(super) fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
+    pub(super) fn engine(&self, server: GatewayServerKey) -> Option<&EngineConfig> {
         let service = &self.servers.get(server).record.service;
-        self.config()?.service(service)?.engine.clone()
+        self.config()?.service(service)?.engine.as_ref()
+    }
+
+    pub(super) fn engine_config(&self, server: GatewayServerKey) -> Option<EngineConfig> {
+        self.engine(server).cloned()
     }
 
     /// Oldest version of the adapter that a new request may run on.
@@ -405,42 +408,17 @@
         }
     }
 
-    /// Handles a grant request for a server that this instance schedules.
-    pub(super) fn handle_grant_request(
-        &mut self,
-        now: ClockTime,
-        request: &GrantRequest,
-        effects: &mut Vec<GatewayEffect>,
-    ) -> GrantReply {
-        let declined = |reason: DeclineReason| GrantReply::Declined {
-            reason,
-            backlog: Duration::ZERO,
-            statuses: StatusList::default(),
-        };
-        if let Some(reason) = self.unscheduled_reason(request) {
-            return declined(reason);
-        }
-        let key = self.servers.key(&request.server);
-        let engine_config = key.and_then(|key| self.engine_config(key));
-        self.load_limiter.set_server_count(self.schedulers.len());
-        let scheduler = key.and_then(|key| self.schedulers.get_mut(&key));
-        let (Some(key), Some(engine_config), Some(scheduler)) = (key, engine_config, scheduler)
-        else {
-            return declined(DeclineReason::NotScheduled);
-        };
-        let reply = scheduler.decide(now, &engine_config, request, &mut self.load_limiter);
-        self.run_scheduler(now, key, effects);
-        reply
-    }
-
-    /// Why this instance decides on no requests for the server, if so.
-    pub(super) fn unscheduled_reason(&self, request: &GrantRequest) -> Option<DeclineReason> {
-        let key = self.servers.key(&request.server);
-        let key = key.filter(|key| self.engine_config(*key).is_some());
-        match key {
-            Some(key) if self.servers.get(key).is_leaving => Some(DeclineReason::Leaving),
-            Some(key) if self.schedulers.contains_key(&key) => None,
-            _ => Some(DeclineReason::NotScheduled),
+    /// The server with this id, if this instance schedules it and decides on requests for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it does not.
+    pub(super) fn scheduled_server(&self, id: &str) -> Result<GatewayServerKey, DeclineReason> {
+        let key = self.servers.key(id);
+        match key.filter(|key| self.engine(*key).is_some()) {
+            Some(key) if self.servers.get(key).is_leaving => Err(DeclineReason::Leaving),
+            Some(key) if self.schedulers.contains_key(&key) => Ok(key),
+            _ => Err(DeclineReason::NotScheduled),
         }
     }
 
@@ -580,6 +558,24 @@
         }
     }
 
+    /// Builds the report of a grant's progress, or of its end if it has `ended`.
+    pub(super) fn grant_release(
+        &self,
+        grant: GrantNumber,
+        server: GatewayServerKey,
+        outcome: GrantOutcome,
+        ended: bool,
+    ) -> GrantRelease {
+        GrantRelease {
+            server: self.servers.get(server).record.id.clone(),
+            key: self.grant_key(grant),
+            first_event: outcome.first_event,
+            adapter_missing: outcome.adapter_missing,
+            ended,
+            late_pause: outcome.late_pause,
+        }
+    }
+
     /// Sends a grant's release to the server's scheduler.
     pub(super) fn send_grant_release(
         &mut self,
--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -174,19 +174,42 @@
         request: GrantRequest,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let key = self.servers.key(&request.server);
-        let may_queue = !request.hold.is_zero() && self.unscheduled_reason(&request).is_none();
-        let scheduler = key.and_then(|key| self.schedulers.get_mut(&key));
-        let (Some(key), Some(scheduler), true) = (key, scheduler, may_queue) else {
-            let reply = self.handle_grant_request(now, &request, effects);
-            let reply = self.with_statuses(now, &request.server, reply);
-            self.answer_grant(key, GrantAnswer { caller, reply }, effects);
+        let scheduled = self.scheduled_server(&request.server);
+        if let Ok(key) = scheduled
+            && !request.hold.is_zero()
+        {
+            if let Some(scheduler) = self.schedulers.get_mut(&key)
+                && let Err(answer) = scheduler.enqueue(now, request, caller)
+            {
+                self.answer_grant(Some(key), answer, effects);
+            }
+            self.run_scheduler(now, key, effects);
             return;
-        };
-        if let Err(answer) = scheduler.enqueue(now, request, caller) {
-            self.answer_grant(Some(key), answer, effects);
         }
+        let reply = scheduled.and_then(|key| {
+            self.decide_grant(now, key, &request, effects)
+                .ok_or(DeclineReason::NotScheduled)
+        });
+        let reply = reply.unwrap_or_else(GrantReply::declined);
+        let reply = self.with_statuses(now, &request.server, reply);
+        let key = self.servers.key(&request.server);
+        self.answer_grant(key, GrantAnswer { caller, reply }, effects);
+    }
+
+    /// Decides at once on a request for a server that this instance schedules.
+    fn decide_grant(
+        &mut self,
+        now: ClockTime,
+        key: GatewayServerKey,
+        request: &GrantRequest,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> Option<GrantReply> {
+        let engine_config = self.engine_config(key)?;
+        self.load_limiter.set_server_count(self.schedulers.len());
+        let scheduler = self.schedulers.get_mut(&key)?;
+        let reply = scheduler.decide(now, &engine_config, request, &mut self.load_limiter);
         self.run_scheduler(now, key, effects);
+        Some(reply)
     }
 
     /// Grants the requests in a server's queue that can start now.
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -14,7 +14,7 @@
         AttemptEnd, AttemptStats, GatewayEffect, GatewayRequest, RequestNumber, ServerDispatch,
     },
     log_event,
-    server_scheduler::{DeclineReason, GrantNumber, GrantRelease, GrantReply},
+    server_scheduler::{DeclineReason, GrantNumber, GrantReply},
     servers::{GatewayServerKey, ServerOutcome},
     stages::StageClock,
     suspects::SuspectCauses,
@@ -474,14 +474,7 @@
         outcome: GrantOutcome,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let release = GrantRelease {
-            server: self.servers.get(server).record.id.clone(),
-            key: self.grant_key(grant),
-            first_event: outcome.first_event,
-            adapter_missing: outcome.adapter_missing,
-            ended: true,
-            late_pause: outcome.late_pause,
-        };
+        let release = self.grant_release(grant, server, outcome, true);
         self.send_grant_release(now, server, release, effects);
     }
 
@@ -519,14 +512,11 @@
         self.servers.record_answer(now, server);
         if record.has_grant {
             let grant = record.grant;
-            let release = GrantRelease {
-                server: self.servers.get(server).record.id.clone(),
-                key: self.grant_key(grant),
+            let outcome = GrantOutcome {
                 first_event: Some(first_event),
-                adapter_missing: false,
-                ended: false,
-                late_pause: None,
+                ..GrantOutcome::default()
             };
+            let release = self.grant_release(grant, server, outcome, false);
             self.send_grant_release(now, server, release, effects);
         }
     }
--- a/lib/src/gateway/route_explain.rs
+++ b/lib/src/gateway/route_explain.rs
@@ -9,7 +9,7 @@
     GatewayReducer,
     admission::{build_record, request_cost, request_priority, request_timeout},
     catalog::{RouteConfig, TeamConfig},
-    choice::{EngineChoice, EngineCost},
+    choice::{EngineChoice, EngineCost, RatedEngine},
     event::GatewayRequest,
     requests::{BACKLOG_TOLERANCE, DEFAULT_RETRY_DELAY, MAX_TRIED_SERVERS, RequestRecord},
     routes::RouteIndex,
@@ -239,26 +239,25 @@
         record: &RequestRecord,
         excluded: &mut Vec<ExcludedView>,
     ) -> (Vec<CandidateView>, RouteDecision) {
-        let mut rated: Vec<(GatewayServerKey, EngineCost, EngineChoice)> = Vec::new();
+        let mut rated: Vec<(GatewayServerKey, RatedEngine)> = Vec::new();
         for (key, rating) in self.rate_engines(now, record).unwrap_or_default() {
             match rating {
-                Ok((cost, choice)) => rated.push((key, cost, choice)),
+                Ok(engine) => rated.push((key, engine)),
                 Err(reason) => excluded.push(ExcludedView {
                     server: self.servers.get(key).record.id.clone(),
                     reason,
                 }),
             }
         }
-        rated.sort_by(|(_, a, _), (_, b, _)| a.total().total_cmp(&b.total()));
+        rated.sort_by(|(_, a), (_, b)| a.cost.total().total_cmp(&b.cost.total()));
         let mut decision = None;
         let mut candidates = Vec::new();
-        for (position, (key, cost, choice)) in rated.iter().enumerate() {
-            let mut view = self.candidate_view(now, *key, Some(cost));
-            let inputs = self.engine_inputs(now, *key, record);
-            view.engine = inputs;
+        for (position, (key, engine)) in rated.iter().enumerate() {
+            let mut view = self.candidate_view(now, *key, Some(&engine.cost));
+            view.engine = self.engine_inputs(now, *key, record);
             if position < MAX_TRIED_SERVERS && decision.is_none() {
-                view.grant = self.expected_grant(now, record, *choice);
-                decision = decide(&view, *choice);
+                view.grant = self.expected_grant(now, record, engine.choice);
+                decision = decide(&view, engine.choice);
             }
             candidates.push(view);
         }
--- a/lib/src/gateway/server_scheduler/grant.rs
+++ b/lib/src/gateway/server_scheduler/grant.rs
@@ -176,6 +176,17 @@
     },
 }
 
+impl GrantReply {
+    /// Declines a request for a server whose backlog is not known here.
+    pub fn declined(reason: DeclineReason) -> GrantReply {
+        GrantReply::Declined {
+            reason,
+            backlog: Duration::ZERO,
+            statuses: StatusList::default(),
+        }
+    }
+}
+
 /// Fields of a [`GrantReply`].
 struct ReplyFields<'r>(&'r GrantReply);
 
--- a/lib/src/gateway/server_scheduler/grant_queue.rs
+++ b/lib/src/gateway/server_scheduler/grant_queue.rs
@@ -15,10 +15,7 @@
 };
 use crate::{
     clock::ClockTime,
-    gateway::{
-        catalog::EngineConfig, event::RequestNumber, server_scheduler::GrantNumber,
-        server_status::StatusList,
-    },
+    gateway::{catalog::EngineConfig, event::RequestNumber, server_scheduler::GrantNumber},
 };
 
 /// Upper bound of the time for which a request is queued, whatever it asks for.
@@ -348,11 +345,7 @@
 
     /// Declines all queued requests because the instance no longer schedules the server.
     pub fn close_queue(&mut self, reason: DeclineReason) -> Vec<GrantAnswer> {
-        let reply = GrantReply::Declined {
-            reason,
-            backlog: Duration::ZERO,
-            statuses: StatusList::default(),
-        };
+        let reply = GrantReply::declined(reason);
         let queued = self.grant_queue.queue.drain().into_iter();
         queued
             .map(|queued| GrantAnswer {
--- a/lib/src/gateway/server_scheduler/load_limiter.rs
+++ b/lib/src/gateway/server_scheduler/load_limiter.rs
@@ -111,7 +111,7 @@
     pub fn merge_load_time(&mut self, peer: Duration) {
         let merged = self.load_time.mul_f64(1.0 - PEER_WEIGHT)
             + peer.min(MAX_LOAD_TIME).mul_f64(PEER_WEIGHT);
-        self.load_time = merged.clamp(MIN_LOAD_TIME, MAX_LOAD_TIME);
+        self.set_load_time(merged);
     }
 
     /// Sets the number of servers that the instance schedules.
@@ -154,28 +154,30 @@
 
     /// Adapts the window to what a request shows about a load.
     pub fn record_timing(&mut self, now: ClockTime, timing: LoadTiming) {
-        let load_time = match timing {
-            LoadTiming::Timely => self.load_time.mul_f64(LOAD_TIME_DECAY),
-            LoadTiming::Delayed(time) => self.load_time.max(time.mul_f64(DELAYED_LOAD_MARGIN)),
-            LoadTiming::Late => self.load_time,
-        };
-        self.load_time = load_time.clamp(MIN_LOAD_TIME, MAX_LOAD_TIME);
         match timing {
-            LoadTiming::Timely if self.starting && self.is_limited => {
-                let growth = 1.0 + STARTUP_GROWTH / self.max_loads().max(1.0);
-                self.window = (self.window * growth).min(MAX_WINDOW);
-            }
-            LoadTiming::Timely if self.is_limited => {
-                self.window = (self.window * TIMELY_GROWTH).min(MAX_WINDOW);
+            LoadTiming::Timely => {
+                self.set_load_time(self.load_time.mul_f64(LOAD_TIME_DECAY));
+                if self.is_limited {
+                    let growth = if self.starting {
+                        1.0 + STARTUP_GROWTH / self.max_loads().max(1.0)
+                    } else {
+                        TIMELY_GROWTH
+                    };
+                    self.window = (self.window * growth).min(MAX_WINDOW);
+                }
             }
-            LoadTiming::Timely => {}
-            LoadTiming::Delayed(_) => {
+            LoadTiming::Delayed(time) => {
+                self.set_load_time(self.load_time.max(time.mul_f64(DELAYED_LOAD_MARGIN)));
                 self.window = (self.window * DELAYED_CUT).max(MIN_WINDOW);
             }
             LoadTiming::Late => self.record_late_load(now),
         }
     }
 
+    fn set_load_time(&mut self, load_time: Duration) {
+        self.load_time = load_time.clamp(MIN_LOAD_TIME, MAX_LOAD_TIME);
+    }
+
     /// Shrinks the window after a load that didn't complete in time.
     pub fn record_late_load(&mut self, now: ClockTime) {
         if now >= self.late_until {
