queue: log requests whose scheduler does not answer

Cause: grant_queued with outcome=NoAnswer, which docs/OPERATIONS.md names as the sign of a scheduler that was killed, paused or cut off, was no longer written: a condition of a change that was taken back had stayed, and made its branch dead.

Change: the condition is gone. Nothing but the log line changes.

--- a/lib/src/gateway/grant_queues.rs
+++ b/lib/src/gateway/grant_queues.rs
@@ -146,10 +146,7 @@
             return;
         };
         let held = now.since(record.asked_at);
-        if reply.is_none() || held < QUEUED_LOG_TIME {
-            return;
-        }
-        if std::mem::replace(&mut record.was_queued, true) {
+        if held < QUEUED_LOG_TIME || std::mem::replace(&mut record.was_queued, true) {
             return;
         }
         let id = &self.servers.get(server).record.id;
