review: tokens of orders fall after a server restarts under its id and all gateways are killed

Case 8, a script from the entry tokens_increase_across_takeovers_and_restarts_of_the_server: a planned restart of three gateways in turn, later one of six model servers restarts under its id, and 26 s after that all gateways are killed. The case on restarts is now case 9. The stand-ins know adapters and take ports below the ephemeral ones.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -10,8 +10,9 @@
     };
     match case {
         "6" => crashing_part_under_load(&folder.0, trouble, record),
-        "8" => crashing_part_and_restarts(&folder.0, trouble, record),
         "7" => sound_part_after_a_pause(&folder.0, trouble, record),
+        "8" => tokens_after_a_restart(&folder.0, trouble, record),
+        "9" => crashing_part_and_restarts(&folder.0, trouble, record),
         _ => {
             record.say("no such case");
             Verdict::NotRun
@@ -33,7 +34,7 @@
 struct Fleet {
     gateways: Vec<Gateway>,
     sightings: Arc<Sightings>,
-    _servers: Vec<Arc<ModelServer>>,
+    servers: Vec<Arc<ModelServer>>,
 }
 
 fn start_fleet(
@@ -65,14 +66,24 @@
     Some(Fleet {
         gateways,
         sightings,
-        _servers: servers,
+        servers,
     })
 }
 
 /// Sends a request for a stream; `parts` are the shared parts of its prompt.
 fn send_stream(record: &Record, front: SocketAddr, attempt: &str, parts: &str) -> Answer {
+    send_to_model(record, front, attempt, "m0", parts)
+}
+
+fn send_to_model(
+    record: &Record,
+    front: SocketAddr,
+    attempt: &str,
+    model: &str,
+    parts: &str,
+) -> Answer {
     let headers = format!(
-        "Host: host.example\r\nModel: m0\r\nToken-Usage: 826,290\r\nDeadline-Ms: 12000\r\n\
+        "Host: host.example\r\nModel: {model}\r\nToken-Usage: 826,290\r\nDeadline-Ms: 12000\r\n\
          Credential: k-clans-1\r\nPrompt-Prefix: {parts},{attempt}:628\r\n"
     );
     let body = format!("question {attempt}");
@@ -314,6 +325,25 @@
     verdict
 }
 
+/// Stops a gateway with SIGTERM, starts it and waits until it is ready.
+fn restart(gateway: &Gateway, record: &Record) -> bool {
+    record.line(&format!("SIGTERM to {}", gateway.name));
+    gateway.stop(Duration::from_secs(8));
+    gateway.kill();
+    if gateway.start().is_err() {
+        return false;
+    }
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !gateway.is_ready() {
+        if Instant::now() > deadline {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    record.line(&format!("{} is ready again", gateway.name));
+    true
+}
+
 /// Time from which a gateway is not in touch, and until when.
 type OutOfTouch = Arc<Mutex<Vec<(SocketAddr, f64, f64)>>>;
 
@@ -348,18 +378,12 @@
                 if stop.load(Ordering::Relaxed) || !trouble {
                     return;
                 }
-                let from = record.now();
-                record.line(&format!("SIGTERM to {}", gateway.name));
-                out.lock().unwrap().push((gateway.front, from, f64::MAX));
-                gateway.stop(Duration::from_secs(8));
-                gateway.kill();
-                if gateway.start().is_err() {
+                out.lock()
+                    .unwrap()
+                    .push((gateway.front, record.now(), f64::MAX));
+                if !restart(gateway, &record) {
                     return;
                 }
-                while !gateway.is_ready() && !stop.load(Ordering::Relaxed) {
-                    thread::sleep(Duration::from_millis(20));
-                }
-                record.line(&format!("{} is ready again", gateway.name));
                 if let Some(last) = out.lock().unwrap().last_mut() {
                     last.2 = record.now() + CONTACT;
                 }
@@ -437,3 +461,139 @@
         Verdict::Held
     }
 }
+
+fn tokens_after_a_restart(folder: &Path, trouble: bool, record: &Record) -> Verdict {
+    let options = ModelOptions {
+        service: "models",
+        zone: "dar-a",
+        slots: 64,
+        events: 10,
+        event_interval: Duration::from_millis(30),
+        crash_part: None,
+        down: Duration::from_secs(2),
+    };
+    let Some(fleet) = start_fleet(folder, record, 3, 6, &options) else {
+        return Verdict::NotRun;
+    };
+    let fronts: Vec<SocketAddr> = fleet.gateways.iter().map(|gateway| gateway.front).collect();
+    let start = record.now();
+    let fleet = Arc::new(fleet);
+    let roller = {
+        let (fleet, record) = (fleet.clone(), record.clone());
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(4));
+            for gateway in &fleet.gateways {
+                if !trouble || !restart(gateway, &record) {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(1_300));
+            }
+        })
+    };
+    // After the planned restarts a server restarts under its id, then all gateways are killed.
+    let (mut crashed, mut killed) = (!trouble, !trouble);
+    let mut random = Random(0x9e37_79b9_7f4a_7c15);
+    let mut next = start;
+    let (mut number, mut callers) = (0_u64, Vec::new());
+    while record.now() < start + 85.0 {
+        let now = record.now();
+        if !crashed && now >= start + 34.0 {
+            crashed = true;
+            fleet.servers[0].crash_under_id();
+        }
+        if !killed && now >= start + 60.0 {
+            killed = true;
+            record.line("SIGKILL to all gateways");
+            fleet.gateways.iter().for_each(Gateway::kill);
+            thread::sleep(Duration::from_millis(500));
+            if fleet
+                .gateways
+                .iter()
+                .any(|gateway| gateway.start().is_err())
+            {
+                return Verdict::NotRun;
+            }
+        }
+        if now < next {
+            thread::sleep(Duration::from_millis(2));
+            continue;
+        }
+        next = (next + 1.0 / 15.0).max(now - 0.2);
+        number += 1;
+        let attempt = format!("{number:016x}");
+        let front = fronts[random.below(fronts.len() as u64) as usize];
+        let model = format!("m0/a{}", random.below(90));
+        let record = record.clone();
+        let caller = thread::Builder::new()
+            .stack_size(256 * 1024)
+            .spawn(move || {
+                let parts = "aaaa0001:119,5eed0001:79";
+                let answer = send_to_model(&record, front, &attempt, &model, parts);
+                record.line(&format!(
+                    "answer to {attempt} for {model} from {front}: status {} complete {}",
+                    answer.status, answer.complete
+                ));
+            });
+        callers.extend(caller);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let _ = roller.join();
+    judge_tokens(&fleet, record)
+}
+
+/// ONE: no lower token after a higher one at one process of a server, and no turns of two holders
+/// within `LeaseMs`.
+fn judge_tokens(fleet: &Fleet, record: &Record) -> Verdict {
+    let orders = fleet.sightings.orders.lock().unwrap();
+    record.say(&format!("orders: {}", orders.len()));
+    let mut highest: BTreeMap<&str, &Order> = BTreeMap::new();
+    let mut last: BTreeMap<&str, &Order> = BTreeMap::new();
+    let (mut lower, mut turns) = (0, 0);
+    for order in orders.iter() {
+        if let Some(other) = highest.get(order.server.as_str())
+            && order.fence < other.fence
+        {
+            lower += 1;
+            if lower <= 3 {
+                record.say(&format!(
+                    "{}: token {} of {} at {:.3} s ({}), after {} of {} at {:.3} s ({})",
+                    order.server,
+                    order.fence,
+                    order.holder,
+                    order.at,
+                    order.status,
+                    other.fence,
+                    other.holder,
+                    other.at,
+                    other.status
+                ));
+            }
+        } else {
+            highest.insert(&order.server, order);
+        }
+        if let Some(other) = last.insert(&order.server, order)
+            && other.holder != order.holder
+            && order.at - other.at < 3.0
+        {
+            turns += 1;
+            record.say(&format!(
+                "{}: {} at {:.3} s, {:.3} s after {}",
+                order.server,
+                order.holder,
+                order.at,
+                order.at - other.at,
+                other.holder
+            ));
+        }
+    }
+    record.say(&format!(
+        "orders with a lower token than one before: {lower}; turns: {turns}"
+    ));
+    if lower + turns > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -94,9 +94,20 @@
     now.unwrap_or_default().as_millis() as u64
 }
 
+/// A free port below those that the system gives to outgoing connections, which could take it while
+/// its process is down.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
-    listener.local_addr().expect("local address").port()
+    const FIRST: u64 = 16_000;
+    const COUNT: u64 = 16_000;
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let offset = u64::from(std::process::id()).wrapping_mul(7_919);
+    loop {
+        let number = offset + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (FIRST + number % COUNT) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 fn base64(bytes: &[u8]) -> String {
@@ -336,7 +347,6 @@
     pub server: String,
     pub holder: String,
     pub fence: u64,
-    pub text: String,
     pub status: u16,
 }
 
@@ -358,6 +368,11 @@
     pub crashes: Mutex<Vec<(f64, String)>>,
 }
 
+/// Time to load the model from a server's disk.
+const MODEL_LOAD: Duration = Duration::from_millis(760);
+/// Time to load an adapter.
+const ADAPTER_LOAD: Duration = Duration::from_millis(250);
+
 struct ProcessState {
     id: String,
     born: u64,
@@ -367,6 +382,17 @@
     running: u32,
     connections: Vec<TcpStream>,
     is_up: bool,
+    /// Adapters that are loaded or loading, with the time at which they are ready.
+    adapters: BTreeMap<String, Instant>,
+    /// Whether the next process has the id of this one.
+    keeps_id: bool,
+}
+
+impl ProcessState {
+    fn has_adapter(&self, adapter: &str) -> bool {
+        let ready = self.adapters.get(adapter);
+        ready.is_some_and(|ready| *ready <= Instant::now())
+    }
 }
 
 /// How a model server behaves.
@@ -383,7 +409,7 @@
     pub down: Duration,
 }
 
-/// A model server with one base model and no adapters.
+/// A model server with one base model.
 pub struct ModelServer {
     name: String,
     address: SocketAddr,
@@ -417,6 +443,8 @@
                 running: 0,
                 connections: Vec::new(),
                 is_up: false,
+                adapters: BTreeMap::new(),
+                keeps_id: false,
             }),
             starts: AtomicU64::new(0),
             store: store.clone(),
@@ -434,7 +462,10 @@
         listener.set_nonblocking(true).expect("set the listener up");
         {
             let mut state = self.state.lock().unwrap();
-            state.id = format!("{}-{start}", self.name);
+            if !state.keeps_id {
+                state.id = format!("{}-{start}", self.name);
+            }
+            state.adapters.clear();
             state.born = unix_millis();
             state.sequence = 0;
             state.has_model = has_model;
@@ -462,9 +493,10 @@
             }
             // Refuses connections until the next process starts.
             drop(listener);
-            let (connections, id) = {
+            let (connections, id, keeps_id) = {
                 let mut state = self.state.lock().unwrap();
-                (std::mem::take(&mut state.connections), state.id.clone())
+                let connections = std::mem::take(&mut state.connections);
+                (connections, state.id.clone(), state.keeps_id)
             };
             for connection in connections {
                 let _ = connection.shutdown(std::net::Shutdown::Both);
@@ -472,12 +504,20 @@
             // The store drops the entry after three heartbeats of silence.
             let silence = Duration::from_millis(3_600).min(self.options.down);
             thread::sleep(silence);
-            self.store.put(&format!("servers/{id}"), None);
+            if !keeps_id {
+                self.store.put(&format!("servers/{id}"), None);
+            }
             thread::sleep(self.options.down - silence);
             self.begin(false);
         });
     }
 
+    /// Crashes; the next process has the same id.
+    pub fn crash_under_id(&self) {
+        self.state.lock().unwrap().keeps_id = true;
+        self.crash("its own");
+    }
+
     fn crash(&self, attempt: &str) {
         let mut state = self.state.lock().unwrap();
         if std::mem::replace(&mut state.is_up, false) {
@@ -495,16 +535,29 @@
         }
     }
 
-    fn models(state: &mut ProcessState) -> &'static str {
+    fn models(state: &mut ProcessState) -> String {
         if state.model_ready.is_some_and(|time| time <= Instant::now()) {
             state.model_ready = None;
             state.has_model = true;
         }
-        if state.has_model {
-            r#"[{"Name":"m0","Version":1,"Adapters":[]}]"#
-        } else {
-            "[]"
+        if !state.has_model {
+            return "[]".to_owned();
         }
+        let names = state.adapters.keys().filter(|name| state.has_adapter(name));
+        let names: Vec<String> = names.map(|name| format!("\"{name}@1\"")).collect();
+        format!(
+            r#"[{{"Name":"m0","Version":1,"Adapters":[{}]}}]"#,
+            names.join(",")
+        )
+    }
+
+    fn coming(state: &ProcessState) -> String {
+        let names = state
+            .adapters
+            .keys()
+            .filter(|name| !state.has_adapter(name));
+        let names: Vec<String> = names.map(|name| format!("\"m0/{name}@1\"")).collect();
+        names.join(",")
     }
 
     fn register(&self) {
@@ -551,10 +604,11 @@
             let mut state = self.state.lock().unwrap();
             let models = ModelServer::models(&mut state);
             format!(
-                r#"{{"Stage":"both","Models":{models},"Busy":{},"Sequence":{},"Waiting":0,"Running":{},"KvUsed":1000,"KvTotal":224867,"Handles":0,"Coming":[],"AtHand":{{"InMemory":[],"OnDisk":["m0"]}},"born":{}}}"#,
+                r#"{{"Stage":"both","Models":{models},"Busy":{},"Sequence":{},"Waiting":0,"Running":{},"KvUsed":1000,"KvTotal":224867,"Handles":0,"Coming":[{}],"AtHand":{{"InMemory":[],"OnDisk":["m0"]}},"born":{}}}"#,
                 state.model_ready.is_some(),
                 state.sequence,
                 state.running,
+                ModelServer::coming(&state),
                 state.born
             )
         };
@@ -569,31 +623,63 @@
     fn order(self: &Arc<Self>, stream: &mut TcpStream, request: &Message) -> io::Result<()> {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let expected = json_field(&body, "Expected");
-        let status = {
+        let adapter = json_field(&body, "Adapter");
+        let is_load = json_field(&body, "Operation").as_deref() == Some("load");
+        let mut loads_model = false;
+        let (status, id, born) = {
             let mut state = self.state.lock().unwrap();
             ModelServer::models(&mut state);
-            if request.header("expect-instance") != state.id {
+            let holds = match &adapter {
+                Some(adapter) => state.adapters.contains_key(adapter),
+                None => state.has_model,
+            };
+            let status = if request.header("expect-instance") != state.id {
                 "421 Misdirected Request"
-            } else if state.has_model {
+            } else if holds == is_load {
                 "200 OK"
             } else if state.model_ready.is_some()
                 || expected.is_some_and(|expected| expected != state.sequence.to_string())
             {
                 "409 Conflict"
+            } else if adapter.is_some() && !state.has_model {
+                "421 Misdirected Request"
             } else {
                 state.sequence += 1;
-                // From the server's disk.
-                let load = Duration::from_millis(760);
-                state.model_ready = Some(Instant::now() + load);
-                let server = self.clone();
-                thread::spawn(move || {
-                    thread::sleep(load + Duration::from_millis(20));
-                    server.register();
-                });
-                "202 Accepted"
-            }
+                match adapter {
+                    Some(adapter) if is_load => {
+                        let ready = Instant::now() + ADAPTER_LOAD;
+                        state.adapters.insert(adapter, ready);
+                        "202 Accepted"
+                    }
+                    Some(adapter) => {
+                        state.adapters.remove(&adapter);
+                        "200 OK"
+                    }
+                    None => {
+                        loads_model = true;
+                        state.model_ready = Some(Instant::now() + MODEL_LOAD);
+                        "202 Accepted"
+                    }
+                }
+            };
+            (status, state.id.clone(), state.born)
         };
-        let id = self.state.lock().unwrap().id.clone();
+        if loads_model {
+            let server = self.clone();
+            thread::spawn(move || {
+                thread::sleep(MODEL_LOAD + Duration::from_millis(20));
+                server.register();
+            });
+        }
+        self.sightings.orders.lock().unwrap().push(Order {
+            at: self.record.now(),
+            server: format!("{id} born {born}"),
+            holder: json_field(&body, "Holder").unwrap_or_default(),
+            fence: json_field(&body, "Fence")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
+            status: status[..3].parse().unwrap_or(0),
+        });
         self.record
             .line(&format!("order at {id}: {body} -> {status}"));
         write_response(stream, status, "", "")
@@ -607,7 +693,10 @@
             let mut state = self.state.lock().unwrap();
             ModelServer::models(&mut state);
             let expected = request.header("expect-instance");
-            let refusal = if !expected.is_empty() && expected != state.id || !state.has_model {
+            let adapter = request.header("model").split_once('/');
+            let lacks_adapter = adapter.is_some_and(|(_, adapter)| !state.has_adapter(adapter));
+            let is_other = !expected.is_empty() && expected != state.id;
+            let refusal = if is_other || !state.has_model || lacks_adapter {
                 Some("421 Misdirected Request")
             } else if state.running >= self.options.slots {
                 Some("503 Service Unavailable")
