review: a call that crashes servers isn't isolated beside calls whose query differs

Case 7, a script: two gateways and four servers of a plain service, low load; one safe call that crashes servers comes every 2.5 s, sound calls to the same path with another query go on. The hash that is blamed leaves out the query. The cases are numbered anew, the gravest first: 6 is the part under load, 8 the sound first part, 9 the tokens, 10 the restarts.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -10,9 +10,10 @@
     };
     match case {
         "6" => crashing_part_under_load(&folder.0, trouble, record),
-        "7" => sound_part_after_a_pause(&folder.0, trouble, record),
-        "8" => tokens_after_a_restart(&folder.0, trouble, record),
-        "9" => crashing_part_and_restarts(&folder.0, trouble, record),
+        "7" => crashing_call_beside_sound_ones(&folder.0, trouble, record),
+        "8" => sound_part_after_a_pause(&folder.0, trouble, record),
+        "9" => tokens_after_a_restart(&folder.0, trouble, record),
+        "10" => crashing_part_and_restarts(&folder.0, trouble, record),
         _ => {
             record.say("no such case");
             Verdict::NotRun
@@ -30,7 +31,18 @@
     )
 }
 
-/// A running deployment with model servers.
+/// A configuration with a safe and an unsafe route to a plain service.
+fn plain_config(version: u64) -> String {
+    format!(
+        r#"{{"Version":{version},"Routes":[{{"Name":"check","Host":"host.example","Prefix":"/calendar/","Kind":"safe","TimeoutMs":1500,"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":2}},
+{{"Name":"confirm","Host":"host.example","Prefix":"/confirm/","Kind":"unsafe","TimeoutMs":1500,"TargetLatencyMs":300,"Priority":2,"Service":"desk","MaxAttempts":1}}],
+"Services":[{{"Name":"desk","HealthPath":"/health","MaxConnections":96,"ColdStartS":0,"ColdPerS":0}}],
+"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":5000,"IdleTimeoutMs":15000}},
+"Tenants":[{{"Name":"clans","ApiKeys":["k-clans-1"],"RatePerS":0,"Burst":0}}]}}"#
+    )
+}
+
+/// A running deployment with servers of one service.
 struct Fleet {
     gateways: Vec<Gateway>,
     sightings: Arc<Sightings>,
@@ -45,7 +57,11 @@
     options: &ModelOptions,
 ) -> Option<Fleet> {
     let store = Store::start();
-    store.put("op/config", Some(model_config(3)));
+    let config = match options.plain {
+        Some(_) => plain_config(3),
+        None => model_config(3),
+    };
+    store.put("op/config", Some(config));
     let sightings = Arc::new(Sightings::default());
     let servers = (0..server_count)
         .map(|number| {
@@ -113,6 +129,7 @@
         event_interval: Duration::from_millis(60),
         crash_part: Some("bad0c0de".into()),
         down: Duration::from_secs(4),
+        plain: None,
     };
     let Some(fleet) = start_fleet(folder, record, 2, 4, &options) else {
         return Verdict::NotRun;
@@ -212,6 +229,116 @@
     }
 }
 
+fn crashing_call_beside_sound_ones(folder: &Path, trouble: bool, record: &Record) -> Verdict {
+    const CRASHES: &str = "/calendar/slots?elder=13 ";
+    let options = ModelOptions {
+        service: "desk",
+        zone: "dar-a",
+        slots: 6,
+        events: 0,
+        event_interval: Duration::ZERO,
+        crash_part: None,
+        down: Duration::from_secs(4),
+        plain: Some((Duration::from_millis(60), CRASHES)),
+    };
+    let Some(fleet) = start_fleet(folder, record, 2, 4, &options) else {
+        return Verdict::NotRun;
+    };
+    let fronts: Vec<SocketAddr> = fleet.gateways.iter().map(|gateway| gateway.front).collect();
+    let start = record.now();
+    let mut random = Random(0x9e37_79b9_7f4a_7c15);
+    let (mut next_safe, mut next_unsafe, mut next_bad) = (start, start, start + 6.0);
+    let (mut number, mut callers) = (0_u64, Vec::new());
+    let answers = Arc::new(Mutex::new(Vec::new()));
+    while record.now() < start + 60.0 {
+        let now = record.now();
+        let line = if trouble && now >= next_bad {
+            next_bad += 2.5;
+            format!("GET {}", CRASHES.trim_end())
+        } else if now >= next_safe {
+            next_safe += 0.1;
+            format!("GET /calendar/slots?elder={}", 20 + random.below(60))
+        } else if now >= next_unsafe {
+            next_unsafe += 0.125;
+            "POST /confirm/session".to_owned()
+        } else {
+            thread::sleep(Duration::from_millis(2));
+            continue;
+        };
+        number += 1;
+        let attempt = format!("{number:016x}");
+        let front = fronts[random.below(fronts.len() as u64) as usize];
+        let (record, answers) = (record.clone(), answers.clone());
+        let caller = thread::Builder::new()
+            .stack_size(256 * 1024)
+            .spawn(move || {
+                let headers =
+                    "Host: host.example\r\nDeadline-Ms: 3000\r\nCredential: k-clans-1\r\n";
+                let is_post = line.starts_with("POST");
+                let body = if is_post {
+                    format!("session {attempt}")
+                } else {
+                    String::new()
+                };
+                let patience = Duration::from_millis(3_000);
+                let answer = send_request(
+                    &record,
+                    front,
+                    &line,
+                    headers,
+                    &attempt,
+                    body.as_bytes(),
+                    patience,
+                );
+                record.line(&format!(
+                    "answer to {attempt} ({line}) from {front}: status {} after {:.3} s",
+                    answer.status,
+                    answer.ended - answer.sent
+                ));
+                answers.lock().unwrap().push((line, answer.status));
+            });
+        callers.extend(caller);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let answers = answers.lock().unwrap();
+    let count = |start: &str, is_wanted: &dyn Fn(u16) -> bool| {
+        answers
+            .iter()
+            .filter(|(line, status)| {
+                line.starts_with(start) && !CRASHES.starts_with(&line[4..]) && is_wanted(*status)
+            })
+            .count()
+    };
+    record.say(&format!(
+        "sound calls: {} of {} safe ones and {} of {} unsafe ones answered with 200",
+        count("GET", &|status| status == 200),
+        count("GET", &|_| true),
+        count("POST", &|status| status == 200),
+        count("POST", &|_| true)
+    ));
+    let crashes = fleet.sightings.crashes.lock().unwrap();
+    record.say(&format!("crashes: {}", crashes.len()));
+    let Some((third, _)) = crashes.get(2) else {
+        return Verdict::Held;
+    };
+    let arrivals = fleet.sightings.arrivals.lock().unwrap();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.target.contains(CRASHES) && arrival.at > third + CONTACT)
+        .count();
+    record.say(&format!(
+        "arrivals of the call that crashes servers later than {CONTACT} s after the third crash (at \
+         {third:.1} s): {late}; allowed: 3"
+    ));
+    if late > 3 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
 fn sound_part_after_a_pause(folder: &Path, trouble: bool, record: &Record) -> Verdict {
     let options = ModelOptions {
         service: "models",
@@ -221,6 +348,7 @@
         event_interval: Duration::from_millis(30),
         crash_part: Some("bad0c0de".into()),
         down: Duration::from_secs(4),
+        plain: None,
     };
     let Some(fleet) = start_fleet(folder, record, 2, 4, &options) else {
         return Verdict::NotRun;
@@ -356,6 +484,7 @@
         event_interval: Duration::from_millis(20),
         crash_part: Some("bad0c0de".into()),
         down: Duration::from_secs(4),
+        plain: None,
     };
     let Some(fleet) = start_fleet(folder, record, 2, 4, &options) else {
         return Verdict::NotRun;
@@ -471,6 +600,7 @@
         event_interval: Duration::from_millis(30),
         crash_part: None,
         down: Duration::from_secs(2),
+        plain: None,
     };
     let Some(fleet) = start_fleet(folder, record, 3, 6, &options) else {
         return Verdict::NotRun;
--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -356,6 +356,8 @@
     pub at: f64,
     pub attempt: String,
     pub server: String,
+    /// First line of the request.
+    pub target: String,
     pub prefix: String,
     pub began: bool,
 }
@@ -407,6 +409,9 @@
     pub crash_part: Option<String>,
     /// How long the server stays down after a crash.
     pub down: Duration,
+    /// Set for a plain service, whose calls take this long and crash the server if their target ends in
+    /// the text.
+    pub plain: Option<(Duration, &'static str)>,
 }
 
 /// A model server with one base model.
@@ -696,7 +701,8 @@
             let adapter = request.header("model").split_once('/');
             let lacks_adapter = adapter.is_some_and(|(_, adapter)| !state.has_adapter(adapter));
             let is_other = !expected.is_empty() && expected != state.id;
-            let refusal = if is_other || !state.has_model || lacks_adapter {
+            let lacks_model = self.options.plain.is_none() && !state.has_model;
+            let refusal = if is_other || lacks_model || lacks_adapter {
                 Some("421 Misdirected Request")
             } else if state.running >= self.options.slots {
                 Some("503 Service Unavailable")
@@ -708,6 +714,7 @@
                 at: self.record.now(),
                 attempt: attempt.clone(),
                 server: state.id.clone(),
+                target: request.line.clone(),
                 prefix: prefix.clone(),
                 began: refusal.is_none(),
             });
@@ -717,7 +724,10 @@
             return write_response(stream, status, &format!("{echo}Not-Executed: 1\r\n"), "");
         }
         let born = self.state.lock().unwrap().born;
-        let result = self.write_events(stream, &attempt, &prefix, &echo);
+        let result = match self.options.plain {
+            Some((time, crash)) => self.write_call(stream, request, time, crash),
+            None => self.write_events(stream, &attempt, &prefix, &echo),
+        };
         let mut state = self.state.lock().unwrap();
         if state.born == born {
             state.running = state.running.saturating_sub(1);
@@ -725,6 +735,28 @@
         result
     }
 
+    fn write_call(
+        &self,
+        stream: &mut TcpStream,
+        request: &Message,
+        time: Duration,
+        crash: &str,
+    ) -> io::Result<()> {
+        let attempt = request.header("attempt-id");
+        thread::sleep(time);
+        if request.line.contains(crash) {
+            self.crash(attempt);
+            thread::sleep(Duration::from_millis(20));
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let load = self.state.lock().unwrap().running;
+        let headers = format!(
+            "Attempt-Id: {attempt}\r\nResponse-Seal: seal.{attempt}\r\nServer-Load: {load},0,{}\r\n",
+            self.options.slots
+        );
+        write_response(stream, "200 OK", &headers, &format!("answer to {attempt}"))
+    }
+
     fn write_events(
         &self,
         stream: &mut TcpStream,
