--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -801,8 +801,12 @@
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
+    has_started: AtomicBool,
 }
 
+/// Setting of processes that start together with the whole system for the first time.
+const FIRST_START: &str = "\"first_start\": true,";
+
 /// Places of a gateway before it is started.
 pub struct GatewayPlan {
     pub name: String,
@@ -866,6 +870,7 @@
             log: folder.join(format!("{}.log", plan.name)),
             settings,
             child: Mutex::new(None),
+            has_started: AtomicBool::new(false),
         };
         gateway.start()?;
         gateways.push(gateway);
@@ -875,6 +880,11 @@
 
 impl Gateway {
     pub fn start(&self) -> io::Result<()> {
+        // The platform states `Bootstrap` at the first start of the whole system only.
+        if self.has_started.swap(true, Ordering::Relaxed) {
+            let settings = std::fs::read_to_string(&self.settings)?;
+            std::fs::write(&self.settings, settings.replace(FIRST_START, ""))?;
+        }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new("target/release/wasabistalld")
             .env("WASABISTALL_NODE_FILE", &self.settings)
