orders: tokens start with the start of the server's process

Callers saw nothing.

Cause: tokens had the count of accepted orders in their high bits. The count starts anew with each process of a server. The holder went on above the tokens of the process before, because an order from before may have reached the new process; whoever lost that memory computed lower ones.

Evidence: with one scheduler, one restart and a second scheduler that knows nothing, tokens_increase_after_a_restart_of_the_server_and_of_all_ instances fails on the code before.

Change: a token is the start of the server's process, as the server reports it, plus the count, plus the time of day, in at most 53 bits. A counted order weighs as much as 16 ms of a later start, so that a process stays below the next one. The memory of tokens around a restart is not needed any more. tokens_of_a_process_that_got_no_order_... asserted that the new process gets lower tokens than the one before; it now asserts that they are those of an instance that knows nothing, and higher.

--- a/lib/src/gateway/order_lease.rs
+++ b/lib/src/gateway/order_lease.rs
@@ -49,8 +49,6 @@
     report_in_flight: bool,
     /// Time at which the newest report was requested.
     report_requested_at: ClockTime,
-    /// Time at which the newest report that was applied was requested.
-    applied_report_at: ClockTime,
     /// Time at which the outcome of the newest order was known.
     last_order_at: ClockTime,
     /// Time at which the newest order was sent.
@@ -74,7 +72,6 @@
             report_due_at: Some(now),
             report_in_flight: false,
             report_requested_at: now,
-            applied_report_at: ClockTime::ZERO,
             last_order_at: now,
             order_sent_at: ClockTime::ZERO,
             late_until: ClockTime::ZERO,
@@ -157,12 +154,6 @@
             && self.server_started != report.started
     }
 
-    /// Whether an order was sent since the newest report was requested. If the server restarted in the
-    /// meantime, its new process may have accepted that order.
-    pub fn has_ordered_since_report(&self) -> bool {
-        self.order_sent_at >= self.applied_report_at
-    }
-
     /// Drops a report whose state is not needed, and schedules the next one.
     pub fn discard_report(&mut self, now: ClockTime) {
         self.report_in_flight = false;
@@ -176,7 +167,6 @@
             self.report_due_at = Some(now.after(REPORT_RETRY_DELAY));
             return;
         };
-        self.applied_report_at = self.report_requested_at;
         let restarted = self.is_restarted(report);
         self.server_started = report.started.or(self.server_started);
         self.report_due_at = None;
--- a/lib/src/gateway/server_scheduler/orders.rs
+++ b/lib/src/gateway/server_scheduler/orders.rs
@@ -11,10 +11,19 @@
 };
 
 /// Number of low bits of a fencing token that hold the wall-clock time, and the unit of that time,
-/// which is a fraction of the lease. The time wraps after two years, which only matters between
+/// which is a fraction of the lease. The time wraps after two hours, which only matters between
 /// orders at the same count of accepted orders.
-pub const FENCE_TIME_BITS: u32 = 28;
+pub const FENCE_TIME_BITS: u32 = 15;
 const FENCE_TIME_UNIT_MILLIS: u64 = 250;
+/// Position of the start of the server's process, in Unix milliseconds, in a fencing token. An order
+/// that is counted adds as much as [`ORDER_MILLIS`] of a later start.
+const FENCE_START_SHIFT: u32 = FENCE_TIME_BITS - ORDER_MILLIS.ilog2();
+/// Least time between two orders to a server, on average since its start. Tokens of a process then stay
+/// below those of a process that starts after it.
+const ORDER_MILLIS: u64 = 16;
+/// Largest start in a fencing token, in the year 2109. Tokens then have at most 53 bits, with room for
+/// 2^28 orders: readers of JSON may round larger numbers.
+const MAX_FENCE_START: u64 = (1 << (53 - FENCE_START_SHIFT)) - (1 << 32);
 /// Time between two reports of a server that loads a base model.
 pub(super) const MODEL_RECHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -101,18 +110,18 @@
 
     /// Computes the fencing token of a lease.
     ///
-    /// The count of accepted orders makes up the high bits, so tokens keep increasing even if all
-    /// instances lose their state. The server accepts an order without counting it if it is in the
-    /// ordered state already. The wall-clock time then distinguishes the lease holders, because the
-    /// lease makes it later for a later holder.
+    /// The start of the server's process comes first and the count of accepted orders second, both as
+    /// the server reports them, so tokens keep increasing even if the server restarts and all instances
+    /// lose their state. The server accepts an order without counting it if it is in the ordered state
+    /// already. The wall-clock time then distinguishes the lease holders, because the lease makes it
+    /// later for a later holder.
     pub(super) fn fence(&self, expected: u64, unix_millis: u64) -> u64 {
+        let started = self.order_lease.server_started().unwrap_or_default();
+        let start = started.min(MAX_FENCE_START) << FENCE_START_SHIFT;
+        let count = (expected + 1) << FENCE_TIME_BITS;
         let time = (unix_millis / FENCE_TIME_UNIT_MILLIS) & ((1 << FENCE_TIME_BITS) - 1);
-        let counted = ((expected + 1) << FENCE_TIME_BITS) | time;
-        if counted > self.last_fence {
-            counted
-        } else {
-            self.last_fence + 1
-        }
+        // The clock of the server may have been set back before its restart.
+        (start + count + time).max(self.last_fence + 1)
     }
 
     /// Start time of the next reserved load.
--- a/lib/src/gateway/server_scheduler/report.rs
+++ b/lib/src/gateway/server_scheduler/report.rs
@@ -35,7 +35,7 @@
             return true;
         }
         if report.is_some_and(|report| self.order_lease.is_restarted(report)) {
-            self.forget_fences();
+            self.lease_fence = None;
         }
         self.order_lease.observe_report(now, report);
         if !self.order_lease.is_active() {
@@ -74,7 +74,7 @@
         self.models.clear();
         // A report may have told of this process before, which may have got orders since.
         if self.order_lease.server_started() != Some(started) {
-            self.forget_fences();
+            self.lease_fence = None;
         }
         self.model_status = None;
         self.model_loading_until = now;
@@ -82,14 +82,6 @@
         self.order_lease.suspend(now);
     }
 
-    /// Forgets the fencing tokens that the server's process before has seen.
-    fn forget_fences(&mut self) {
-        self.lease_fence = None;
-        if !self.order_lease.has_ordered_since_report() {
-            self.last_fence = 0;
-        }
-    }
-
     /// Applies the published models if none are known from a report.
     pub fn apply_published(&mut self, now: ClockTime, models: &[LoadedModel]) {
         if !models.is_empty() && self.models.is_empty() {
--- a/lib/tests/gateway/engine.rs
+++ b/lib/tests/gateway/engine.rs
@@ -20,6 +20,8 @@
 /// Number of orders that a failing test shows.
 const LOGGED_ORDERS: usize = 16;
 const REPORT_LAG: Duration = Duration::from_millis(200);
+/// Time between the starts of two of its processes.
+const RESTART_MILLIS: u64 = 10_000;
 
 /// Key of a grant of one instance.
 pub(crate) fn grant_key(request: u64) -> GrantKey {
@@ -133,10 +135,12 @@
         }
     }
 
-    /// Replaces the process by a new one, which holds no adapters.
+    /// Replaces the process by a new one, which holds no adapters. Tokens that the one before has
+    /// accepted still count.
     pub(crate) fn restart(&mut self) {
         *self = FakeEngine {
-            started: self.started + 1,
+            started: self.started + RESTART_MILLIS,
+            last_fence: self.last_fence,
             ..FakeEngine::new(self.slots)
         };
     }
--- a/lib/tests/gateway_order_takeovers.rs
+++ b/lib/tests/gateway_order_takeovers.rs
@@ -74,8 +74,41 @@
     assert_ne!(outcome, Some(ServerOrderOutcome::Accepted));
 }
 
+/// Reads the reports that acquire the lease of a server, and returns the time at which it is held.
+fn acquire_lease(
+    scheduler: &mut ServerScheduler,
+    engine: &FakeEngine,
+    start: ClockTime,
+) -> ClockTime {
+    let mut now = start;
+    for _ in 0..2 {
+        now = now.after(LEASE + Duration::from_millis(500));
+        assert!(scheduler.begin_report_read(now));
+        scheduler.observe_report(now, Some(&engine.report()));
+    }
+    assert!(scheduler.is_active());
+    now
+}
+
+/// Has `scheduler` order an adapter at `now`, and returns the token of the order.
+fn order_adapter(
+    scheduler: &mut ServerScheduler,
+    engine: &mut FakeEngine,
+    now: ClockTime,
+    adapter: &str,
+) -> u64 {
+    let config = engine_config(ADAPTER_SLOTS);
+    request_adapter(scheduler, now, 1, adapter);
+    let order = scheduler
+        .next_order(now, &config, UNIX_MILLIS)
+        .expect("an order");
+    scheduler.order_ended(now, engine.order(now, &order));
+    order.fence
+}
+
 /// Regression test: an instance that had not given any order to a server kept the high token of the
-/// server's process before for its new one.
+/// server's process before for its new one. Its tokens are those of an instance that knows nothing of
+/// the process before.
 #[test]
 fn tokens_of_a_process_that_got_no_order_are_forgotten_after_its_restart() {
     let config = engine_config(ADAPTER_SLOTS);
@@ -87,18 +120,48 @@
     // As in the gateway, the first report is requested at the time at which the server is claimed.
     assert!(scheduler.begin_report_read(start));
     scheduler.observe_report(start, Some(&engine.report()));
+    for _ in 0..16 {
+        engine.restart();
+    }
+    let active = acquire_lease(&mut scheduler, &engine, start);
+    let models = engine.report().models;
+    let mut other = ServerScheduler::new(start, LEASE, &config, &models);
+    let token = order_adapter(&mut scheduler, &mut engine, active, "a1");
+    let mut same_engine = FakeEngine::new(ADAPTER_SLOTS);
+    same_engine.started = engine.started;
+    let active = acquire_lease(&mut other, &same_engine, start);
+    let expected = order_adapter(&mut other, &mut same_engine, active, "a1");
+    assert!(token > high_token, "{token} is not higher");
+    assert_eq!(token, expected);
+}
+
+/// Regression test: after a restart of the server under its id, an instance went on with the tokens of
+/// the process before. All instances were killed, and the next tokens came from the count of the new
+/// process alone and were lower.
+#[test]
+fn tokens_increase_after_a_restart_of_the_server_and_of_all_instances() {
+    let config = engine_config(ADAPTER_SLOTS);
+    let mut engine = FakeEngine::new(ADAPTER_SLOTS);
+    let start = ClockTime::from_millis(1_000);
+    for _ in 0..200 {
+        engine.order_by_other_instance(start);
+    }
+    let mut scheduler = ServerScheduler::new(start, LEASE, &config, &engine.report().models);
+    let mut now = acquire_lease(&mut scheduler, &engine, start);
+    let mut tokens = vec![order_adapter(&mut scheduler, &mut engine, now, "a1")];
     engine.restart();
-    let restarted = start.after(LEASE + Duration::from_millis(500));
-    assert!(scheduler.begin_report_read(restarted));
-    scheduler.observe_report(restarted, Some(&engine.report()));
-    let active = restarted.after(LEASE + Duration::from_millis(500));
-    assert!(scheduler.begin_report_read(active));
-    scheduler.observe_report(active, Some(&engine.report()));
-    request_adapter(&mut scheduler, active, 1, "a1");
-    let order = scheduler
-        .next_order(active, &config, UNIX_MILLIS)
-        .expect("an order");
-    assert!(order.fence < high_token, "{} is not lower", order.fence);
+    now = now.after(Duration::from_secs(3));
+    scheduler.check_slots(now);
+    now = now.after(Duration::from_secs(1));
+    assert!(scheduler.begin_report_read(now));
+    scheduler.observe_report(now, Some(&engine.report()));
+    tokens.push(order_adapter(&mut scheduler, &mut engine, now, "a2"));
+    now = now.after(Duration::from_secs(2));
+    engine.advance(now);
+    let mut next = ServerScheduler::new(now, LEASE, &config, &engine.report().models);
+    now = acquire_lease(&mut next, &engine, now);
+    tokens.push(order_adapter(&mut next, &mut engine, now, "a3"));
+    assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
 }
 
 /// Regression test: an instance learned of a restart from a report and gave orders to the new process.
