suspects: crashes belong to the fleet, not to the process that met them

Cause: a crash was known only from the membership record of the instance that met it. Its next process replaced that record by one without crashes, so the count fell below three at all instances. Also, crashes expired after two minutes, however long such requests came.

Change: CrashLog keeps an entry for each cause at each crash. All instances keep all entries and pass on those that changed recently; an answer to a caller whose digest differs has others too, so a new process knows them after its first exchange. An answer clears a cause for good, not for ten seconds. Builds before exchange crashes in membership records; those fields stay on the wire, empty.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -103,7 +103,7 @@
         }
         let team_name = team.as_ref().map_or("", |team| team.name.as_str());
         let causes = SuspectCauses::new(&request, team_name);
-        if self.suspects.is_refused(&causes) {
+        if self.suspects.refuse_request(now, &causes) {
             let detail = "crashed servers before".to_owned();
             return Err(refuse(
                 ErrorKind::NoServer,
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -22,7 +22,6 @@
 use super::{
     claims::ClaimTable,
     digest::{MemberDigest, MemberKey},
-    suspects::CrashRecord,
 };
 use crate::{clock::ClockTime, rendezvous};
 
@@ -85,9 +84,9 @@
     /// Address on which it accepts messages from peers.
     #[serde(rename = "peers")]
     pub peer_address: SocketAddr,
-    /// Crashes of servers that the member has seen, with what may have caused them.
-    pub suspects: Vec<CrashRecord>,
-    /// Causes reported by any member that are none, because the member has seen an answer completed.
+    /// Always empty; builds before [`super::crash_log`] exchange crashes in it.
+    pub suspects: Vec<(u64, u64)>,
+    /// Always empty, as `suspects`.
     pub cleared: Vec<u64>,
 }
 
@@ -318,22 +317,6 @@
             .collect()
     }
 
-    fn all_records(&self) -> impl Iterator<Item = &MemberRecord> {
-        let others = self.others.values().map(|member| &member.record);
-        others.chain([&self.local])
-    }
-
-    /// Crashes of servers that members have seen.
-    pub fn crashes(&self) -> impl Iterator<Item = &CrashRecord> {
-        self.all_records().flat_map(|record| &record.suspects)
-    }
-
-    /// Causes of crashes that members have cleared.
-    pub fn cleared(&self) -> impl Iterator<Item = u64> {
-        self.all_records()
-            .flat_map(|record| record.cleared.iter().copied())
-    }
-
     /// Members that became alive or dead since the last call.
     pub fn changes(&mut self, now: ClockTime) -> Vec<MemberChange> {
         let mut changes = Vec::new();
--- a/lib/src/gateway/message.rs
+++ b/lib/src/gateway/message.rs
@@ -9,6 +9,7 @@
 use super::{
     availability::ProcessHash,
     claims::{MemberClaims, WantedClaims},
+    crash_log::CrashNews,
     members::AgedRecord,
     replica::CatalogPage,
     revision::StoreRevision,
@@ -48,6 +49,9 @@
     /// Capacity of model servers.
     #[serde(default)]
     pub statuses: StatusList,
+    /// Crashes of servers and what may have caused them.
+    #[serde(default)]
+    pub crashes: CrashNews,
 }
 
 impl GossipMessage {
@@ -67,7 +71,12 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let age = SerializeAsWrap::<_, DurationMilliSeconds<u64>>::new(&self.catalog_age);
         let has_statuses = !self.statuses.is_empty();
-        let optional = usize::from(has_statuses) + usize::from(self.load_time.is_some());
+        let has_crashes = !self.crashes.is_empty();
+        let optional = [has_statuses, self.load_time.is_some(), has_crashes];
+        let optional = optional
+            .into_iter()
+            .filter(|is_present| *is_present)
+            .count();
         let mut map = serializer.serialize_map(Some(8 + optional))?;
         map.serialize_entry("records", &self.records)?;
         map.serialize_entry("claims", &self.claims)?;
@@ -84,6 +93,9 @@
         if has_statuses {
             map.serialize_entry("statuses", &self.statuses)?;
         }
+        if has_crashes {
+            map.serialize_entry("crashes", &self.crashes)?;
+        }
         map.end()
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod choice;
 pub mod claim_changes;
 pub mod claims;
+pub mod crash_log;
 pub mod digest;
 pub mod encoding;
 mod engine_capacity;
@@ -42,7 +43,7 @@
 pub mod shutdown;
 pub mod stages;
 mod store;
-pub mod suspects;
+mod suspects;
 mod teams;
 mod termination;
 
@@ -370,7 +371,7 @@
 
     fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
         self.check_members(now, effects);
-        self.update_suspects(now, effects);
+        self.prune_crashes(now, effects);
         self.read_store(now, effects);
         self.end_restore(now, effects);
         self.sync_schedulers(now, effects);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -10,7 +10,6 @@
     engines::OwnerView,
     event::GatewayEffect,
     log_event,
-    members::AgedRecord,
     message::{GossipMessage, PeerAnswer, PeerCall, PeerError},
     server_scheduler::GrantCaller,
 };
@@ -40,7 +39,8 @@
 
     /// Runs one gossip round with a few peers.
     pub(super) fn gossip(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        self.refresh_own_record(now);
+        self.refresh_own_record();
+        self.suspects.begin_round();
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
             let has_digest = self.members.may_send_digest(now, peer);
@@ -55,7 +55,7 @@
         has_digest: bool,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let message = self.gossip_message(now, has_digest, &[]);
+        let message = self.gossip_message(now, has_digest, None);
         let has_digest = message.has_digest();
         let message = PeerCall::Gossip(message);
         self.call_peer(peer, message, CallPurpose::Gossip { has_digest }, effects);
@@ -70,7 +70,7 @@
         self.gossip(now, effects);
     }
 
-    fn refresh_own_record(&mut self, now: ClockTime) {
+    fn refresh_own_record(&mut self) {
         let claims: Vec<ServerClaim> = self
             .schedulers
             .iter()
@@ -91,16 +91,17 @@
             record_fence(&mut self.fencing_tokens, claim);
         }
         self.members.set_claims(claims);
-        self.share_suspects(now);
     }
 
-    /// Builds a call, or the answer to a call with the records `received`.
+    /// Builds a call, or the answer to a call.
     fn gossip_message(
         &mut self,
         now: ClockTime,
         has_digest: bool,
-        received: &[AgedRecord],
+        call: Option<&GossipMessage>,
     ) -> GossipMessage {
+        let received = call.map_or(&[][..], |call| &call.records);
+        let known_crashes = call.map(|call| call.crashes.digest);
         let records = if has_digest {
             self.members.records(now, &mut self.random)
         } else {
@@ -117,6 +118,7 @@
             leaving: self.servers.shared_leaving(now),
             load_time: Some(self.load_limiter.load_time()),
             statuses: self.gossip_statuses(now),
+            crashes: self.suspects.news(now, known_crashes, &mut self.random),
         }
     }
 
@@ -130,7 +132,7 @@
         let answer = match message {
             PeerCall::Gossip(message) => {
                 let sender = message.records.first().map(|aged| aged.record.peer_address);
-                let answer = self.gossip_message(now, message.has_digest(), &message.records);
+                let answer = self.gossip_message(now, message.has_digest(), Some(&message));
                 let answer = PeerAnswer::Gossip(answer);
                 self.gossip_received(now, sender, &message, effects);
                 answer
@@ -174,6 +176,7 @@
             self.load_limiter.merge_load_time(load_time);
         }
         self.gossip_statuses_received(now, &message.statuses);
+        self.crashes_heard(now, &message.crashes, effects);
         let known = self.catalog.revision();
         if !self.trusts_peer_era(now, message.era) {
             return;
--- a/lib/src/gateway/requests.rs
+++ b/lib/src/gateway/requests.rs
@@ -570,7 +570,9 @@
             AttemptEnd::Broken | AttemptEnd::Interrupted => {
                 self.suspect_request(now, server, &causes, was_starting, effects);
             }
-            AttemptEnd::Completed { success: true } => self.clear_request(now, &causes),
+            AttemptEnd::Completed { success: true } => {
+                self.clear_request(now, &causes, effects);
+            }
             AttemptEnd::Rejected { .. } if self.servers.is_paused(now, server) => {
                 self.record_diversion(now, number, server, effects);
             }
--- a/lib/src/gateway/suspects.rs
+++ b/lib/src/gateway/suspects.rs
@@ -2,20 +2,21 @@
 //!
 //! Requests that were starting on a server when it crashed are suspects, by the hash of their
 //! content and by the shared parts of their prompts: different requests may crash servers with the
-//! same part. Instances exchange with their membership records which crashes they have seen for
-//! which cause. What an answer was completed on recently is not the cause.
+//! same part. What is known of crashes belongs to the fleet (see [`super::crash_log`]). What an answer
+//! was completed on is not the cause of the crashes before.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
+use rand_chacha::ChaCha8Rng;
 use twox_hash::XxHash3_64;
 
 use super::{
     GatewayReducer,
     availability::process_hash,
+    crash_log::{CrashLog, CrashNews},
     event::{GatewayEffect, GatewayRequest},
     log_event,
     servers::GatewayServerKey,
@@ -24,10 +25,6 @@
 
 /// Time within which a broken connection counts as a crash if the server is found to be down.
 const CONFIRM_WINDOW: Duration = Duration::from_millis(1_500);
-/// Time for which a crash is kept.
-const CRASH_RETENTION: Duration = Duration::from_secs(120);
-/// Maximum number of crashes sent to peers.
-const MAX_SUSPECTS: usize = 32;
 /// Time for which an answer that was completed clears the causes of its request.
 const CLEARED_TIME: Duration = Duration::from_secs(10);
 /// Number of crashes after which requests with the same content are refused.
@@ -38,15 +35,6 @@
 /// Seed of the hashes of prompt parts, which sets them apart from hashes of contents.
 const PART_SEED: u64 = 1;
 
-/// A crash of a server on which a request with some cause was starting.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// Hash of a request's content or of a prompt part.
-    pub cause: u64,
-    /// Hash of the server's id and the start of its process, which identifies the crash.
-    pub crash: u64,
-}
-
 /// What of a request may crash servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct SuspectCauses {
@@ -70,6 +58,10 @@
                 .collect(),
         }
     }
+
+    fn all(&self) -> impl Iterator<Item = u64> {
+        self.parts.iter().copied().chain([self.content])
+    }
 }
 
 #[derive(Debug)]
@@ -83,11 +75,10 @@
 #[derive(Debug, Default)]
 pub(super) struct SuspectList {
     broken: Vec<BrokenConnection>,
-    /// Time at which a crash was confirmed, by cause and crash.
-    crashes: BTreeMap<(u64, u64), ClockTime>,
+    log: CrashLog,
     /// Time at which an answer was last completed, by cause.
     answered: HashMap<u64, ClockTime>,
-    /// Number of crashes by cause, over all instances and without those that were cleared.
+    /// Number of crashes by cause, without causes that were cleared.
     crash_counts: BTreeMap<u64, usize>,
 }
 
@@ -110,23 +101,26 @@
 
     /// Records a crash for each request whose connection to `server` broke recently. Returns whether
     /// there was any.
-    fn confirm_crash(&mut self, now: ClockTime, server: GatewayServerKey, crash: u64) -> bool {
+    fn confirm_crash(&mut self, now: ClockTime, server: GatewayServerKey, crash: u32) -> bool {
         let confirmed: Vec<BrokenConnection> = self
             .broken
             .extract_if(.., |broken| broken.server == server)
             .filter(|broken| now.since(broken.time) < CONFIRM_WINDOW)
             .collect();
         for cause in confirmed.iter().flat_map(|broken| &broken.causes) {
-            self.crashes.insert((*cause, crash), now);
+            self.log.record(now, *cause, crash);
         }
         !confirmed.is_empty()
     }
 
-    /// Records that a request was answered completely.
-    fn record_answer(&mut self, now: ClockTime, causes: &SuspectCauses) {
-        for cause in causes.parts.iter().chain([&causes.content]) {
-            self.answered.insert(*cause, now);
+    /// Records that a request was answered completely. Returns whether this clears a cause.
+    fn record_answer(&mut self, now: ClockTime, causes: &SuspectCauses) -> bool {
+        let mut changed = false;
+        for cause in causes.all() {
+            self.answered.insert(cause, now);
+            changed |= self.log.clear(cause);
         }
+        changed
     }
 
     fn is_cleared(&self, now: ClockTime, cause: u64) -> bool {
@@ -135,36 +129,76 @@
             .is_some_and(|time| now.since(*time) < CLEARED_TIME)
     }
 
-    /// Removes what is outdated.
-    fn prune(&mut self, now: ClockTime) {
-        self.crashes
-            .retain(|_, time| now.since(*time) < CRASH_RETENTION);
+    /// Removes what is outdated. Returns whether a crash was.
+    pub(super) fn prune(&mut self, now: ClockTime) -> bool {
         self.answered
             .retain(|_, time| now.since(*time) < CLEARED_TIME);
+        self.log.prune(now)
     }
 
-    /// Confirmed crashes, newest first, to send to peers.
-    fn newest_crashes(&self) -> Vec<CrashRecord> {
-        let mut newest: Vec<(&(u64, u64), &ClockTime)> = self.crashes.iter().collect();
-        newest.sort_by_key(|(_, time)| std::cmp::Reverse(**time));
-        newest
-            .into_iter()
-            .take(MAX_SUSPECTS)
-            .map(|((cause, crash), _)| CrashRecord {
-                cause: *cause,
-                crash: *crash,
-            })
-            .collect()
+    /// Begins a gossip round.
+    pub(super) fn begin_round(&mut self) {
+        self.log.begin_round();
+    }
+
+    /// What to tell a peer, whose entries have this `digest` if it has told it.
+    pub(super) fn news(
+        &self,
+        now: ClockTime,
+        digest: Option<u64>,
+        random: &mut ChaCha8Rng,
+    ) -> CrashNews {
+        self.log.news(now, digest, random)
+    }
+
+    /// Merges what a peer has told. Returns whether any of it was new.
+    fn merge(&mut self, now: ClockTime, news: &CrashNews) -> bool {
+        let changed = self.log.merge(now, news);
+        for record in &news.records {
+            // The sender may not know of answers that this instance has seen.
+            if self.is_cleared(now, record.cause) {
+                self.log.clear(record.cause);
+            }
+        }
+        changed
+    }
+
+    /// Whether a request that arrives is to be refused for its causes, which are then kept.
+    pub(super) fn refuse_request(&mut self, now: ClockTime, causes: &SuspectCauses) -> bool {
+        let refused: Vec<u64> = self.refused_causes(causes).collect();
+        for cause in &refused {
+            self.log.refresh(now, *cause);
+        }
+        !refused.is_empty()
     }
 
     /// Whether requests with one of these causes are to be refused.
     pub(super) fn is_refused(&self, causes: &SuspectCauses) -> bool {
-        let count = |cause: &u64| self.crash_counts.get(cause).copied().unwrap_or(0);
-        count(&causes.content) >= MAX_CONTENT_CRASHES
-            || causes
-                .parts
-                .iter()
-                .any(|part| count(part) >= MAX_PART_CRASHES)
+        self.refused_causes(causes).next().is_some()
+    }
+
+    fn refused_causes(&self, causes: &SuspectCauses) -> impl Iterator<Item = u64> {
+        let count = |cause: u64| self.crash_counts.get(&cause).copied().unwrap_or(0);
+        let parts = causes.parts.iter().copied();
+        let parts = parts.filter(move |part| count(*part) >= MAX_PART_CRASHES);
+        let content = Some(causes.content).filter(|_| count(causes.content) >= MAX_CONTENT_CRASHES);
+        parts.chain(content)
+    }
+
+    /// Counts the crashes of all causes. Returns those that are newly refused.
+    fn count_crashes(&mut self) -> Vec<u64> {
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+        for (cause, _) in self.log.blamed() {
+            *counts.entry(cause).or_default() += 1;
+        }
+        let known = std::mem::replace(&mut self.crash_counts, counts);
+        let is_refused = |counts: &BTreeMap<u64, usize>, cause: &u64| {
+            counts.get(cause).copied().unwrap_or(0) >= MAX_PART_CRASHES
+        };
+        let causes = self.crash_counts.keys().copied();
+        causes
+            .filter(|cause| is_refused(&self.crash_counts, cause) && !is_refused(&known, cause))
+            .collect()
     }
 }
 
@@ -195,8 +229,15 @@
     }
 
     /// Records that a request was answered completely.
-    pub(super) fn clear_request(&mut self, now: ClockTime, causes: &SuspectCauses) {
-        self.suspects.record_answer(now, causes);
+    pub(super) fn clear_request(
+        &mut self,
+        now: ClockTime,
+        causes: &SuspectCauses,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if self.suspects.record_answer(now, causes) {
+            self.crashes_changed(now, effects);
+        }
     }
 
     /// Handles the result of a check whether a server accepts connections.
@@ -221,64 +262,41 @@
     ) {
         let record = &self.servers.get(server).record;
         // A process crashes once, so that its hash identifies the crash.
-        let (id, crash) = (record.id.clone(), process_hash(&record.id, record.started));
-        if self.suspects.confirm_crash(now, server, crash) {
+        let (id, process) = (record.id.clone(), process_hash(&record.id, record.started));
+        if self.suspects.confirm_crash(now, server, process as u32) {
             log_event(effects, "server_crashed", "", &format!("server={id}"));
-            self.share_suspects(now);
-            self.update_suspects(now, effects);
+            self.crashes_changed(now, effects);
         }
     }
 
-    /// Updates what this instance's record says about crashes.
-    pub(super) fn share_suspects(&mut self, now: ClockTime) {
-        self.suspects.prune(now);
-        let crashes = self.suspects.newest_crashes();
-        let causes: BTreeSet<u64> = self
-            .members
-            .crashes()
-            .map(|record| record.cause)
-            .chain(crashes.iter().map(|record| record.cause))
-            .collect();
-        let mut cleared: Vec<u64> = causes
-            .into_iter()
-            .filter(|cause| self.suspects.is_cleared(now, *cause))
-            .collect();
-        cleared.truncate(MAX_SUSPECTS);
-        let local = self.members.local_mut();
-        local.suspects = crashes;
-        local.cleared = cleared;
+    /// Handles what a peer has told of crashes.
+    pub(super) fn crashes_heard(
+        &mut self,
+        now: ClockTime,
+        news: &CrashNews,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if self.suspects.merge(now, news) {
+            self.count_crashes(effects);
+        }
     }
 
-    /// Counts the crashes of all causes that instances have reported.
-    pub(super) fn update_suspects(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        let cleared: BTreeSet<u64> = self.members.cleared().collect();
-        let crashes: BTreeSet<(u64, u64)> = self
-            .members
-            .crashes()
-            .filter(|record| !cleared.contains(&record.cause))
-            .filter(|record| !self.suspects.is_cleared(now, record.cause))
-            .map(|record| (record.cause, record.crash))
-            .collect();
-        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
-        for (cause, _) in crashes {
-            *counts.entry(cause).or_default() += 1;
+    /// Removes outdated crashes.
+    pub(super) fn prune_crashes(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        if self.suspects.prune(now) {
+            self.count_crashes(effects);
         }
-        let known = std::mem::replace(&mut self.suspects.crash_counts, counts);
-        let newly_refused: Vec<u64> = self
-            .suspects
-            .crash_counts
-            .iter()
-            .filter(|(cause, count)| {
-                **count >= MAX_PART_CRASHES
-                    && known.get(cause).copied().unwrap_or(0) < MAX_PART_CRASHES
-            })
-            .map(|(cause, _)| *cause)
-            .collect();
-        for cause in &newly_refused {
+    }
+
+    /// Passes on at once what this instance has found out about crashes.
+    fn crashes_changed(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        self.count_crashes(effects);
+        self.spread_change(now, effects);
+    }
+
+    fn count_crashes(&mut self, effects: &mut Vec<GatewayEffect>) {
+        for cause in self.suspects.count_crashes() {
             log_event(effects, "cause_refused", "", &format!("cause={cause:016x}"));
         }
-        if !newly_refused.is_empty() {
-            self.spread_change(now, effects);
-        }
     }
 }
--- a/lib/tests/gateway_encoding.rs
+++ b/lib/tests/gateway_encoding.rs
@@ -65,6 +65,7 @@
         leaving: Vec::new(),
         load_time: None,
         statuses: Default::default(),
+        crashes: Default::default(),
     }
 }
 
--- a/lib/tests/gateway_server_status.rs
+++ b/lib/tests/gateway_server_status.rs
@@ -541,6 +541,7 @@
         leaving: Vec::new(),
         load_time: None,
         statuses,
+        crashes: Default::default(),
     });
     harness.handle(GatewayEvent::PeerCalled { call: 0, message });
     harness
--- a/lib/tests/gateway_store_era.rs
+++ b/lib/tests/gateway_store_era.rs
@@ -193,6 +193,7 @@
             leaving: Vec::new(),
             load_time: None,
             statuses: Default::default(),
+            crashes: Default::default(),
         });
         self.handle(GatewayEvent::PeerCalled { call: 0, message });
     }
--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -42,7 +42,10 @@
 
     fn send(&mut self, is_deadly: bool) {
         let part = |id, tokens| PromptPart { id, tokens };
-        let index = self.world.random().random_range(0..self.instances);
+        let mut index = self.world.random().random_range(0..self.instances);
+        while !self.world.is_up(index) {
+            index = self.world.random().random_range(0..self.instances);
+        }
         let subject = self.world.random().random_range(1_000..1_034);
         let adapter = format!("a{}", self.world.random().random_range(0..12));
         // Sound requests share all other parts with those that crash servers.
@@ -132,11 +135,7 @@
     let settled = fifth.copied().unwrap_or(last).after(contact_time * 2);
     TaintedOutcome {
         crashes: table.crashes.len(),
-        late_arrivals: fifth.map_or(0, |fifth| {
-            let late = fifth.after(contact_time);
-            let arrivals = table.deadly_arrivals.iter();
-            arrivals.filter(|time| **time > late).count()
-        }),
+        late_arrivals: late_arrivals(&fleet, contact_time),
         served_before: fleet.served_share(measured_from, tainted_from),
         served_after: fleet.served_share(settled, tainted_to),
     }
@@ -174,6 +173,61 @@
     }
 }
 
+/// Number of requests with the part that reached servers later than `contact_time` after the fifth
+/// crash.
+fn late_arrivals(fleet: &TaintedFleet, contact_time: Duration) -> usize {
+    let table = &fleet.world.crash_table;
+    let Some(fifth) = table.crashes.get(BUDGETED_CRASHES - 1) else {
+        return 0;
+    };
+    let late = fifth.after(contact_time);
+    let arrivals = table.deadly_arrivals.iter();
+    arrivals.filter(|time| **time > late).count()
+}
+
+/// Regression test: each restart of an instance took away the crashes that it had met, and the part
+/// crashed servers again.
+#[test]
+fn restarts_of_instances_do_not_undo_the_refusal_of_a_part() {
+    for seed in 0..10 {
+        let mut fleet = TaintedFleet::new(seed, 3, 8, 24.0);
+        fleet.run(Duration::from_secs(4), false);
+        fleet.run(Duration::from_secs(12), true);
+        for round in 0..9 {
+            let index = round % 3;
+            if round % 2 == 0 {
+                fleet.world.kill(index);
+            } else {
+                fleet.world.shut_down(index);
+                fleet.run(Duration::from_secs(2), true);
+                fleet.world.kill(index);
+            }
+            fleet.run(Duration::from_millis(500), true);
+            fleet.world.start(index);
+            fleet.run(Duration::from_secs(2), true);
+        }
+        let late = late_arrivals(&fleet, Duration::from_millis(3_000));
+        let crashes = fleet.world.crash_table.crashes.len();
+        println!("seed {seed}: {crashes} crashes, {late} late");
+        assert!(crashes > 0 && late <= LATE_ARRIVALS, "seed {seed}: {late}");
+    }
+}
+
+/// Regression test: crashes were forgotten after two minutes, and the part crashed servers again for as
+/// long as requests with it came.
+#[test]
+fn a_part_stays_refused_while_requests_with_it_come() {
+    for seed in 0..3 {
+        let mut fleet = TaintedFleet::new(seed, 3, 6, 8.0);
+        fleet.run(Duration::from_secs(4), false);
+        fleet.run(Duration::from_secs(600), true);
+        let late = late_arrivals(&fleet, Duration::from_millis(3_000));
+        let crashes = fleet.world.crash_table.crashes.len();
+        println!("seed {seed}: {crashes} crashes, {late} late");
+        assert!(crashes > 0 && late <= LATE_ARRIVALS, "seed {seed}: {late}");
+    }
+}
+
 /// Servers that crash for another reason do not get sound requests refused.
 #[test]
 fn crashes_without_a_common_part_refuse_nothing() {
