suspects: a request that has been running is not the cause of a crash

Cause: instances shared the 32 newest pairs of cause and crash. Each crash of a busy server added the content of every request that ran there, and these crowded out the part.

Change: the content of a request counts only while the request is starting, as its parts did.

--- a/lib/src/gateway/suspects.rs
+++ b/lib/src/gateway/suspects.rs
@@ -205,8 +205,8 @@
 impl GatewayReducer {
     /// Records that the connection of a request broke, and checks whether its server is down.
     ///
-    /// A request whose answer has been under way for a while is not suspected for the parts of its
-    /// prompt.
+    /// A request whose answer has been under way for a while is not suspected: servers crash when they
+    /// begin to run a request.
     pub(super) fn suspect_request(
         &mut self,
         now: ClockTime,
@@ -215,11 +215,13 @@
         was_starting: bool,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let mut suspected = vec![causes.content];
-        if was_starting {
-            suspected.extend(&causes.parts);
-        }
-        suspected.retain(|cause| !self.suspects.is_cleared(now, *cause));
+        let suspected = if was_starting {
+            let causes = causes.all();
+            let uncleared = causes.filter(|cause| !self.suspects.is_cleared(now, *cause));
+            uncleared.collect()
+        } else {
+            Vec::new()
+        };
         self.suspects
             .record_broken_connection(now, server, suspected);
         effects.push(GatewayEffect::CheckServer {
--- a/lib/tests/gateway/world/crashes.rs
+++ b/lib/tests/gateway/world/crashes.rs
@@ -34,6 +34,8 @@
     parts: BTreeMap<u64, Vec<PromptPart>>,
     running: Vec<ServerRun>,
     down_until: BTreeMap<usize, ClockTime>,
+    /// Time that servers take for requests, if not the usual one. Their answers then start early.
+    pub(crate) response_time: Option<Duration>,
     /// Times of crashes.
     pub(crate) crashes: Vec<ClockTime>,
     /// Times at which requests with the deadly part arrived at servers.
@@ -86,9 +88,18 @@
         self.crash_table.running.push(run);
         if is_deadly {
             self.push(self.now.after(CRASH_DELAY), WorldAction::Crash(run));
-        } else {
-            self.push(self.now.after(RESPONSE_TIME), WorldAction::EndRun(run));
+            return;
+        }
+        let response_time = self.crash_table.response_time;
+        if response_time.is_some() {
+            let event = GatewayEvent::ResponseStarted {
+                request: run.request,
+                first_event: RESPONSE_TIME,
+            };
+            self.schedule(RESPONSE_TIME, run.node, run.incarnation, event);
         }
+        let end = self.now.after(response_time.unwrap_or(RESPONSE_TIME));
+        self.push(end, WorldAction::EndRun(run));
     }
 
     fn end_run(&mut self, run: ServerRun, end: AttemptEnd) {
--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -185,6 +185,23 @@
     arrivals.filter(|time| **time > late).count()
 }
 
+/// Regression test: the contents of the requests that ran on a busy server took all places of the list
+/// that instances share, and the part was never refused.
+#[test]
+fn a_part_is_refused_while_servers_are_busy() {
+    for seed in 0..10 {
+        let mut fleet = TaintedFleet::new(seed, 2, 4, 40.0);
+        fleet.deadly_per_s = 0.4;
+        fleet.world.crash_table.response_time = Some(Duration::from_millis(3_400));
+        fleet.run(Duration::from_secs(10), false);
+        fleet.run(Duration::from_secs(60), true);
+        let late = late_arrivals(&fleet, Duration::from_millis(3_000));
+        let crashes = fleet.world.crash_table.crashes.len();
+        println!("seed {seed}: {crashes} crashes, {late} late");
+        assert!(crashes > 0 && late <= LATE_ARRIVALS, "seed {seed}: {late}");
+    }
+}
+
 /// Regression test: each restart of an instance took away the crashes that it had met, and the part
 /// crashed servers again.
 #[test]
