callers: the query is part of what a request is

Cause: what identifies a request had its method, path and body, but not its query. Each answer to a sound call with another query cleared the call that crashed servers. Without such answers, sound calls to its path were refused with it.

Change: the hash of the content takes the path with its query, and the cause the host too, since routes of different hosts may share paths.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -11,7 +11,7 @@
 use futures_util::TryStreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{
-    Request, Response, StatusCode,
+    Method, Request, Response, StatusCode, Uri,
     body::{Frame, Incoming},
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
     server::conn::http1,
@@ -200,18 +200,14 @@
             return refusal(ErrorKind::BodyTimeout, None);
         }
     };
-    let line_hash = XxHash3_64::oneshot_with_seed(
-        XxHash3_64::oneshot(parts.method.as_str().as_bytes()),
-        parts.uri.path().as_bytes(),
-    );
-    let content_hash = XxHash3_64::oneshot_with_seed(line_hash, &body.bytes);
-    let origin_form = parts
+    let origin_form: Option<Uri> = parts
         .uri
         .path_and_query()
         .and_then(|path| path.as_str().parse().ok());
     let Some(uri) = origin_form else {
         return refusal(ErrorKind::MalformedRequest, None);
     };
+    let content_hash = hash_content(&parts.method, &uri, &body.bytes);
     let call = CallerCall {
         method: parts.method,
         uri,
@@ -240,6 +236,14 @@
     run_attempts(request, commands, call).await
 }
 
+/// Hash of what a caller asks for: the method, the path with its query, and the body.
+fn hash_content(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+    let target = uri.path_and_query().map_or("", |target| target.as_str());
+    let method_hash = XxHash3_64::oneshot(method.as_str().as_bytes());
+    let line_hash = XxHash3_64::oneshot_with_seed(method_hash, target.as_bytes());
+    XxHash3_64::oneshot_with_seed(line_hash, body)
+}
+
 /// Reads the rest of a request that is refused whatever its body is.
 async fn ignore_body(core: &GatewayCore, body: Incoming) {
     let body = read_body(body, MAX_IGNORED_BYTES, &core.bodies);
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -58,7 +58,7 @@
     pub prompt_parts: Vec<PromptPart>,
     /// How long the caller will wait.
     pub deadline: Option<Duration>,
-    /// Hash of method, path and body.
+    /// Hash of method, path, query and body.
     pub content_hash: u64,
 }
 
--- a/lib/src/gateway/suspects.rs
+++ b/lib/src/gateway/suspects.rs
@@ -38,7 +38,7 @@
 /// What of a request may crash servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct SuspectCauses {
-    /// Hash of its content and team.
+    /// Hash of its content, host and team.
     content: u64,
     /// Hashes of the shared parts of its prompt.
     parts: Vec<u64>,
@@ -51,7 +51,10 @@
             None => &[],
         };
         SuspectCauses {
-            content: XxHash3_64::oneshot_with_seed(request.content_hash, team.as_bytes()),
+            content: XxHash3_64::oneshot_with_seed(
+                XxHash3_64::oneshot_with_seed(request.content_hash, request.host.as_bytes()),
+                team.as_bytes(),
+            ),
             parts: shared
                 .iter()
                 .map(|part| XxHash3_64::oneshot_with_seed(PART_SEED, &part.id.to_le_bytes()))
