--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -373,7 +373,6 @@
 
     fn housekeeping(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
         self.check_members(now, effects);
-        self.prune_crashes(now, effects);
         self.read_store(now, effects);
         self.end_restore(now, effects);
         self.sync_schedulers(now, effects);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -40,7 +40,7 @@
     /// Runs one gossip round with a few peers.
     pub(super) fn gossip(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
         self.refresh_own_record();
-        self.suspects.begin_round();
+        self.begin_crash_round(now, effects);
         let peers = self.members.begin_round(now, &mut self.random);
         for peer in peers {
             let has_digest = self.members.may_send_digest(now, peer);
--- a/lib/src/gateway/suspects.rs
+++ b/lib/src/gateway/suspects.rs
@@ -139,16 +139,12 @@
             .is_some_and(|time| now.since(*time) < CLEARED_TIME)
     }
 
-    /// Removes what is outdated. Returns whether a crash was.
-    pub(super) fn prune(&mut self, now: ClockTime) -> bool {
+    /// Begins a gossip round and removes what is outdated. Returns whether a crash was.
+    fn begin_round(&mut self, now: ClockTime) -> bool {
         self.answered
             .retain(|_, time| now.since(*time) < CLEARED_TIME);
-        self.log.prune(now)
-    }
-
-    /// Begins a gossip round.
-    pub(super) fn begin_round(&mut self) {
         self.log.begin_round();
+        self.log.prune(now)
     }
 
     /// What to tell a peer, whose entries have this `digest` if it has told it.
@@ -323,9 +319,9 @@
         }
     }
 
-    /// Removes outdated crashes.
-    pub(super) fn prune_crashes(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
-        if self.suspects.prune(now) {
+    /// Begins a gossip round and removes outdated crashes.
+    pub(super) fn begin_crash_round(&mut self, now: ClockTime, effects: &mut Vec<GatewayEffect>) {
+        if self.suspects.begin_round(now) {
             self.find_causes(now, effects);
         }
     }
