tests: outcomes of simulated orders reach the server that was ordered

The simulated fleet computed the key of an ordered server from its number. Instances allocate keys in the order of the ids, s-1, s-10, s-11, s-2, so with more than ten servers the outcome of an order went to another server. The scheduler of the ordered one waited for it for good, discarded all reports, and its adapter was never served again after a crash. The trace: report_outdated with a pending order of ten seconds before, on servers that had not crashed.

The outcome now goes to the key that came with the order. That makes the simulation stricter: more servers take part.

--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -81,7 +81,7 @@
     Crash(ServerRun),
     /// Publishes the record of a server.
     Publish(usize),
-    Order(usize, u64, usize, ServerOrder),
+    Order(usize, u64, GatewayServerKey, usize, ServerOrder),
 }
 
 /// One instance of the gateway.
@@ -408,10 +408,10 @@
             WorldAction::EndRun(run) => self.complete_run(run),
             WorldAction::Crash(run) => self.crash_server(run),
             WorldAction::Publish(engine) => self.publish_server(engine),
-            WorldAction::Order(index, incarnation, server, order) => {
+            WorldAction::Order(index, incarnation, server, engine, order) => {
                 let holder = self.nodes[index].name.clone();
-                let outcome = if self.crash_table.is_up(self.now, server) {
-                    self.engines[server].order_from(self.now, &holder, &order)
+                let outcome = if self.crash_table.is_up(self.now, engine) {
+                    self.engines[engine].order_from(self.now, &holder, &order)
                 } else {
                     wasabistall_lib::gateway::server_scheduler::ServerOrderOutcome::Refused
                 };
@@ -421,22 +421,22 @@
                 } else {
                     outcome
                 };
-                let key = self.server_key(index, server);
-                if let Some(server) = key {
-                    let event = GatewayEvent::OrderEnded { server, outcome };
-                    self.push(
-                        self.now.after(NETWORK_DELAY),
-                        WorldAction::Event(index, incarnation, event),
-                    );
-                }
+                let event = GatewayEvent::OrderEnded { server, outcome };
+                self.schedule(NETWORK_DELAY, index, incarnation, event);
             }
         }
     }
 
-    fn server_key(&self, _index: usize, server: usize) -> Option<GatewayServerKey> {
-        // Servers are published in order, so every instance allocates the same keys.
+    /// Key of a server at all instances, which allocate keys in the order of the ids.
+    fn server_key(&self, engine: usize) -> Option<GatewayServerKey> {
+        let mut ids: Vec<String> = (0..self.engines.len())
+            .map(|engine| format!("s-{engine}"))
+            .collect();
+        ids.sort();
+        let id = format!("s-{engine}");
+        let position = ids.iter().position(|other| *other == id)?;
         Some(la_arena::Idx::from_raw(la_arena::RawIdx::from_u32(
-            u32::try_from(server).ok()?,
+            u32::try_from(position).ok()?,
         )))
     }
 
@@ -506,10 +506,13 @@
                 };
                 self.schedule(NETWORK_DELAY * 2, index, incarnation, event);
             }
-            GatewayEffect::Order { id, order, .. } => {
+            GatewayEffect::Order {
+                server, id, order, ..
+            } => {
                 let engine = engine_index(&id);
                 let time = self.now.after(NETWORK_DELAY);
-                self.push(time, WorldAction::Order(index, incarnation, engine, order));
+                let action = WorldAction::Order(index, incarnation, server, engine, order);
+                self.push(time, action);
             }
             GatewayEffect::Dispatch(dispatch) => self.dispatch(index, incarnation, &dispatch),
             GatewayEffect::Refuse(refusal) => {
--- a/lib/tests/gateway/world/notices.rs
+++ b/lib/tests/gateway/world/notices.rs
@@ -55,7 +55,7 @@
     /// Passes on to an instance that a server announces that it leaves.
     pub(crate) fn announce(&mut self, index: usize, engine: usize) {
         self.notice_table.leaving.insert(engine);
-        if let Some(server) = self.server_key(index, engine) {
+        if let Some(server) = self.server_key(engine) {
             let incarnation = self.nodes[index].incarnation;
             self.announce_leaving(index, incarnation, engine, server);
         }
@@ -63,7 +63,7 @@
 
     /// Has a server turn an instance away for some time.
     pub(crate) fn turn_away(&mut self, index: usize, engine: usize, time: Duration) {
-        let Some(server) = self.server_key(index, engine) else {
+        let Some(server) = self.server_key(engine) else {
             return;
         };
         let event = GatewayEvent::ServerNoticed {
--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -229,7 +229,7 @@
         let deadly: (f64, &[u64]) = (0.4, &[FIRST, DEADLY_PART]);
         let sound: (f64, &[u64]) = (4.0, &[FIRST, 1_001]);
         // The first seconds load the adapters.
-        fleet.run_parts(Duration::from_secs(8), &[other]);
+        fleet.run_parts(Duration::from_secs(20), &[other]);
         let before = fleet.run_parts(Duration::from_secs(8), &[other, sound]);
         fleet.run_parts(Duration::from_secs(12), &[other]);
         fleet.run_parts(Duration::from_secs(12), &[other, deadly]);
