tests: answers that are reset during an upload, and status 000

Checked here with a real gateway process: uploads of 3.9 MB to a server that reads heads alone and has a receive buffer of 4 KB, reset 0 to 50 ms after its bytes, on calls that may run once, calls that may be repeated, streams and streams that may be resumed.

Whether the write or the read met each reset was not traced. The answers of reports, orders, the store and peers, which carry no long uploads, were not tried.

--- a/daemon/tests/site/scripted.rs
+++ b/daemon/tests/site/scripted.rs
@@ -7,11 +7,14 @@
 use wasabistall_testutils::{
     gateway::{CallerConnection, CallerResponse},
     platform::platform_config,
-    scripted::{AnswerScript, AnswerStep, ScriptedServer},
+    scripted::{AnswerScript, AnswerStep, BodyReading, ScriptedServer},
 };
 
 use super::TestSite;
 
+/// Largest body of a request, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 4_000_000;
+
 /// A gateway whose service `desk` is a scripted server, listed under one or two ids. Its service `calm`
 /// has a sound server.
 pub(crate) struct ScriptedSite {
@@ -21,9 +24,18 @@
 
 impl ScriptedSite {
     pub(crate) async fn start(ids: &[&str], script: AnswerScript) -> ScriptedSite {
+        ScriptedSite::start_reading(ids, script, BodyReading::Whole).await
+    }
+
+    pub(crate) async fn start_reading(
+        ids: &[&str],
+        script: AnswerScript,
+        reading: BodyReading,
+    ) -> ScriptedSite {
         let site = TestSite::start(1).await;
-        let server = ScriptedServer::start(site.gateways[0].ports.ip, script).await;
+        let server = ScriptedServer::start(site.gateways[0].ports.ip, script, reading);
         let mut config = platform_config(2, "key");
+        config["Limits"]["MaxBodyBytes"] = json!(MAX_BODY_BYTES);
         let routes = config["Routes"].as_array_mut().expect("routes");
         for (name, resumable) in [("stream", false), ("resume", true)] {
             routes.push(
@@ -77,6 +89,15 @@
     }
 
     pub(crate) async fn call(&self, path: &str, attempt: &str) -> CallerResponse {
+        self.upload(path, attempt, b"").await
+    }
+
+    pub(crate) async fn upload(
+        &self,
+        path: &str,
+        attempt: &str,
+        body: &'static [u8],
+    ) -> CallerResponse {
         let address = self.site.gateways[0].ports.callers();
         let mut connection = CallerConnection::open(address).await.expect("connect");
         let headers = [
@@ -86,7 +107,7 @@
             ("deadline-ms", "4000"),
         ];
         connection
-            .call(Method::POST, path, &headers, b"")
+            .call(Method::POST, path, &headers, body)
             .await
             .expect("response")
     }
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -11,12 +11,14 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 
 /// Report of a model server without adapters.
 const REPORT: &str = r#"{"Stage":"both","Models":[{"Name":"base","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"born":1}"#;
 
+/// Receive buffer of a server that does not read bodies, in bytes.
+const UNREAD_BUFFER_BYTES: u32 = 4 * 1024;
 /// Bytes in one write of an answer without end.
 const WRITE_BYTES: usize = 64 * 1024;
 
@@ -52,6 +54,15 @@
     Reset,
 }
 
+/// Whether a server reads the bodies of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyReading {
+    /// It reads the whole body before it answers.
+    Whole,
+    /// It reads heads alone and lets the sender fill its small receive buffer.
+    Never,
+}
+
 /// Decides how a request is answered.
 pub type AnswerScript = Arc<dyn Fn(&ScriptedRequest) -> Vec<AnswerStep> + Send + Sync>;
 
@@ -64,6 +75,7 @@
     /// Number of answers without end in progress.
     endless: Arc<AtomicUsize>,
     script: AnswerScript,
+    reading: BodyReading,
 }
 
 impl ScriptedServer {
@@ -72,13 +84,14 @@
     /// # Panics
     ///
     /// Panics when the port cannot be bound.
-    pub async fn start(ip: IpAddr, script: AnswerScript) -> ScriptedServer {
-        let listener = TcpListener::bind((ip, 0)).await.expect("bind a server");
+    pub fn start(ip: IpAddr, script: AnswerScript, reading: BodyReading) -> ScriptedServer {
+        let listener = listen(ip, reading).expect("bind a server");
         let server = ScriptedServer {
             address: listener.local_addr().expect("address of a server"),
             requests: Arc::default(),
             endless: Arc::default(),
             script,
+            reading,
         };
         let accepting = server.clone();
         tokio::spawn(async move {
@@ -111,6 +124,12 @@
         let mut received = Vec::new();
         let mut earlier_on_connection = 0;
         while let Some(head) = read_head(&mut stream, &mut received).await {
+            if self.reading == BodyReading::Whole {
+                let body = read_body(&mut stream, &mut received, &head);
+                if body.await.is_none() {
+                    return;
+                }
+            }
             if head.starts_with("GET /report") {
                 let length = REPORT.len();
                 let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{REPORT}");
@@ -176,7 +195,20 @@
     }
 }
 
-/// Reads a request and returns its head; `None` when the connection was closed.
+/// Listens on a free port of `ip`.
+fn listen(ip: IpAddr, reading: BodyReading) -> std::io::Result<TcpListener> {
+    let socket = match ip {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if reading == BodyReading::Never {
+        socket.set_recv_buffer_size(UNREAD_BUFFER_BYTES)?;
+    }
+    socket.bind(SocketAddr::new(ip, 0))?;
+    socket.listen(1_024)
+}
+
+/// Reads the head of a request; `None` when the connection was closed.
 async fn read_head(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
     let end = loop {
         let end = received.windows(4).position(|bytes| bytes == b"\r\n\r\n");
@@ -186,7 +218,11 @@
         read_more(stream, received).await?;
     };
     let head: Vec<u8> = received.drain(..end).collect();
-    let head = String::from_utf8_lossy(&head).into_owned();
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Reads the body of a request with this head; `None` when the connection was closed.
+async fn read_body(stream: &mut TcpStream, received: &mut Vec<u8>, head: &str) -> Option<()> {
     let length = head.lines().find_map(|line| {
         let (name, value) = line.split_once(':')?;
         let is_length = name.eq_ignore_ascii_case("content-length");
@@ -197,7 +233,7 @@
         read_more(stream, received).await?;
     }
     received.drain(..length);
-    Some(head)
+    Some(())
 }
 
 async fn read_more(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<()> {
