tests: crashes outlive the side of a partition that met them

Five instances, two of them cut off while the others meet three crashes. The three restart in turn within the partition, it heals, and two seconds later all three are killed at once. The two seconds after the heal matter: without an exchange there is nothing that could know.

--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -317,6 +317,48 @@
     }
 }
 
+/// Crashes that one side of a partition has met outlive all instances of that side.
+#[test]
+fn crashes_outlive_the_side_of_a_partition_that_met_them() {
+    let deadly: (f64, &[u64]) = (1.0, &[1, DEADLY_PART]);
+    let sound: (f64, &[u64]) = (10.0, &[1, 1_000]);
+    for seed in 0..10 {
+        let mut fleet = TaintedFleet::new(seed, 5, 8, 0.0);
+        fleet.run_parts(Duration::from_secs(20), &[sound]);
+        for index in [3, 4] {
+            fleet.world.nodes[index].is_partitioned = true;
+        }
+        // The other side sees none of the requests.
+        fleet.instances = 3;
+        fleet.run_parts(Duration::from_secs(10), &[sound, deadly]);
+        let crashes = fleet.world.crash_table.crashes.len();
+        for index in 0..3 {
+            fleet.world.kill(index);
+            fleet.world.start(index);
+            fleet.run_parts(Duration::from_secs(2), &[sound]);
+        }
+        for index in [3, 4] {
+            fleet.world.nodes[index].is_partitioned = false;
+        }
+        fleet.world.run(Duration::from_secs(2));
+        for index in 0..3 {
+            fleet.world.kill(index);
+        }
+        for index in 0..3 {
+            fleet.world.start(index);
+        }
+        fleet.world.run(Duration::from_secs(8));
+        fleet.instances = 5;
+        let sent = fleet.run_parts(Duration::from_secs(30), &[sound, deadly]);
+        fleet.world.run(Duration::from_secs(6));
+        let total = fleet.world.crash_table.crashes.len();
+        let served = fleet.served_count(&sent[0]);
+        println!("seed {seed}: {crashes} then {total} crashes, {served} served");
+        assert!(crashes >= 3 && total == crashes, "seed {seed}: {total}");
+        assert!(served * 2 > sent[0].len(), "seed {seed}: {served}");
+    }
+}
+
 /// Regression test: crashes were forgotten after two minutes, and the part crashed servers again for as
 /// long as requests with it came.
 #[test]
