--- a/lib/tests/gateway_suspects.rs
+++ b/lib/tests/gateway_suspects.rs
@@ -10,6 +10,8 @@
 
 /// Part of prompts on which servers crash.
 const DEADLY_PART: u64 = 666;
+/// Part with more tokens than others.
+const LONG_PART: u64 = 1;
 /// Crashes after which requests with the part may no longer reach servers, given some time.
 const BUDGETED_CRASHES: usize = 5;
 /// Requests with the part that may reach servers later than that.
@@ -43,7 +45,7 @@
     fn send(&mut self, is_deadly: bool) {
         let subject = self.world.random().random_range(1_000..1_034);
         // Sound requests share all other parts with those that crash servers.
-        let mut shared = vec![1, subject];
+        let mut shared = vec![LONG_PART, subject];
         if is_deadly {
             shared.push(DEADLY_PART);
         }
@@ -62,7 +64,11 @@
         let adapter = format!("a{}", self.world.random().random_range(0..adapters));
         let own = self.world.random().random_range(1 << 32..1 << 40);
         let ids = shared.iter().copied().chain([own]);
-        self.world.prompt_parts = ids.map(|id| PromptPart { id, tokens: 100 }).collect();
+        let parts = ids.map(|id| PromptPart {
+            id,
+            tokens: if id == LONG_PART { 300 } else { 100 },
+        });
+        self.world.prompt_parts = parts.collect();
         self.world.request(index, &adapter, 600)
     }
 
@@ -320,8 +326,8 @@
 /// Crashes that one side of a partition has met outlive all instances of that side.
 #[test]
 fn crashes_outlive_the_side_of_a_partition_that_met_them() {
-    let deadly: (f64, &[u64]) = (1.0, &[1, DEADLY_PART]);
-    let sound: (f64, &[u64]) = (10.0, &[1, 1_000]);
+    let deadly: (f64, &[u64]) = (1.0, &[LONG_PART, DEADLY_PART]);
+    let sound: (f64, &[u64]) = (10.0, &[LONG_PART, 1_000]);
     for seed in 0..10 {
         let mut fleet = TaintedFleet::new(seed, 5, 8, 0.0);
         fleet.run_parts(Duration::from_secs(20), &[sound]);
