--- /dev/null
+++ b/review/cases-3.rs
@@ -0,0 +1,378 @@
+//! Cases of the third review. `cases-3 CASE FOLDER` plays a case, writes `record.txt` into the folder
+//! and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+#[path = "rig-3.rs"]
+#[macro_use]
+#[allow(dead_code)]
+mod rig;
+
+use std::{
+    env, fs,
+    io::Write,
+    net::Ipv4Addr,
+    path::{Path, PathBuf},
+    process::exit,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use rig::{
+    Asking, Json, Record, Seen, Store, ask, attempt_id, send_answer, send_misdirected, server_entry,
+    start_gateways, start_server,
+};
+
+/// Outcome of a case: whether the rule was broken; `None` if the case could not run.
+type Outcome = Option<bool>;
+
+/// An address that no other test uses at the same time.
+fn ip(host: u8) -> Ipv4Addr {
+    let process = std::process::id().to_le_bytes();
+    Ipv4Addr::new(127, process[0] | 64, process[1], host)
+}
+
+fn millis(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+struct Case {
+    record: Arc<Record>,
+    /// Temporary folder for settings and logs.
+    folder: PathBuf,
+    has_trouble: bool,
+}
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, name, folder] = arguments.as_slice() else {
+        eprintln!("usage: cases-3 CASE FOLDER");
+        exit(2);
+    };
+    let temporary = env::temp_dir().join(format!("review-3-{}", std::process::id()));
+    fs::create_dir_all(&temporary).expect("a temporary folder");
+    let case = Case {
+        record: Record::new(&Path::new(folder).join("record.txt")),
+        folder: temporary.clone(),
+        has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
+    };
+    let outcome = match name.as_str() {
+        "catalog" => catalog(&case),
+        "endless" => endless(&case),
+        _ => None,
+    };
+    case.record.save();
+    if env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(&temporary);
+    }
+    match outcome {
+        Some(true) => println!("the rule was broken"),
+        Some(false) => println!("the rule held"),
+        None => println!("the case could not run"),
+    }
+    exit(outcome.map_or(2, i32::from));
+}
+
+fn route(name: &str, kind: &str, service: &str, timeout: i32, aim: i32) -> Json {
+    map! {
+        "Name": name, "Host": "book.example", "Prefix": format!("/{name}/"), "Kind": kind,
+        "Service": service, "TimeoutMs": timeout, "TargetLatencyMs": aim, "MaxAttempts": 1,
+        "Priority": 2
+    }
+}
+
+fn config(version: i32, routes: Vec<Json>, services: &[&str], keys: Vec<Json>) -> Json {
+    let services: Vec<Json> = services
+        .iter()
+        .map(|name| map! { "Name": *name, "ColdStartS": 0, "ColdPerS": 0 })
+        .collect();
+    map! {
+        "Version": version, "Routes": routes, "Services": services,
+        "Tenants": vec![map! {
+            "Name": "elders", "ApiKeys": keys, "Unit": "tokens", "PlainTokens": 200,
+            "RatePerS": 0, "Burst": 0
+        }],
+        "Limits": map! {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000,
+            "IdleTimeoutMs": 15000
+        }
+    }
+}
+
+/// A sound server of the booking desk: answers after `work`, and tells `ran` of each request it runs.
+fn booking_server(
+    host: u8,
+    id: &'static str,
+    work: Duration,
+    ran: impl Fn(&rig::Heard) + Send + Sync + 'static,
+) -> std::net::SocketAddr {
+    start_server(ip(host), move |request, out| {
+        if request.header("expect-instance") != id {
+            return send_misdirected(request, out);
+        }
+        ran(request);
+        thread::sleep(work);
+        send_answer(request, out, "Server-Load: 1,0,6\r\n", &[b'x'; 800])
+    })
+}
+
+// ---- the catalog: versions in quick succession ----
+
+/// Largest value of the store, in bytes.
+const VALUE_BYTES: usize = 1_048_576;
+/// Times at which versions are written, in milliseconds: a change each 330 ms, and three keys that are
+/// taken away, 100 ms apart.
+const VERSION_TIMES: [u64; 8] = [0, 50, 150, 250, 330, 660, 990, 1_320];
+/// Position of the version that takes the last key away.
+const LAST_REVOKED: usize = 3;
+
+fn large_config(version: i32, size: usize) -> Json {
+    // Version 1 has all keys; the three versions after the second take one away each.
+    let revoked = (version - 2).clamp(0, 3);
+    let keys = (0..5).filter(|key| *key >= revoked).map(|key| Json::from(format!("key-{key}")));
+    let mut routes = vec![route("book", "unsafe", "booking-desk", 1_500, 300)];
+    let keys: Vec<Json> = keys.collect();
+    let empty = config(version, routes.clone(), &["booking-desk"], keys.clone()).text().len();
+    let one = route("more-00000", "unsafe", "booking-desk", 1_500 + version, 300).text().len() + 1;
+    for number in 0..(size - empty) / one {
+        let name = format!("more-{number:05}");
+        routes.push(route(&name, "unsafe", "booking-desk", 1_500 + version, 300));
+    }
+    config(version, routes, &["booking-desk"], keys)
+}
+
+fn catalog(case: &Case) -> Outcome {
+    let record = &case.record;
+    let size = env::var("SIZE").ok().and_then(|text| text.parse().ok()).unwrap_or(VALUE_BYTES);
+    let store = Store::start(ip(1), Duration::from_secs(20));
+    // Time at which each request ran, with its key.
+    let runs: Arc<Mutex<Vec<(f64, String)>>> = Arc::default();
+    for (host, id) in [(2, "i-2"), (3, "i-3"), (4, "i-4"), (5, "i-5")] {
+        let (runs, clock) = (runs.clone(), record.clone());
+        let address = booking_server(host, id, millis(60), move |request| {
+            let attempt = request.header("attempt-id").to_owned();
+            clock.add(format!("server {id} runs {attempt}"));
+            runs.lock().unwrap().push((clock.now(), attempt));
+        });
+        let zone = if host % 2 == 0 { "dar-a" } else { "dar-b" };
+        store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, zone, 6, "ready")));
+    }
+    let versions: Vec<Json> =
+        (1..=VERSION_TIMES.len() as i32 + 1).map(|version| large_config(version, size)).collect();
+    let largest = versions.iter().map(|version| version.text().len()).max()?;
+    record.say(format!("configurations of up to {largest} bytes; the store takes {VALUE_BYTES}"));
+    assert!(largest <= VALUE_BYTES);
+    store.put("op/config", Some(&versions[0]));
+    let gateways =
+        start_gateways(&case.folder, &[ip(10), ip(11), ip(12)], &["dar-a", "dar-b"], store.address)?;
+    record.say("three machines are ready");
+    let ask_once = |gateway: usize, key: &str| -> (String, f64, Seen) {
+        let attempt = attempt_id();
+        let sent = record.now();
+        let asking = Asking {
+            method: "POST", path: "/book/x", key, attempt: &attempt, deadline: millis(3_000),
+            more: "", body: b"session",
+        };
+        let seen = ask(gateways[gateway].callers(), &asking);
+        record.add(format!(
+            "client sent {attempt} with {key} to front-{gateway} at {sent:.3}: status {}",
+            seen.status
+        ));
+        (attempt, sent, seen)
+    };
+    // The machines are in touch.
+    thread::sleep(Duration::from_secs(5));
+    for gateway in 0..gateways.len() {
+        if ask_once(gateway, "key-2").2.status != 200 {
+            return None;
+        }
+    }
+    let start = Instant::now();
+    let mut acknowledged = 0.0;
+    for (index, version) in versions[1..].iter().enumerate() {
+        let time = if case.has_trouble { VERSION_TIMES[index] } else { index as u64 * 1_500 };
+        thread::sleep(millis(time).saturating_sub(start.elapsed()));
+        store.put("op/config", Some(version));
+        record.say(format!("the store has accepted version {}", index + 2));
+        if index == LAST_REVOKED {
+            acknowledged = record.now();
+        }
+    }
+    let written = record.now();
+    // `key-2` is in no version from the fifth on.
+    let mut late = Vec::new();
+    while record.now() < written + 14.0 {
+        for gateway in 0..gateways.len() {
+            let (attempt, sent, _) = ask_once(gateway, "key-2");
+            // ConfigApplyMs
+            if sent > acknowledged + 2.0 {
+                late.push(attempt);
+            }
+        }
+        thread::sleep(millis(200));
+    }
+    let runs = runs.lock().unwrap();
+    let ran = late.iter().filter(|attempt| runs.iter().any(|(_, run)| run == *attempt)).count();
+    for gateway in &gateways {
+        let log = fs::read_to_string(&gateway.log).unwrap_or_default();
+        let applied = log.lines().filter(|line| line.contains("config_applied")).next_back();
+        let failed = log.matches("\"complete\":false").count();
+        record.say(format!("{}: {failed} reads of the store failed; last {applied:?}", gateway.name));
+    }
+    record.say(format!(
+        "{ran} of {} requests ran that were sent over 2 s after their key was taken away",
+        late.len()
+    ));
+    Some(ran > 0)
+}
+
+// ---- a body without end that carries no data ----
+
+/// Lookups that are open at the same time.
+const LOOKUPS: usize = 30;
+
+fn endless(case: &Case) -> Outcome {
+    let record = &case.record;
+    let lookups: usize = env::var("LOOKUPS").ok().and_then(|text| text.parse().ok()).unwrap_or(LOOKUPS);
+    let store = Store::start(ip(1), Duration::from_secs(20));
+    for (host, id) in [(2, "i-2"), (3, "i-3")] {
+        let clock = record.clone();
+        let address = booking_server(host, id, millis(60), move |request| {
+            clock.add(format!("server {id} runs {}", request.header("attempt-id")));
+        });
+        store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, "dar-a", 6, "ready")));
+    }
+    let (clock, is_faulty) = (record.clone(), case.has_trouble);
+    let open = Arc::new(AtomicUsize::new(0));
+    let counting = open.clone();
+    let model_server = start_server(ip(4), move |request, out| {
+        if request.header("expect-instance") != "i-4" {
+            return send_misdirected(request, out);
+        }
+        let attempt = request.header("attempt-id").to_owned();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: 3e1b.07\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        let _ = out.write_all(head.as_bytes());
+        if is_faulty {
+            counting.fetch_add(1, Ordering::SeqCst);
+            let (start, mut bytes) = (Instant::now(), 0_u64);
+            // The size of a chunk that never comes.
+            let mut piece = vec![b' '; 65_536];
+            piece[0] = b'1';
+            while out.write_all(&piece).is_ok() {
+                bytes += piece.len() as u64;
+                piece[0] = b' ';
+            }
+            counting.fetch_sub(1, Ordering::SeqCst);
+            clock.add(format!(
+                "server i-4: {attempt} was closed after {:.1} s and {} MB",
+                start.elapsed().as_secs_f64(),
+                bytes / 1_000_000
+            ));
+            return false;
+        }
+        for event in 1..=12 {
+            thread::sleep(millis(25));
+            let text = format!("id: {event}\ndata: story\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if out.write_all(chunk.as_bytes()).is_err() {
+                return false;
+            }
+        }
+        out.write_all(b"0\r\n\r\n").is_ok()
+    });
+    store.put("servers/i-4", Some(&server_entry("sauti-models", model_server, "dar-a", 64, "ready")));
+    let routes = vec![
+        route("book", "unsafe", "booking-desk", 1_500, 300),
+        route("lookup", "streaming", "sauti-models", 12_000, 800),
+    ];
+    let keys = vec![Json::from("key-0")];
+    store.put("op/config", Some(&config(1, routes, &["booking-desk", "sauti-models"], keys)));
+    let gateways = start_gateways(&case.folder, &[ip(10)], &["dar-a"], store.address)?;
+    let gateway = &gateways[0];
+    let address = gateway.callers();
+    let book = |record: &Record| -> Seen {
+        let attempt = attempt_id();
+        let sent = record.now();
+        let asking = Asking {
+            method: "POST", path: "/book/x", key: "key-0", attempt: &attempt,
+            deadline: millis(3_000), more: "", body: b"session",
+        };
+        let seen = ask(address, &asking);
+        record.add(format!(
+            "client sent {attempt} (booking) at {sent:.3}: status {} after {:.3} s",
+            seen.status,
+            seen.elapsed.as_secs_f64()
+        ));
+        seen
+    };
+    thread::sleep(Duration::from_secs(5));
+    if book(record).status != 200 {
+        return None;
+    }
+    record.say(format!("{lookups} lookups"));
+    let is_over = AtomicBool::new(false);
+    let bookings: Mutex<Vec<Seen>> = Mutex::default();
+    let missed_probes = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..lookups {
+            scope.spawn(|| {
+                let attempt = attempt_id();
+                let asking = Asking {
+                    method: "POST", path: "/lookup/x", key: "key-0", attempt: &attempt,
+                    deadline: millis(12_000), more: "", body: b"clan",
+                };
+                let seen = ask(address, &asking);
+                record.add(format!(
+                    "client sent {attempt} (lookup): status {}, whole {}, after {:.3} s",
+                    seen.status,
+                    seen.is_whole,
+                    seen.elapsed.as_secs_f64()
+                ));
+            });
+            thread::sleep(millis(20));
+        }
+        scope.spawn(|| {
+            while !is_over.load(Ordering::SeqCst) {
+                let sent = Instant::now();
+                if !gateway.probe(Duration::from_secs(1)) {
+                    missed_probes.fetch_add(1, Ordering::SeqCst);
+                    record.add("readiness is not answered within 1 s");
+                }
+                thread::sleep(millis(1_000).saturating_sub(sent.elapsed()));
+            }
+        });
+        let start = Instant::now();
+        thread::scope(|scope| {
+            // Eight bookings a second.
+            while start.elapsed() < Duration::from_secs(10) {
+                scope.spawn(|| {
+                    let seen = book(record);
+                    bookings.lock().unwrap().push(seen);
+                });
+                thread::sleep(millis(125));
+            }
+        });
+        record.say(format!("{} answers without end are open", open.load(Ordering::SeqCst)));
+        is_over.store(true, Ordering::SeqCst);
+    });
+    let bookings = bookings.lock().unwrap();
+    let later_than = |time: u64| {
+        let is_late = |seen: &&Seen| seen.status == 0 || seen.elapsed > millis(time);
+        bookings.iter().filter(is_late).count()
+    };
+    // TimeoutMs of the route, and half a second more.
+    let (at_timeout, half_a_second_later) = (later_than(1_500), later_than(2_000));
+    let served = bookings.iter().filter(|seen| seen.status == 200).count();
+    record.say(format!(
+        "{} bookings, {served} served; {at_timeout} unanswered at 1.5 s, {half_a_second_later} at 2.0 s; \
+         {} readiness probes missed",
+        bookings.len(),
+        missed_probes.load(Ordering::SeqCst)
+    ));
+    Some(at_timeout > 0 && half_a_second_later * 2 > at_timeout)
+}
