review: a lowered limit is granted in addition to the new one

Case 13: the bucket of a tenant keeps what it held under the old limit, however long ago the limit was lowered.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -61,6 +61,7 @@
     let outcome = match name.as_str() {
         "catalog" => catalog(&case),
         "endless" => endless(&case),
+        "quota" => quota(&case),
         _ => None,
     };
     case.record.save();
@@ -260,10 +261,13 @@
 fn endless(case: &Case) -> Outcome {
     let record = &case.record;
     let store = Store::start(ip(1), Duration::from_secs(20));
+    let runs: Arc<Mutex<Vec<String>>> = Arc::default();
     for (host, id) in [(2, "i-2"), (3, "i-3")] {
-        let clock = record.clone();
+        let (runs, clock) = (runs.clone(), record.clone());
         let address = booking_server(host, id, millis(60), move |request| {
-            clock.add(format!("server {id} runs {}", request.header("attempt-id")));
+            let attempt = request.header("attempt-id").to_owned();
+            clock.add(format!("server {id} runs {attempt}"));
+            runs.lock().unwrap().push(attempt);
         });
         let zone = if host == 2 { "dar-a" } else { "dar-b" };
         store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, zone, 6, "ready")));
@@ -318,7 +322,7 @@
     store.put("op/config", Some(&config(1, routes, &["booking-desk", "sauti-models"], keys)));
     let gateways =
         start_gateways(&case.folder, &[ip(10), ip(11)], &["dar-a", "dar-b"], store.address)?;
-    let book = |gateway: usize| -> Seen {
+    let book = |gateway: usize| -> (String, Seen) {
         let attempt = attempt_id();
         let sent = record.now();
         let asking = Asking {
@@ -331,15 +335,15 @@
             seen.status,
             seen.elapsed.as_secs_f64()
         ));
-        seen
+        (attempt, seen)
     };
     thread::sleep(Duration::from_secs(5));
-    if book(0).status != 200 || book(1).status != 200 {
+    if book(0).1.status != 200 || book(1).1.status != 200 {
         return None;
     }
     record.say(format!("{LOOKUPS} lookups"));
     let is_over = AtomicBool::new(false);
-    let bookings: Mutex<Vec<Seen>> = Mutex::default();
+    let bookings: Mutex<Vec<(String, Seen)>> = Mutex::default();
     let missed_probes = AtomicUsize::new(0);
     thread::scope(|scope| {
         for lookup in 0..LOOKUPS {
@@ -394,17 +398,114 @@
     });
     let bookings = bookings.lock().unwrap();
     let later_than = |time: u64| {
-        let is_late = |seen: &&Seen| seen.status == 0 || seen.elapsed > millis(time);
+        let is_late = |(_, seen): &&(String, Seen)| seen.status == 0 || seen.elapsed > millis(time);
         bookings.iter().filter(is_late).count()
     };
     // TimeoutMs of the route, and half a second more.
     let (at_timeout, half_a_second_later) = (later_than(1_500), later_than(2_000));
-    let served = bookings.iter().filter(|seen| seen.status == 200).count();
+    let served = bookings.iter().filter(|(_, seen)| seen.status == 200).count();
+    let runs = runs.lock().unwrap();
+    let is_lost = |(attempt, seen): &&(String, Seen)| seen.status == 0 && runs.contains(attempt);
+    let lost = bookings.iter().filter(is_lost).count();
     record.say(format!(
         "{} bookings, {served} served; {at_timeout} unanswered at 1.5 s, {half_a_second_later} at 2.0 s; \
-         {} readiness probes missed",
+         {} readiness probes missed; {lost} bookings ran and were never answered",
         bookings.len(),
         missed_probes.load(Ordering::SeqCst)
     ));
     Some(at_timeout > 0 && half_a_second_later * 2 > at_timeout)
 }
+
+// ---- a lower limit ----
+
+/// Limits of the tenant before and after the change, in tokens per second, and the burst of each.
+const OLD_RATE: f64 = 80_000.0;
+const NEW_RATE: f64 = 8_000.0;
+/// Tokens of a request: prompt and output.
+const TOKENS: (u32, u32) = (900, 100);
+/// QuotaWindowS.
+const WINDOW: f64 = 8.0;
+
+fn limited_config(version: i32, rate: f64) -> Json {
+    let mut config = config(
+        version,
+        vec![route("ask", "unsafe", "booking-desk", 1_500, 300)],
+        &["booking-desk"],
+        vec![Json::from("key-0")],
+    );
+    if let Json::Map(fields) = &mut config {
+        fields.retain(|(name, _)| name != "Tenants");
+        let tenant = map! {
+            "Name": "elders", "ApiKeys": vec![Json::from("key-0")], "Unit": "tokens",
+            "PlainTokens": 200, "RatePerS": rate, "Burst": rate
+        };
+        fields.push(("Tenants".to_owned(), Json::from(vec![tenant])));
+    }
+    config
+}
+
+fn quota(case: &Case) -> Outcome {
+    let record = &case.record;
+    let store = Store::start(ip(1), Duration::from_secs(20));
+    let runs: Arc<Mutex<Vec<(f64, String)>>> = Arc::default();
+    for (host, id) in [(2, "i-2"), (3, "i-3")] {
+        let (runs, clock) = (runs.clone(), record.clone());
+        let address = booking_server(host, id, millis(5), move |request| {
+            let attempt = request.header("attempt-id").to_owned();
+            clock.add(format!("server {id} runs {attempt}"));
+            runs.lock().unwrap().push((clock.now(), attempt));
+        });
+        let zone = if host == 2 { "dar-a" } else { "dar-b" };
+        store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, zone, 64, "ready")));
+    }
+    let first_rate = if case.has_trouble { OLD_RATE } else { NEW_RATE };
+    store.put("op/config", Some(&limited_config(1, first_rate)));
+    let ips = [ip(10), ip(11), ip(12)];
+    let gateways = start_gateways(&case.folder, &ips, &["dar-a", "dar-b"], store.address)?;
+    let usage = format!("Token-Usage: {},{}\r\n", TOKENS.0, TOKENS.1);
+    let ask_once = |gateway: usize| -> u16 {
+        let attempt = attempt_id();
+        let asking = Asking {
+            method: "POST", path: "/ask/x", key: "key-0", attempt: &attempt,
+            deadline: millis(3_000), more: &usage, body: b"question",
+        };
+        let sent = record.now();
+        let seen = ask(gateways[gateway].callers(), &asking);
+        record.add(format!(
+            "client sent {attempt} to front-{gateway} at {sent:.3}: status {}",
+            seen.status
+        ));
+        seen.status
+    };
+    thread::sleep(Duration::from_secs(5));
+    for gateway in 0..gateways.len() {
+        if ask_once(gateway) != 200 {
+            return None;
+        }
+    }
+    thread::sleep(Duration::from_secs(1));
+    store.put("op/config", Some(&limited_config(2, NEW_RATE)));
+    record.say(format!(
+        "the store has accepted version 2; the limit was {first_rate} tokens per second and is {NEW_RATE}"
+    ));
+    // The limit binds one window after ConfigApplyMs; the tenant is quiet for longer.
+    thread::sleep(Duration::from_secs_f64(WINDOW + 2.0 + 5.0));
+    let start = record.now();
+    record.say("the tenant asks");
+    thread::scope(|scope| {
+        while record.now() < start + WINDOW - 0.5 {
+            for gateway in 0..gateways.len() {
+                let ask_once = &ask_once;
+                scope.spawn(move || ask_once(gateway));
+            }
+            thread::sleep(millis(40));
+        }
+    });
+    let runs = runs.lock().unwrap();
+    let count = runs.iter().filter(|(time, _)| (start..start + WINDOW).contains(time)).count();
+    let tokens = count as f64 * f64::from(TOKENS.0 + TOKENS.1);
+    // (RatePerS x window + Burst) x (1 + QuotaOverage) + QuotaSlack
+    let bound = (NEW_RATE * WINDOW + NEW_RATE) * 1.25 + 110_000.0;
+    record.say(format!("{tokens} tokens ran within {WINDOW} s; the bound is {bound}"));
+    Some(tokens > bound)
+}
