--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -21,8 +21,8 @@
 };
 
 use rig::{
-    Asking, Json, Record, Seen, Store, ask, attempt_id, send_answer, send_misdirected, server_entry,
-    start_gateways, start_server,
+    Asking, Json, Record, Seen, Store, ask, attempt_id, send_answer, send_misdirected,
+    server_entry, start_gateways, start_server,
 };
 
 /// Outcome of a case: whether the rule was broken; `None` if the case could not run.
@@ -136,16 +136,29 @@
 /// A configuration of about the largest size.
 fn large_config(version: i32) -> Json {
     let revoked = (version - FIRST_REVOKED + 1).clamp(0, 3);
-    let keys: Vec<Json> =
-        (revoked..5).map(|key| Json::from(format!("key-{key}"))).collect();
-    let service = if version >= MOVED_IN { "booking-desk-b" } else { "booking-desk" };
+    let keys: Vec<Json> = (revoked..5)
+        .map(|key| Json::from(format!("key-{key}")))
+        .collect();
+    let service = if version >= MOVED_IN {
+        "booking-desk-b"
+    } else {
+        "booking-desk"
+    };
     let services = ["booking-desk", "booking-desk-b"];
     let mut routes = vec![route("book", "unsafe", service, 1_500, 300)];
     let timeout = 1_500 + 10 * i32::from(version >= 2);
     let more = |number: usize| {
-        route(&format!("more-{number:05}"), "unsafe", "booking-desk", timeout, 300)
+        route(
+            &format!("more-{number:05}"),
+            "unsafe",
+            "booking-desk",
+            timeout,
+            300,
+        )
     };
-    let size = config(version, routes.clone(), &services, keys.clone()).text().len();
+    let size = config(version, routes.clone(), &services, keys.clone())
+        .text()
+        .len();
     let count = (VALUE_BYTES - size) / (more(0).text().len() + 1);
     routes.extend((0..count).map(more));
     config(version, routes, &services, keys)
@@ -176,7 +189,9 @@
     let last = VERSION_TIMES.len() as i32 + 1;
     let versions: Vec<Json> = (1..=last).map(large_config).collect();
     let largest = versions.iter().map(|version| version.text().len()).max()?;
-    record.say(format!("configurations of up to {largest} bytes; the store takes {VALUE_BYTES}"));
+    record.say(format!(
+        "configurations of up to {largest} bytes; the store takes {VALUE_BYTES}"
+    ));
     store.put("op/config", Some(&versions[0]));
     let ips = [ip(10), ip(11), ip(12)];
     let gateways = start_gateways(&case.folder, &ips, &["dar-a", "dar-b"], store.address)?;
@@ -185,8 +200,13 @@
         let attempt = attempt_id();
         let sent = record.now();
         let asking = Asking {
-            method: "POST", path: "/book/x", key, attempt: &attempt, deadline: millis(3_000),
-            more: "", body: b"session",
+            method: "POST",
+            path: "/book/x",
+            key,
+            attempt: &attempt,
+            deadline: millis(3_000),
+            more: "",
+            body: b"session",
         };
         let seen = ask(gateways[gateway].callers(), &asking);
         record.add(format!(
@@ -206,8 +226,11 @@
     let (mut moved_at, mut revoked_at) = (0.0, 0.0);
     for (index, version) in versions[1..].iter().enumerate() {
         let number = index as i32 + 2;
-        let time =
-            if case.has_trouble { VERSION_TIMES[index] } else { index as u64 * CALM_INTERVAL };
+        let time = if case.has_trouble {
+            VERSION_TIMES[index]
+        } else {
+            index as u64 * CALM_INTERVAL
+        };
         thread::sleep(millis(time).saturating_sub(start.elapsed()));
         store.put("op/config", Some(version));
         record.say(format!("the store has accepted version {number}"));
@@ -234,15 +257,30 @@
     }
     for gateway in &gateways {
         let log = fs::read_to_string(&gateway.log).unwrap_or_default();
-        let applied = log.lines().filter(|line| line.contains("config_applied")).next_back();
+        let applied = log
+            .lines()
+            .filter(|line| line.contains("config_applied"))
+            .next_back();
         let failed = log.matches("\"complete\":false").count();
         let name = &gateway.name;
-        record.say(format!("{name}: {failed} reads of the store failed; last {applied:?}"));
+        record.say(format!(
+            "{name}: {failed} reads of the store failed; last {applied:?}"
+        ));
     }
     let runs = runs.lock().unwrap();
-    let ran_by = |attempt: &String| runs.iter().find(|(run, _)| run == attempt).map(|(_, by)| *by);
-    let with_key = of_key.iter().filter(|attempt| ran_by(attempt).is_some()).count();
-    let by_old = of_route.iter().filter(|attempt| ran_by(attempt) == Some("booking-desk")).count();
+    let ran_by = |attempt: &String| {
+        runs.iter()
+            .find(|(run, _)| run == attempt)
+            .map(|(_, by)| *by)
+    };
+    let with_key = of_key
+        .iter()
+        .filter(|attempt| ran_by(attempt).is_some())
+        .count();
+    let by_old = of_route
+        .iter()
+        .filter(|attempt| ran_by(attempt) == Some("booking-desk"))
+        .count();
     record.say(format!(
         "{with_key} of {} requests ran whose key had been taken away over 2 s before; \
          {by_old} of {} were run by the service from which their route had moved over 2 s before",
@@ -270,7 +308,10 @@
             runs.lock().unwrap().push(attempt);
         });
         let zone = if host == 2 { "dar-a" } else { "dar-b" };
-        store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, zone, 6, "ready")));
+        store.put(
+            &format!("servers/{id}"),
+            Some(&server_entry("booking-desk", address, zone, 6, "ready")),
+        );
     }
     let (clock, is_faulty) = (record.clone(), case.has_trouble);
     let open = Arc::new(AtomicUsize::new(0));
@@ -313,21 +354,42 @@
         }
         out.write_all(b"0\r\n\r\n").is_ok()
     });
-    store.put("servers/i-4", Some(&server_entry("sauti-models", model_server, "dar-a", 64, "ready")));
+    store.put(
+        "servers/i-4",
+        Some(&server_entry(
+            "sauti-models",
+            model_server,
+            "dar-a",
+            64,
+            "ready",
+        )),
+    );
     let routes = vec![
         route("book", "unsafe", "booking-desk", 1_500, 300),
         route("lookup", "streaming", "sauti-models", 12_000, 800),
     ];
     let keys = vec![Json::from("key-0")];
-    store.put("op/config", Some(&config(1, routes, &["booking-desk", "sauti-models"], keys)));
-    let gateways =
-        start_gateways(&case.folder, &[ip(10), ip(11)], &["dar-a", "dar-b"], store.address)?;
+    store.put(
+        "op/config",
+        Some(&config(1, routes, &["booking-desk", "sauti-models"], keys)),
+    );
+    let gateways = start_gateways(
+        &case.folder,
+        &[ip(10), ip(11)],
+        &["dar-a", "dar-b"],
+        store.address,
+    )?;
     let book = |gateway: usize| -> (String, Seen) {
         let attempt = attempt_id();
         let sent = record.now();
         let asking = Asking {
-            method: "POST", path: "/book/x", key: "key-0", attempt: &attempt,
-            deadline: millis(3_000), more: "", body: b"session",
+            method: "POST",
+            path: "/book/x",
+            key: "key-0",
+            attempt: &attempt,
+            deadline: millis(3_000),
+            more: "",
+            body: b"session",
         };
         let seen = ask(gateways[gateway].callers(), &asking);
         record.add(format!(
@@ -351,8 +413,13 @@
             scope.spawn(move || {
                 let attempt = attempt_id();
                 let asking = Asking {
-                    method: "POST", path: "/lookup/x", key: "key-0", attempt: &attempt,
-                    deadline: millis(12_000), more: "", body: b"clan",
+                    method: "POST",
+                    path: "/lookup/x",
+                    key: "key-0",
+                    attempt: &attempt,
+                    deadline: millis(12_000),
+                    more: "",
+                    body: b"clan",
                 };
                 let seen = ask(address, &asking);
                 record.add(format!(
@@ -371,7 +438,10 @@
                     let sent = Instant::now();
                     if !gateway.probe(Duration::from_secs(1)) {
                         missed_probes.fetch_add(1, Ordering::SeqCst);
-                        record.add(format!("{}: readiness is not answered within 1 s", gateway.name));
+                        record.add(format!(
+                            "{}: readiness is not answered within 1 s",
+                            gateway.name
+                        ));
                     }
                     thread::sleep(millis(1_000).saturating_sub(sent.elapsed()));
                 }
@@ -403,7 +473,10 @@
     };
     // TimeoutMs of the route, and half a second more.
     let (at_timeout, half_a_second_later) = (later_than(1_500), later_than(2_000));
-    let served = bookings.iter().filter(|(_, seen)| seen.status == 200).count();
+    let served = bookings
+        .iter()
+        .filter(|(_, seen)| seen.status == 200)
+        .count();
     let runs = runs.lock().unwrap();
     let is_lost = |(attempt, seen): &&(String, Seen)| seen.status == 0 && runs.contains(attempt);
     let lost = bookings.iter().filter(is_lost).count();
@@ -456,7 +529,10 @@
             runs.lock().unwrap().push((clock.now(), attempt));
         });
         let zone = if host == 2 { "dar-a" } else { "dar-b" };
-        store.put(&format!("servers/{id}"), Some(&server_entry("booking-desk", address, zone, 64, "ready")));
+        store.put(
+            &format!("servers/{id}"),
+            Some(&server_entry("booking-desk", address, zone, 64, "ready")),
+        );
     }
     let first_rate = if case.has_trouble { OLD_RATE } else { NEW_RATE };
     store.put("op/config", Some(&limited_config(1, first_rate)));
@@ -466,8 +542,13 @@
     let ask_once = |gateway: usize| -> u16 {
         let attempt = attempt_id();
         let asking = Asking {
-            method: "POST", path: "/ask/x", key: "key-0", attempt: &attempt,
-            deadline: millis(3_000), more: &usage, body: b"question",
+            method: "POST",
+            path: "/ask/x",
+            key: "key-0",
+            attempt: &attempt,
+            deadline: millis(3_000),
+            more: &usage,
+            body: b"question",
         };
         let sent = record.now();
         let seen = ask(gateways[gateway].callers(), &asking);
@@ -502,10 +583,15 @@
         }
     });
     let runs = runs.lock().unwrap();
-    let count = runs.iter().filter(|(time, _)| (start..start + WINDOW).contains(time)).count();
+    let count = runs
+        .iter()
+        .filter(|(time, _)| (start..start + WINDOW).contains(time))
+        .count();
     let tokens = count as f64 * f64::from(TOKENS.0 + TOKENS.1);
     // (RatePerS x window + Burst) x (1 + QuotaOverage) + QuotaSlack
     let bound = (NEW_RATE * WINDOW + NEW_RATE) * 1.25 + 110_000.0;
-    record.say(format!("{tokens} tokens ran within {WINDOW} s; the bound is {bound}"));
+    record.say(format!(
+        "{tokens} tokens ran within {WINDOW} s; the bound is {bound}"
+    ));
     Some(tokens > bound)
 }
--- a/review/rig-3.rs
+++ b/review/rig-3.rs
@@ -30,7 +30,10 @@
 impl Json {
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Map(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Json::Map(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map(|(_, value)| value),
             Json::List(items) => items.get(name.parse::<usize>().ok()?),
             _ => None,
         }
@@ -265,7 +268,10 @@
 }
 
 pub fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 // ---- HTTP ----
@@ -306,15 +312,25 @@
         let (name, value) = line.split_once(':')?;
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some(Heard { method, path, headers, body })
+    Some(Heard {
+        method,
+        path,
+        headers,
+        body,
+    })
 }
 
 fn query(path: &str, name: &str) -> Option<String> {
     let (_, query) = path.split_once('?')?;
-    let value = query.split('&').find_map(|pair| pair.strip_prefix(&format!("{name}=")))?;
+    let value = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(&format!("{name}=")))?;
     let mut out = Vec::new();
     let bytes = value.as_bytes();
     let mut index = 0;
@@ -448,18 +464,31 @@
             body.push_str(item);
             count += 1;
         }
-        write!(body, "],\"HasMore\":{has_more},\"CurrentRev\":{}}}", state.revision).unwrap();
+        write!(
+            body,
+            "],\"HasMore\":{has_more},\"CurrentRev\":{}}}",
+            state.revision
+        )
+        .unwrap();
         body
     }
 
     fn watch(&self, path: &str) -> (u16, String) {
-        let after: u64 = query(path, "after").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let wait = query(path, "WaitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after: u64 = query(path, "after")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let wait = query(path, "WaitMs")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.lock().unwrap();
         loop {
             let history = self.history;
-            while state.events.first().is_some_and(|(_, time, _)| time.elapsed() > history) {
+            while state
+                .events
+                .first()
+                .is_some_and(|(_, time, _)| time.elapsed() > history)
+            {
                 let (revision, _, _) = state.events.remove(0);
                 state.gone = revision;
             }
@@ -475,7 +504,10 @@
             let now = Instant::now();
             if !events.is_empty() || now >= end {
                 let events = events.join(",");
-                let body = format!("{{\"events\":[{events}],\"CurrentRev\":{}}}", state.revision);
+                let body = format!(
+                    "{{\"events\":[{events}],\"CurrentRev\":{}}}",
+                    state.revision
+                );
                 return (200, body);
             }
             state = self.changed.wait_timeout(state, end - now).unwrap().0;
@@ -524,7 +556,13 @@
 }
 
 /// What a server writes about itself in the store.
-pub fn server_entry(service: &str, address: SocketAddr, zone: &str, slots: i32, state: &str) -> Json {
+pub fn server_entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: i32,
+    state: &str,
+) -> Json {
     map! {
         "Service": service, "Address": address.to_string(), "Zone": zone, "Version": "1",
         "Slots": slots, "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1_700_000_000_000.0
@@ -565,13 +603,23 @@
 /// Sends a request on a new connection and reads the answer until the client's deadline.
 pub fn ask(address: SocketAddr, asking: &Asking<'_>) -> Seen {
     let start = Instant::now();
-    let mut seen = Seen { status: 0, is_whole: false, elapsed: Duration::ZERO, body: Vec::new() };
+    let mut seen = Seen {
+        status: 0,
+        is_whole: false,
+        elapsed: Duration::ZERO,
+        body: Vec::new(),
+    };
     let _ = exchange(address, asking, start, &mut seen);
     seen.elapsed = start.elapsed();
     seen
 }
 
-fn exchange(address: SocketAddr, asking: &Asking<'_>, start: Instant, seen: &mut Seen) -> io::Result<()> {
+fn exchange(
+    address: SocketAddr,
+    asking: &Asking<'_>,
+    start: Instant,
+    seen: &mut Seen,
+) -> io::Result<()> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     let head = format!(
@@ -589,7 +637,10 @@
     let mut received = Vec::new();
     let mut buffer = vec![0; 65_536];
     loop {
-        let left = asking.deadline.checked_sub(start.elapsed()).unwrap_or_default();
+        let left = asking
+            .deadline
+            .checked_sub(start.elapsed())
+            .unwrap_or_default();
         if left.is_zero() {
             return Ok(());
         }
@@ -603,9 +654,15 @@
             continue;
         };
         let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
-        seen.status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        seen.status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         seen.body = received[end + 4..].to_vec();
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length:"));
         seen.is_whole = match length.and_then(|text| text.trim().parse::<usize>().ok()) {
             Some(length) => seen.body.len() >= length,
             None => seen.body.ends_with(b"0\r\n\r\n"),
@@ -671,8 +728,13 @@
 /// Reads a quoted value of the deploy file.
 fn deploy_value(name: &str) -> String {
     let text = fs::read_to_string("deploy/system.toml").expect("deploy/system.toml");
-    let line = text.lines().find(|line| line.split('=').next().is_some_and(|key| key.trim() == name));
-    let value = line.and_then(|line| line.split_once('=')).expect("a value of the deploy file").1;
+    let line = text
+        .lines()
+        .find(|line| line.split('=').next().is_some_and(|key| key.trim() == name));
+    let value = line
+        .and_then(|line| line.split_once('='))
+        .expect("a value of the deploy file")
+        .1;
     value.trim().trim_matches('"').to_owned()
 }
 
@@ -687,8 +749,14 @@
     store: SocketAddr,
 ) -> Json {
     let at = |offset: u16| format!("{ip}:{}", base + offset);
-    let regions = zones.iter().map(|zone| ((*zone).to_owned(), Json::from("region"))).collect();
-    let seeds: Vec<Json> = seeds.iter().map(|seed| Json::from(seed.to_string())).collect();
+    let regions = zones
+        .iter()
+        .map(|zone| ((*zone).to_owned(), Json::from("region")))
+        .collect();
+    let seeds: Vec<Json> = seeds
+        .iter()
+        .map(|seed| Json::from(seed.to_string()))
+        .collect();
     map! {
         "NodeName": name, "Role": "gateway", "MachineClass": "front",
         "Serves": vec![Json::from("front"), Json::from("control"), Json::from("directory")],
@@ -727,8 +795,11 @@
     store: SocketAddr,
 ) -> Option<Vec<Gateway>> {
     let base = 21_000;
-    let seeds: Vec<SocketAddr> =
-        ips.iter().take(3).map(|ip| SocketAddr::from((*ip, base + 2))).collect();
+    let seeds: Vec<SocketAddr> = ips
+        .iter()
+        .take(3)
+        .map(|ip| SocketAddr::from((*ip, base + 2)))
+        .collect();
     let template = fs::read_to_string(deploy_value("template")).expect("template of the settings");
     let mut gateways = Vec::new();
     for (index, ip) in ips.iter().enumerate() {
@@ -751,7 +822,13 @@
             .stdout(output)
             .spawn()
             .ok()?;
-        gateways.push(Gateway { name, ip: *ip, base, child, log });
+        gateways.push(Gateway {
+            name,
+            ip: *ip,
+            base,
+            child,
+            log,
+        });
     }
     gateways.iter().all(Gateway::wait_ready).then_some(gateways)
 }
