--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -205,6 +205,7 @@
             key,
             attempt: &attempt,
             deadline: millis(3_000),
+            gap: millis(3_000),
             more: "",
             body: b"session",
         };
@@ -292,9 +293,16 @@
 
 // ---- a body without end that carries no data ----
 
-/// Lookups that are open at the same time, at two machines: the slots of one server, and what comes in
-/// 4 s by the sheet.
-const LOOKUPS: usize = 64;
+/// Lookups that come, and the time between two of them: 16.3 a second, by the sheet.
+const LOOKUPS: usize = 196;
+const LOOKUP_INTERVAL: u64 = 61;
+/// Time without an event after which a client abandons its stream: eight times the longest pause on the
+/// sheet, which is longer than two seconds and than four times the objective.
+const LOOKUP_GAP: Duration = Duration::from_millis(8 * 600);
+/// Requests that the model server answers at once.
+const MODEL_SLOTS: usize = 64;
+/// Time from the first lookup to the first booking.
+const LEAD_TIME: u64 = 4_000;
 
 fn endless(case: &Case) -> Outcome {
     let record = &case.record;
@@ -321,6 +329,12 @@
             return send_misdirected(request, out);
         }
         let attempt = request.header("attempt-id").to_owned();
+        if counting.load(Ordering::SeqCst) >= MODEL_SLOTS {
+            let refusal = format!(
+                "HTTP/1.1 503 X\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            return out.write_all(refusal.as_bytes()).is_ok();
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: 3e1b.07\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -388,6 +402,7 @@
             key: "key-0",
             attempt: &attempt,
             deadline: millis(3_000),
+            gap: millis(3_000),
             more: "",
             body: b"session",
         };
@@ -408,29 +423,34 @@
     let bookings: Mutex<Vec<(String, Seen)>> = Mutex::default();
     let missed_probes = AtomicUsize::new(0);
     thread::scope(|scope| {
-        for lookup in 0..LOOKUPS {
-            let address = gateways[lookup % 2].callers();
-            scope.spawn(move || {
-                let attempt = attempt_id();
-                let asking = Asking {
-                    method: "POST",
-                    path: "/lookup/x",
-                    key: "key-0",
-                    attempt: &attempt,
-                    deadline: millis(12_000),
-                    more: "",
-                    body: b"clan",
-                };
-                let seen = ask(address, &asking);
-                record.add(format!(
-                    "client sent {attempt} (lookup): status {}, whole {}, after {:.3} s",
-                    seen.status,
-                    seen.is_whole,
-                    seen.elapsed.as_secs_f64()
-                ));
-            });
-            thread::sleep(millis(61));
-        }
+        let callers = [gateways[0].callers(), gateways[1].callers()];
+        scope.spawn(move || {
+            for lookup in 0..LOOKUPS {
+                let address = callers[lookup % 2];
+                scope.spawn(move || {
+                    let attempt = attempt_id();
+                    let asking = Asking {
+                        method: "POST",
+                        path: "/lookup/x",
+                        key: "key-0",
+                        attempt: &attempt,
+                        deadline: millis(12_000),
+                        gap: LOOKUP_GAP,
+                        more: "",
+                        body: b"clan",
+                    };
+                    let seen = ask(address, &asking);
+                    record.add(format!(
+                        "client sent {attempt} (lookup): status {}, whole {}, after {:.3} s",
+                        seen.status,
+                        seen.is_whole,
+                        seen.elapsed.as_secs_f64()
+                    ));
+                });
+                thread::sleep(millis(LOOKUP_INTERVAL));
+            }
+        });
+        thread::sleep(millis(LEAD_TIME));
         for gateway in &gateways {
             let (is_over, missed_probes) = (&is_over, &missed_probes);
             scope.spawn(move || {
@@ -547,6 +567,7 @@
             key: "key-0",
             attempt: &attempt,
             deadline: millis(3_000),
+            gap: millis(3_000),
             more: &usage,
             body: b"question",
         };
--- a/review/rig-3.rs
+++ b/review/rig-3.rs
@@ -596,6 +596,8 @@
     pub key: &'r str,
     pub attempt: &'r str,
     pub deadline: Duration,
+    /// Time without a byte after which the client gives up.
+    pub gap: Duration,
     pub more: &'r str,
     pub body: &'r [u8],
 }
@@ -644,7 +646,7 @@
         if left.is_zero() {
             return Ok(());
         }
-        stream.set_read_timeout(Some(left))?;
+        stream.set_read_timeout(Some(left.min(asking.gap)))?;
         let count = stream.read(&mut buffer)?;
         if count == 0 {
             return Ok(());
